--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,28 @@
+import tseslint from "typescript-eslint";
+
+export default tseslint.config(
+    { ignores: ["dist/", "node_modules/"] },
+    ...tseslint.configs.strict,
+    {
+        files: ["**/*.ts"],
+        languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+        rules: {
+            "@typescript-eslint/consistent-type-imports": ["error", { fixStyle: "separate-type-imports" }],
+            "@typescript-eslint/consistent-type-definitions": ["error", "interface"],
+            "@typescript-eslint/no-floating-promises": "error",
+            "@typescript-eslint/no-misused-promises": ["error", { checksVoidReturn: false }],
+            "@typescript-eslint/no-explicit-any": "error",
+            "@typescript-eslint/naming-convention": [
+                "error",
+                { selector: "typeLike", format: ["PascalCase"], custom: { regex: "^I[A-Z][a-z]", match: false } },
+                { selector: ["function", "parameter", "classProperty", "classMethod"], format: ["camelCase"] },
+                { selector: "variable", format: ["camelCase"] },
+            ],
+            "@typescript-eslint/no-unused-vars": ["error", { ignoreRestSiblings: true }],
+            "curly": ["error", "all"],
+            "eqeqeq": "error",
+            "no-console": "error",
+        },
+    },
+    { files: ["scripts/**/*.ts", "fakes/**/*.ts"], rules: { "no-console": "off" } },
+);
--- /dev/null
+++ b/fakes/service.ts
@@ -0,0 +1,66 @@
+/**
+ * A stand-in for a plain service, which records every call that it ran.
+ */
+
+import { setTimeout as delay } from "node:timers/promises";
+import { listen, readBody, sendJson } from "../src/rpc/httpServer.js";
+
+export interface ServiceFaults {
+    /** Runs the call, then closes the connection instead of answering. */
+    readonly loseAnswer?: boolean;
+    readonly delayMs?: number;
+}
+
+/** One call that was run. */
+export interface ServiceRun {
+    readonly method: string;
+    readonly path: string;
+    readonly headers: string;
+    readonly body: string;
+}
+
+export interface FakeService {
+    readonly url: string;
+    readonly runs: readonly ServiceRun[];
+    readonly setFaults: (faults: ServiceFaults) => void;
+    readonly close: () => Promise<void>;
+}
+
+const maxBodyBytes = 4 * 1024 * 1024;
+
+export async function startFakeService(port = 0): Promise<FakeService> {
+    const runs: ServiceRun[] = [];
+    let faults: ServiceFaults = {};
+    const server = await listen("127.0.0.1", port, (method, path) => async (request, response) => {
+        const body = await readBody(request, maxBodyBytes);
+        const text = body.isOk ? body.value.toString("utf8") : "";
+        if (method === "POST" && path === "/running") {
+            sendJson(response, 200, { requests: [] });
+            return;
+        }
+        if (path === "/faults") {
+            faults = JSON.parse(text) as ServiceFaults;
+            sendJson(response, 200, {});
+            return;
+        }
+        if (path === "/record") {
+            sendJson(response, 200, { runs });
+            return;
+        }
+        runs.push({ method, path: request.url ?? path, headers: JSON.stringify(request.headers), body: text });
+        await delay(faults.delayMs ?? 0);
+        if (faults.loseAnswer === true) {
+            response.destroy();
+            return;
+        }
+        sendJson(response, 200, { run: runs.length, echo: text });
+    });
+    return {
+        url: server.url,
+        runs,
+        setFaults: next => {
+            faults = next;
+        },
+        close: () => server.close(),
+    };
+}
--- /dev/null
+++ b/src/common/json.ts
@@ -0,0 +1,60 @@
+/**
+ * JSON values and the parsing of untrusted text into them.
+ */
+
+import { Result } from "true-myth";
+import type { z } from "zod";
+
+export type JsonValue =
+    | string
+    | number
+    | boolean
+    | null
+    | readonly JsonValue[]
+    | { readonly [key: string]: JsonValue; };
+
+/** Why a text or value was not accepted: where (`path`, dotted) and what was expected there. */
+export interface InvalidInput {
+    readonly path: string;
+    readonly cause: string;
+}
+
+/** Checks `value` against `schema`; the error names the first field that does not fit. */
+export function checkValue<Schema extends z.ZodType>(
+    schema: Schema,
+    value: unknown,
+): Result<z.output<Schema>, InvalidInput> {
+    const parsed = schema.safeParse(value);
+    if (parsed.success) {
+        return Result.ok(parsed.data);
+    }
+    return Result.err(firstIssue(parsed.error));
+}
+
+/** Parses `text` as JSON and checks it against `schema`. */
+export function parseJson<Schema extends z.ZodType>(
+    schema: Schema,
+    text: string,
+): Result<z.output<Schema>, InvalidInput> {
+    let value: unknown;
+    try {
+        value = JSON.parse(text);
+    }
+    catch (error) {
+        return Result.err({ path: "", cause: `not valid JSON: ${(error as Error).message}` });
+    }
+    return checkValue(schema, value);
+}
+
+/** Formats an `InvalidInput` as `field: cause`. */
+export function describeInvalidInput(invalid: InvalidInput): string {
+    return invalid.path === "" ? invalid.cause : `${invalid.path}: ${invalid.cause}`;
+}
+
+function firstIssue(error: z.ZodError): InvalidInput {
+    const issue = error.issues[0];
+    if (issue === undefined) {
+        return { path: "", cause: "invalid value" };
+    }
+    return { path: issue.path.map(String).join("."), cause: issue.message };
+}
--- /dev/null
+++ b/src/daemon/entry.ts
@@ -0,0 +1,342 @@
+/**
+ * The entry: puts the slices together into the process that callers and operators talk to.
+ */
+
+import { randomUUID } from "node:crypto";
+import { createCallersRouter } from "../callers/callersServer.js";
+import { systemClock } from "../common/clock.js";
+import type { Clock } from "../common/clock.js";
+import { checkValue } from "../common/json.js";
+import { createRandom } from "../common/random.js";
+import { createDistribution } from "../configuration/distribution.js";
+import { appendChanges } from "../configuration/log.js";
+import type { ProposedChanges } from "../configuration/log.js";
+import type { Key } from "../configuration/objects.js";
+import { createReplica } from "../configuration/replica.js";
+import { revisionsPerSnapshot, writeSnapshot } from "../configuration/snapshot.js";
+import { limitsOf, listObjects } from "../configuration/state.js";
+import type { ConfigurationState } from "../configuration/state.js";
+import { createKeyring } from "../keys/keyring.js";
+import { createKeyUses } from "../keys/keyUses.js";
+import type { PendingWithdrawal } from "../keys/messages.js";
+import { createWithdrawals } from "../keys/withdrawal.js";
+import { createEscrow, defaultEscrowSettings } from "../limits/escrow.js";
+import { createLease } from "../limits/lease.js";
+import { borrowAnswerSchema, borrowSchema, limitsMethods } from "../limits/messages.js";
+import { createHostDirectory } from "../membership/hosts.js";
+import { createOperatorMethods } from "../operators/operatorMethods.js";
+import type { HostRecord, Platform } from "../platform/ports.js";
+import { defaultTimeouts } from "../requests/context.js";
+import type { RequestContext, RequestTimeouts } from "../requests/context.js";
+import { createRetryBudget } from "../requests/retryBudget.js";
+import { createCandidateIndex } from "../routing/candidates.js";
+import { defaultPolicies } from "../routing/choose.js";
+import type { RoutingPolicies } from "../routing/choose.js";
+import { createLoadView } from "../routing/loadView.js";
+import { createPrefixIndex } from "../routing/prefixIndex.js";
+import { listen, sendJson } from "../rpc/httpServer.js";
+import type { Handler } from "../rpc/httpServer.js";
+import { createRpcClient } from "../rpc/rpcClient.js";
+import { createRpcHandler, rpcMethod, rpcPath } from "../rpc/rpcServer.js";
+import type { RpcMethods } from "../rpc/rpcServer.js";
+import type { EntryFileSettings } from "../settings/settings.js";
+import type { Telemetry } from "../telemetry/telemetry.js";
+
+/** Parts of an entry that a test or a measurement may replace. */
+export interface EntryOptions {
+    readonly clock?: Clock;
+    readonly policies?: RoutingPolicies;
+    readonly timeouts?: RequestTimeouts;
+    readonly seed?: number;
+}
+
+export interface RunningEntry {
+    /** Where other processes and operators reach it. */
+    readonly url: string;
+    /** Where callers reach it. */
+    readonly callersUrl: string;
+    readonly configuration: () => ConfigurationState;
+    /** Takes no new requests, finishes those that run, gives its shares back, and ends. */
+    readonly shutDown: () => Promise<void>;
+    readonly kill: () => Promise<void>;
+}
+
+const initialRetryMs = 500;
+const loanTimeoutMs = 300;
+const leaseRenewalsPerLease = 3;
+const leaseMarginPart = 0.1;
+const leaseMinimumMarginMs = 2_000;
+
+export async function startEntry(
+    settings: EntryFileSettings,
+    platform: Platform,
+    telemetry: Telemetry,
+    options: EntryOptions = {},
+): Promise<RunningEntry> {
+    const clock = options.clock ?? systemClock;
+    const random = createRandom(options.seed ?? Math.trunc(clock.wallMs()));
+    const { counters, log } = telemetry;
+    const stopping = new AbortController();
+    const rpc = createRpcClient();
+    const replica = createReplica(clock);
+    const keyring = createKeyring();
+    const keyUses = createKeyUses();
+    const staticHosts = settings.peerUrls.map((url): HostRecord => ({
+        host: url,
+        role: "entry",
+        url,
+        dataCentre: settings.dataCentre,
+        region: settings.region,
+        state: "live",
+    }));
+    const hosts = createHostDirectory(platform.hosts, clock, staticHosts);
+    const candidates = createCandidateIndex(hosts);
+    let ready = false;
+    let draining = false;
+    let wasCutOff = false;
+
+    const methods: Record<string, RpcMethods[string]> = {};
+    const handlers: { rpc: Handler | undefined; } = { rpc: undefined };
+    const server = await listen(settings.listen.address, settings.listen.port, (method, path) => {
+        if (method === "POST" && path === rpcPath) {
+            return handlers.rpc;
+        }
+        return method === "GET" && path === "/healthz"
+            ? async (request, response) => sendJson(response, 200, { counters: counters.snapshot() })
+            : undefined;
+    });
+
+    function peersOf(dataCentre: string | undefined): readonly string[] {
+        return hosts.usable("entry")
+            .filter(host => dataCentre === undefined || host.dataCentre === dataCentre)
+            .map(host => host.url)
+            .filter(url => url !== server.url);
+    }
+
+    const distribution = createDistribution(
+        {
+            host: settings.host,
+            dataCentre: settings.dataCentre,
+            url: server.url,
+            pollMs: settings.configurationPollMs,
+        },
+        {
+            platform,
+            replica,
+            rpc,
+            clock,
+            random,
+            counters,
+            localEntries: () => peersOf(settings.dataCentre),
+            allEntries: () => peersOf(undefined),
+            reportFailure: hosts.reportFailure,
+            reportSuccess: hosts.reportSuccess,
+        },
+    );
+
+    async function append(proposed: ProposedChanges): ReturnType<typeof appendChanges> {
+        const appended = await appendChanges({ tables: platform.tables, clock, random }, replica.state(), proposed);
+        if (appended.isOk) {
+            await distribution.readNow(appended.value);
+            void distribution.announce(appended.value.revision);
+            if (appended.value.revision % revisionsPerSnapshot === 0) {
+                void writeSnapshot(platform, appended.value);
+            }
+        }
+        return appended;
+    }
+
+    async function makeDurable({ keyName, digestHex }: PendingWithdrawal): Promise<boolean> {
+        const key = replica.state().objects.get(`key/${keyName}`)?.value as Key | undefined;
+        if (key === undefined || key.digestHex !== digestHex || key.state === "withdrawn") {
+            return key?.state === "withdrawn";
+        }
+        const value = { ...key, state: "withdrawn" };
+        const changes = [{ kind: "key" as const, name: keyName, value }];
+        const appended = await append({ changeId: `withdraw-${digestHex}`, operator: settings.host, changes });
+        return appended.isOk;
+    }
+
+    const withdrawals = createWithdrawals({
+        keyring,
+        rpc,
+        clock,
+        random,
+        telemetry,
+        peers: () => peersOf(undefined),
+        makeDurable,
+        noteContact: distribution.noteContact,
+    });
+
+    const leaseSettings = {
+        leaseMs: settings.limitsLeaseMs,
+        marginMs: Math.max(leaseMinimumMarginMs, settings.limitsLeaseMs * leaseMarginPart),
+    };
+    const lease = createLease(platform.tables, clock, leaseSettings, server.url, randomUUID, () => {
+        counters.add("limits.leasesLost");
+        log.warn("lease on shares of limits was lost");
+        escrow.dropAll();
+    });
+    const escrow = createEscrow({
+        tables: platform.tables,
+        clock,
+        random,
+        lease,
+        limitsOf: clientAccount => limitsOf(replica.state(), clientAccount),
+        peers: () => peersOf(undefined),
+        borrow: async (lender, clientAccount, tokens) => {
+            const answer = await rpc.call(lender, limitsMethods.borrow, { clientAccount, tokens }, {
+                timeoutMs: loanTimeoutMs,
+            });
+            const loan = answer.isOk ? checkValue(borrowAnswerSchema, answer.value).unwrapOr(undefined) : undefined;
+            return loan?.tokens ?? 0;
+        },
+        count: counters.add,
+    }, defaultEscrowSettings);
+
+    function cutOff(): boolean {
+        // Without any other entry in sight there is nobody who could have withdrawn a key.
+        const isCutOff = distribution.silenceMs() > settings.cutOffMs && hosts.known("entry").length > 1;
+        if (isCutOff !== wasCutOff) {
+            wasCutOff = isCutOff;
+            log.warn(isCutOff ? "cut off from the store and all entries" : "no longer cut off");
+        }
+        return isCutOff;
+    }
+
+    function unavailable(): string | undefined {
+        if (draining) {
+            return "this entry is shutting down";
+        }
+        if (!ready) {
+            return "this entry has no current configuration yet";
+        }
+        return cutOff() ? "this entry is cut off from the store and all other entries" : undefined;
+    }
+
+    replica.onChange(state => {
+        keyring.load(state);
+        candidates.load(state);
+        escrow.reload();
+        const withdrawn = listObjects(state, "key").map(({ value }) => value as Key).filter(key =>
+            key.state === "withdrawn"
+        );
+        withdrawals.noteDurable(new Set(withdrawn.map(key => key.digestHex)));
+        counters.set("configuration.revision", state.revision);
+    });
+    keyring.onWithdrawal(keyUses.endAll);
+
+    const retryBudget = createRetryBudget();
+    const loads = createLoadView(clock);
+    const prefixes = createPrefixIndex();
+
+    function contextFor(confirmAdmission: () => Promise<boolean>): RequestContext {
+        return {
+            dataCentre: settings.dataCentre,
+            rpc,
+            clock,
+            random,
+            counters,
+            candidates,
+            policies: options.policies ?? defaultPolicies,
+            loads,
+            prefixes,
+            retryBudget,
+            timeouts: options.timeouts ?? defaultTimeouts,
+            reportFailure: hosts.reportFailure,
+            reportSuccess: hosts.reportSuccess,
+            confirmAdmission,
+        };
+    }
+
+    Object.assign(
+        methods,
+        distribution.methods,
+        withdrawals.methods,
+        {
+            [limitsMethods.borrow]: rpcMethod(borrowSchema, async ({ clientAccount, tokens }) => ({
+                tokens: escrow.lend(clientAccount, tokens),
+            })),
+        },
+        createOperatorMethods({
+            host: settings.host,
+            configuration: replica.state,
+            append,
+            withdrawals,
+            distribution,
+            hosts,
+            clock,
+            telemetry,
+            unavailable,
+        }),
+    );
+    handlers.rpc = createRpcHandler(methods);
+
+    async function every(intervalMs: number, run: () => Promise<void>): Promise<void> {
+        while (!stopping.signal.aborted) {
+            await run();
+            await clock.sleep(intervalMs, stopping.signal);
+        }
+    }
+
+    async function start(): Promise<void> {
+        await hosts.refresh();
+        while (!stopping.signal.aborted && !await distribution.loadInitial()) {
+            counters.add("configuration.initialRetries");
+            await clock.sleep(initialRetryMs, stopping.signal);
+            await hosts.refresh();
+        }
+        await withdrawals.loadInitial();
+        await lease.endPredecessors();
+        await lease.renew();
+        ready = true;
+        log.info("entry ready", { url: server.url, revision: replica.state().revision });
+    }
+
+    const router = createCallersRouter({
+        configuration: replica.state,
+        keyring,
+        keyUses,
+        escrow,
+        candidates,
+        clock,
+        counters,
+        maxBodyBytes: settings.maxBodyBytes,
+        unavailable,
+        contextFor,
+    });
+    const callers = await listen(settings.callersListen.address, settings.callersListen.port, router);
+
+    void start().then(() => {
+        void distribution.follow(stopping.signal);
+        void withdrawals.run(stopping.signal);
+        void every(settings.hostListPollMs, hosts.refresh);
+        void every(settings.limitsLeaseMs / leaseRenewalsPerLease, lease.renew);
+        void every(settings.limitsRebalanceMs, escrow.rebalance);
+    });
+
+    async function end(): Promise<void> {
+        stopping.abort();
+        await Promise.all([server.close(), callers.close()]);
+        await rpc.close();
+        counters.close();
+    }
+
+    return {
+        url: server.url,
+        callersUrl: callers.url,
+        configuration: replica.state,
+        shutDown: async () => {
+            draining = true;
+            log.info("entry is draining");
+            // Health checks fail from now on; the balancer needs a moment to notice before the port closes.
+            await clock.sleep(settings.drainDelayMs);
+            await callers.drain();
+            await escrow.releaseAll();
+            await lease.release();
+            await end();
+            log.info("entry ended");
+        },
+        kill: end,
+    };
+}
--- /dev/null
+++ b/src/endpoint/agent.ts
@@ -0,0 +1,202 @@
+/**
+ * The agent: the one process beside an endpoint and the only way to it. It owns the endpoint's slots and memory, the
+ * order of waiting work, and whether new work is taken.
+ */
+
+import { z } from "zod";
+import { systemClock } from "../common/clock.js";
+import type { Clock } from "../common/clock.js";
+import { describeInvalidInput, parseJson } from "../common/json.js";
+import type { Endpoint } from "../configuration/objects.js";
+import { listen, readBody, sendJson } from "../rpc/httpServer.js";
+import type { Handler, HttpServer } from "../rpc/httpServer.js";
+import { createRpcClient } from "../rpc/rpcClient.js";
+import { createRpcHandler, rpcMethod, rpcPath } from "../rpc/rpcServer.js";
+import type { CallContext } from "../rpc/rpcServer.js";
+import type { Telemetry } from "../telemetry/telemetry.js";
+import { cancelAtEngine, cancelLeftovers } from "./cancellation.js";
+import { createDecodeStreams } from "./decodeStreams.js";
+import { createEndpointFollower } from "./endpointFollower.js";
+import { createEndpointHealth } from "./endpointHealth.js";
+import type { EndpointHealth } from "./endpointHealth.js";
+import { createEngineClient } from "./engineClient.js";
+import type { EngineClient } from "./engineClient.js";
+import { defaultFairQueueSettings } from "./fairQueue.js";
+import {
+    agentMethods,
+    decodePath,
+    prefillSchema,
+    reserveDecodeSchema,
+    serviceCallSchema,
+    startDecodeSchema,
+} from "./messages.js";
+import type { Prefill, PrefillAnswer } from "./messages.js";
+import { createServiceCalls } from "./serviceCalls.js";
+import { createWorkQueue } from "./workQueue.js";
+import type { WorkQueue } from "./workQueue.js";
+
+export interface AgentSettings {
+    readonly host: string;
+    readonly endpoint: string;
+    readonly listenAddress: string;
+    readonly listenPort: number;
+    /** Base URL of the endpoint itself. */
+    readonly endpointUrl: string;
+    /** Entries that can be asked for the endpoint's configuration at the start. */
+    readonly entryUrls: readonly string[];
+}
+
+export interface RunningAgent {
+    readonly url: string;
+    readonly queue: WorkQueue;
+    /** Takes no new work, finishes what runs, and ends. */
+    readonly shutDown: () => Promise<void>;
+    /** Ends at once. */
+    readonly kill: () => Promise<void>;
+}
+
+const maxReserveBodyBytes = 64 * 1024;
+const unknownEndpoint = { slots: 0, kvCapacityBytes: 0 };
+
+export async function startAgent(
+    settings: AgentSettings,
+    telemetry: Telemetry,
+    clock: Clock = systemClock,
+): Promise<RunningAgent> {
+    const { counters, log } = telemetry;
+    const stopping = new AbortController();
+    const engine = createEngineClient(settings.endpointUrl);
+    const queue = createWorkQueue(unknownEndpoint, clock, defaultFairQueueSettings);
+    const streams = createDecodeStreams({
+        engine,
+        queue,
+        clock,
+        counters,
+        stopped: stopping.signal,
+        onEngineError: error => health.noteError(error),
+    });
+    const services = createServiceCalls(settings.endpointUrl, queue, clock, counters);
+    const rpc = createRpcClient();
+    const health = createEndpointHealth(engine, clock, stopping.signal, () => applyAvailability());
+    let shuttingDown = false;
+    let leaving = false;
+
+    function applyAvailability(): void {
+        if (shuttingDown || leaving) {
+            queue.setUnavailable("draining");
+            return;
+        }
+        queue.setUnavailable(health.isDown() ? "endpointDown" : undefined);
+    }
+
+    function applyEndpoint(endpoint: Endpoint | undefined): void {
+        const { slots, kvCapacityBytes } = endpoint ?? unknownEndpoint;
+        queue.setCapacity({ slots, kvCapacityBytes });
+        const leaves = endpoint === undefined || endpoint.state === "leaving";
+        if (leaves !== leaving) {
+            leaving = leaves;
+            log.info(leaves ? "endpoint is leaving" : "endpoint is serving", { endpoint: settings.endpoint });
+        }
+        applyAvailability();
+    }
+
+    const rpcHandler = createRpcHandler({
+        [agentMethods.prefill]: rpcMethod(
+            prefillSchema,
+            (params, call) => runPrefill(params, call, engine, queue, clock, telemetry, stopping.signal, health),
+        ),
+        [agentMethods.startDecode]: rpcMethod(startDecodeSchema, async params => streams.start(params)),
+        [agentMethods.callService]: rpcMethod(
+            serviceCallSchema,
+            (params, { signal }) => services.call(params, signal),
+        ),
+        [agentMethods.load]: rpcMethod(z.object({}), async () => queue.load()),
+    });
+
+    const decodeHandler: Handler = async (request, response) => {
+        const body = await readBody(request, maxReserveBodyBytes);
+        if (body.isErr) {
+            sendJson(response, 413, { error: { message: `request body: ${body.error.kind}`, notRun: true } });
+            return;
+        }
+        const reserve = parseJson(reserveDecodeSchema, body.value.toString("utf8"));
+        if (reserve.isErr) {
+            sendJson(response, 400, { error: { message: describeInvalidInput(reserve.error), notRun: true } });
+            return;
+        }
+        await streams.serve(reserve.value, response);
+    };
+
+    const server: HttpServer = await listen(settings.listenAddress, settings.listenPort, (method, path) => {
+        if (method === "POST" && path === rpcPath) {
+            return rpcHandler;
+        }
+        if (method === "POST" && path === decodePath) {
+            return decodeHandler;
+        }
+        return method === "GET" && path === "/healthz"
+            ? async (request, response) => sendJson(response, 200, { ...queue.load(), counters: counters.snapshot() })
+            : undefined;
+    });
+
+    void cancelLeftovers(engine, clock, counters, stopping.signal);
+    const follower = createEndpointFollower(settings.host, settings.endpoint, rpc, clock, () => settings.entryUrls);
+    void follower.follow(stopping.signal, applyEndpoint);
+    log.info("agent started", { endpoint: settings.endpoint, url: server.url });
+
+    async function end(): Promise<void> {
+        stopping.abort();
+        await server.close();
+        await Promise.all([rpc.close(), engine.close(), services.close()]);
+        counters.close();
+    }
+
+    return {
+        url: server.url,
+        queue,
+        shutDown: async () => {
+            shuttingDown = true;
+            applyAvailability();
+            log.info("agent is draining", { endpoint: settings.endpoint });
+            await queue.idle();
+            await server.drain();
+            await end();
+        },
+        kill: end,
+    };
+}
+
+async function runPrefill(
+    prefill: Prefill,
+    call: CallContext,
+    engine: EngineClient,
+    queue: WorkQueue,
+    clock: Clock,
+    { counters }: Telemetry,
+    stopped: AbortSignal,
+    health: EndpointHealth,
+): Promise<PrefillAnswer> {
+    const granted = await queue.acquire({ ...prefill, costTokens: prefill.promptTokens, kvBytes: 0 }, call.signal);
+    if (granted.isErr) {
+        return { kind: "refused", reason: granted.error, load: queue.load() };
+    }
+    let computedTokens: number | undefined;
+    try {
+        const { requestId, attempt, model, prompt } = prefill;
+        const priority = prefill.requestClass === "interactive" ? 1 : 0;
+        const result = await engine.prefill({ requestId, attempt, model, prompt, priority }, call.signal);
+        if (result.isErr) {
+            counters.add("endpoint.prefillFailed");
+            health.noteError(result.error);
+            if (result.error.kind === "failed") {
+                await cancelAtEngine(engine, clock, counters, prefill, stopped);
+            }
+            return { kind: "engineFailed", cause: result.error.cause, load: queue.load() };
+        }
+        computedTokens = result.value.promptTokens - result.value.cachedTokens;
+        return { kind: "prefilled", ...result.value, load: queue.load() };
+    }
+    finally {
+        granted.value.release(computedTokens);
+    }
+}
--- /dev/null
+++ b/src/endpoint/serviceCalls.ts
@@ -0,0 +1,105 @@
+/**
+ * Calls of an agent to a plain service. A call that must not be repeated is sent at most once per request id.
+ */
+
+import { Agent } from "undici";
+import type { Clock } from "../common/clock.js";
+import type { Counters } from "../telemetry/telemetry.js";
+import type { ServiceAnswer, ServiceCall } from "./messages.js";
+import type { WorkQueue } from "./workQueue.js";
+
+export interface ServiceCalls {
+    readonly call: (call: ServiceCall, signal: AbortSignal) => Promise<ServiceAnswer>;
+    readonly close: () => Promise<void>;
+}
+
+/** Request ids of calls that must not be repeated are remembered for this long. */
+const rememberedMs = 600_000;
+const serviceConnections = 256;
+const plainCallCostTokens = 1;
+const forwardedResponseHeaders: ReadonlySet<string> = new Set(["content-type", "cache-control", "etag", "location"]);
+const neverSentCodes: ReadonlySet<string> = new Set(["ECONNREFUSED", "EHOSTUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
+
+export function createServiceCalls(
+    serviceUrl: string,
+    queue: WorkQueue,
+    clock: Clock,
+    counters: Counters,
+): ServiceCalls {
+    const dispatcher = new Agent({ connections: serviceConnections, pipelining: 1 });
+    const sentAtMs = new Map<string, number>();
+
+    function wasSent(requestId: string): boolean {
+        const nowMs = clock.monotonicMs();
+        for (const [id, atMs] of sentAtMs) {
+            if (nowMs - atMs < rememberedMs) {
+                break;
+            }
+            sentAtMs.delete(id);
+        }
+        return sentAtMs.has(requestId);
+    }
+
+    async function send(call: ServiceCall, signal: AbortSignal): Promise<ServiceAnswer> {
+        const timeout = AbortSignal.timeout(call.timeoutMs);
+        // A call that must not be repeated runs to its end even if nobody waits for the answer any more.
+        const ending = call.idempotent ? AbortSignal.any([timeout, signal]) : timeout;
+        try {
+            const response = await dispatcher.request({
+                origin: serviceUrl,
+                path: call.path,
+                method: call.method as "POST",
+                headers: call.headers,
+                body: call.bodyBase64 === "" ? undefined : Buffer.from(call.bodyBase64, "base64"),
+                signal: ending,
+            });
+            const body = Buffer.from(await response.body.arrayBuffer());
+            return {
+                kind: "answered",
+                status: response.statusCode,
+                headers: forwardedHeaders(response.headers),
+                bodyBase64: body.toString("base64"),
+                load: queue.load(),
+            };
+        }
+        catch (error) {
+            const { code, message: cause } = error as { readonly code?: string; readonly message: string; };
+            const kind = neverSentCodes.has(code ?? "") ? "unreachable" : "unknown";
+            if (kind === "unreachable") {
+                sentAtMs.delete(call.requestId);
+            }
+            counters.add(`endpoint.serviceCalls.${kind}`);
+            return { kind, cause, load: queue.load() };
+        }
+    }
+
+    return {
+        call: async (call, signal) => {
+            const granted = await queue.acquire({ ...call, costTokens: plainCallCostTokens, kvBytes: 0 }, signal);
+            if (granted.isErr) {
+                return { kind: "refused", reason: granted.error, load: queue.load() };
+            }
+            try {
+                if (!call.idempotent && wasSent(call.requestId)) {
+                    counters.add("endpoint.serviceCalls.repeated");
+                    return { kind: "unknown", cause: "this request was sent before", load: queue.load() };
+                }
+                sentAtMs.set(call.requestId, clock.monotonicMs());
+                return await send(call, signal);
+            }
+            finally {
+                granted.value.release();
+            }
+        },
+        close: () => dispatcher.destroy(),
+    };
+}
+
+function forwardedHeaders(
+    headers: Readonly<Record<string, string | readonly string[] | undefined>>,
+): Readonly<Record<string, string>> {
+    const entries = Object.entries(headers)
+        .filter(([name, value]) => forwardedResponseHeaders.has(name) && value !== undefined)
+        .map(([name, value]) => [name, String(value)] as const);
+    return Object.fromEntries(entries);
+}
--- /dev/null
+++ b/src/operators/messages.ts
@@ -0,0 +1,76 @@
+/**
+ * Messages between the command-line tool and an entry.
+ */
+
+import { z } from "zod";
+import { objectKinds } from "../configuration/objects.js";
+import type { ObjectKind } from "../configuration/objects.js";
+import { changeSchema } from "../configuration/state.js";
+
+export const operatorMethods = {
+    apply: "operator.apply",
+    list: "operator.list",
+    withdrawKey: "operator.withdrawKey",
+    status: "operator.status",
+} as const;
+
+const kindSchema = z.enum(objectKinds as [ObjectKind, ...ObjectKind[]]);
+
+export const applySchema = z.strictObject({
+    changeId: z.string().min(1).max(128),
+    operator: z.string().min(1).max(128),
+    changes: z.array(changeSchema).min(1).max(1_000),
+});
+
+export const applyAnswerSchema = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("accepted"), revision: z.number().int() }),
+    z.object({ kind: z.literal("invalid"), object: z.string(), cause: z.string() }),
+    z.object({
+        kind: z.literal("conflict"),
+        object: z.string(),
+        currentVersion: z.number().int(),
+        currentValue: z.unknown().optional(),
+    }),
+    /** Nothing was changed. */
+    z.object({ kind: z.literal("storeUnavailable"), cause: z.string() }),
+    /** The change may be in force; repeating it with the same change id settles it. */
+    z.object({ kind: z.literal("storeUnknown"), cause: z.string() }),
+]);
+
+export const listSchema = z.strictObject({ kind: kindSchema });
+
+export const listAnswerSchema = z.object({
+    revision: z.number().int(),
+    objects: z.array(z.object({ name: z.string(), version: z.number().int(), value: z.unknown() })),
+});
+
+export const withdrawKeySchema = z.strictObject({ name: z.string().min(1) });
+
+export const withdrawKeyAnswerSchema = z.discriminatedUnion("kind", [
+    /** In force on all entries that could be reached; `durable` once the store holds it. */
+    z.object({ kind: z.literal("inForce"), durable: z.boolean() }),
+    z.object({ kind: z.literal("unknownKey") }),
+]);
+
+export const statusAnswerSchema = z.object({
+    host: z.string(),
+    revision: z.number().int(),
+    ageMs: z.number(),
+    unavailable: z.string().optional(),
+    pendingWithdrawals: z.array(z.string()),
+    hosts: z.array(z.object({ host: z.string(), revision: z.number().int(), seenMsAgo: z.number() })),
+    endpoints: z.array(z.object({
+        endpoint: z.string(),
+        pool: z.string(),
+        role: z.string(),
+        state: z.string(),
+        agent: z.string().optional(),
+    })),
+    counters: z.record(z.string(), z.number()),
+});
+
+export type ApplyRequest = Readonly<z.output<typeof applySchema>>;
+export type ApplyAnswer = Readonly<z.output<typeof applyAnswerSchema>>;
+export type ListAnswer = Readonly<z.output<typeof listAnswerSchema>>;
+export type WithdrawKeyAnswer = Readonly<z.output<typeof withdrawKeyAnswerSchema>>;
+export type StatusAnswer = Readonly<z.output<typeof statusAnswerSchema>>;
--- /dev/null
+++ b/src/rpc/errors.ts
@@ -0,0 +1,32 @@
+/**
+ * Errors of calls between the system's processes.
+ *
+ * `delivered` tells whether the other side may have acted: it is "no" only where no byte of the request can have
+ * reached it.
+ */
+
+export type RpcError =
+    | { readonly kind: "unreachable"; readonly delivered: "no"; readonly cause: string; }
+    | { readonly kind: "interrupted"; readonly delivered: "maybe"; readonly cause: string; }
+    | { readonly kind: "timeout"; readonly delivered: "maybe"; readonly cause: string; }
+    | { readonly kind: "rejected"; readonly delivered: "yes"; readonly code: number; readonly cause: string; };
+
+const notDeliveredCodes: ReadonlySet<string> = new Set([
+    "ECONNREFUSED",
+    "EHOSTUNREACH",
+    "ENETUNREACH",
+    "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/** Turns what the HTTP client threw into an `RpcError`. */
+export function fromTransport(error: unknown, timedOut: boolean): RpcError {
+    const cause = error instanceof Error ? error.message : String(error);
+    if (timedOut) {
+        return { kind: "timeout", delivered: "maybe", cause };
+    }
+    const code = (error as { readonly code?: string; }).code ?? "";
+    if (notDeliveredCodes.has(code)) {
+        return { kind: "unreachable", delivered: "no", cause };
+    }
+    return { kind: "interrupted", delivered: "maybe", cause };
+}
--- /dev/null
+++ b/src/rpc/httpServer.ts
@@ -0,0 +1,148 @@
+/**
+ * The HTTP server shared by all roles: exact and prefix routes, bounded bodies, graceful close.
+ */
+
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { Result } from "true-myth";
+
+export type Handler = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
+
+/** Selects the handler of a request; `undefined` answers 404. */
+export type Router = (method: string, path: string) => Handler | undefined;
+
+export type BodyError =
+    | { readonly kind: "tooLarge"; readonly limitBytes: number; }
+    | { readonly kind: "aborted"; };
+
+export interface HttpServer {
+    /** Base URL by IP number, such as `http://127.0.0.1:4100`. */
+    readonly url: string;
+    readonly server: Server;
+    /** Takes no new connections and resolves once running responses have ended. */
+    readonly drain: () => Promise<void>;
+    /** Ends every connection at once. */
+    readonly close: () => Promise<void>;
+}
+
+const keepAliveTimeoutMs = 65_000;
+
+/** Listens on `address` and `port` (0 lets the system choose). */
+export async function listen(address: string, port: number, router: Router): Promise<HttpServer> {
+    const server = createServer((request, response) => {
+        void dispatch(router, request, response);
+    });
+    server.keepAliveTimeout = keepAliveTimeoutMs;
+    server.requestTimeout = 0;
+    await new Promise<void>((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, address, () => resolve());
+    });
+    const bound = server.address() as AddressInfo;
+    return {
+        url: `http://${bound.address}:${bound.port}`,
+        server,
+        drain: () => closeServer(server, false),
+        close: () => closeServer(server, true),
+    };
+}
+
+async function dispatch(router: Router, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const path = pathOf(request);
+    const handler = router(request.method ?? "GET", path);
+    if (handler === undefined) {
+        sendJson(response, 404, { error: { message: `no route for ${request.method} ${path}`, notRun: true } });
+        return;
+    }
+    try {
+        await handler(request, response);
+    }
+    catch (error) {
+        failResponse(response, error);
+    }
+}
+
+function failResponse(response: ServerResponse, error: unknown): void {
+    if (response.headersSent) {
+        response.destroy();
+        return;
+    }
+    const message = error instanceof Error ? error.message : String(error);
+    sendJson(response, 500, { error: { message, notRun: false } });
+}
+
+async function closeServer(server: Server, force: boolean): Promise<void> {
+    const closed = new Promise<void>(resolve => server.close(() => resolve()));
+    server.closeIdleConnections();
+    if (force) {
+        server.closeAllConnections();
+    }
+    await closed;
+}
+
+/** The path of a request, without its query. */
+export function pathOf(request: IncomingMessage): string {
+    const url = request.url ?? "/";
+    const queryStart = url.indexOf("?");
+    return queryStart < 0 ? url : url.slice(0, queryStart);
+}
+
+/** The query parameters of a request. */
+export function queryOf(request: IncomingMessage): URLSearchParams {
+    const url = request.url ?? "/";
+    const queryStart = url.indexOf("?");
+    return new URLSearchParams(queryStart < 0 ? "" : url.slice(queryStart + 1));
+}
+
+/** Reads a whole body of at most `limitBytes`. */
+export async function readBody(request: IncomingMessage, limitBytes: number): Promise<Result<Buffer, BodyError>> {
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    try {
+        for await (const chunk of request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
+            sizeBytes += chunk.length;
+            if (sizeBytes > limitBytes) {
+                break;
+            }
+            chunks.push(chunk);
+        }
+    }
+    catch {
+        return Result.err({ kind: "aborted" });
+    }
+    if (sizeBytes > limitBytes) {
+        // The rest is thrown away, so that the connection can be used again. A listener of the iterator holds the
+        // stream back until the next turn of the event loop.
+        setImmediate(() => request.resume());
+        return Result.err({ kind: "tooLarge", limitBytes });
+    }
+    return Result.ok(Buffer.concat(chunks));
+}
+
+/** Answers with `value` as JSON. */
+export function sendJson(
+    response: ServerResponse,
+    status: number,
+    value: unknown,
+    headers: Readonly<Record<string, string>> = {},
+): void {
+    const body = JSON.stringify(value);
+    response.writeHead(status, {
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(body),
+        ...headers,
+    });
+    response.end(body);
+}
+
+/** A signal that aborts when the peer goes away before the response has ended. */
+export function hangUpSignal(response: ServerResponse): AbortSignal {
+    const controller = new AbortController();
+    response.once("close", () => {
+        if (!response.writableFinished) {
+            controller.abort();
+        }
+    });
+    return controller.signal;
+}
--- /dev/null
+++ b/src/rpc/rpcClient.ts
@@ -0,0 +1,110 @@
+/**
+ * The calling side of JSON-RPC 2.0 over keep-alive HTTP, and streaming requests to the same peers.
+ */
+
+import { createJSONRPCRequest } from "json-rpc-2.0";
+import type { JSONRPCResponse } from "json-rpc-2.0";
+import { Result } from "true-myth";
+import { Agent } from "undici";
+import type { Dispatcher } from "undici";
+import { fromTransport } from "./errors.js";
+import type { RpcError } from "./errors.js";
+import { rpcPath } from "./rpcServer.js";
+
+export interface CallOptions {
+    /** The call is given up after this time. */
+    readonly timeoutMs: number;
+    /** Aborting it closes the connection, which tells the other side. */
+    readonly signal?: AbortSignal;
+}
+
+/** A streaming answer; closing the body early closes the connection. */
+export type StreamResponse = Dispatcher.ResponseData;
+
+export interface RpcClient {
+    /** Calls `method` at the process with base URL `url`. The answer's shape is the caller's to check. */
+    readonly call: (url: string, method: string, params: unknown, options: CallOptions) => Promise<
+        Result<unknown, RpcError>
+    >;
+    /** Posts JSON and resolves as soon as the response's head has arrived. */
+    readonly stream: (url: string, path: string, body: unknown, options: CallOptions) => Promise<
+        Result<StreamResponse, RpcError>
+    >;
+    readonly close: () => Promise<void>;
+}
+
+const connectTimeoutMs = 2_000;
+const idleConnectionMs = 30_000;
+const connectionsPerPeer = 512;
+const jsonHeaders = { "content-type": "application/json" };
+
+/** Creates a client with its own connection pools. */
+export function createRpcClient(): RpcClient {
+    const dispatcher = new Agent({
+        connect: { timeout: connectTimeoutMs },
+        connections: connectionsPerPeer,
+        pipelining: 1,
+        keepAliveTimeout: idleConnectionMs,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+    });
+    let nextId = 1;
+
+    async function post(
+        url: string,
+        path: string,
+        body: unknown,
+        options: CallOptions,
+        timeout: AbortSignal,
+    ): Promise<Result<StreamResponse, RpcError>> {
+        const signals = options.signal === undefined ? [timeout] : [timeout, options.signal];
+        try {
+            const response = await dispatcher.request({
+                origin: url,
+                path,
+                method: "POST",
+                headers: jsonHeaders,
+                body: JSON.stringify(body),
+                signal: AbortSignal.any(signals),
+            });
+            return Result.ok(response);
+        }
+        catch (error) {
+            return Result.err(fromTransport(error, timeout.aborted));
+        }
+    }
+
+    return {
+        call: async (url, method, params, options) => {
+            const timeout = AbortSignal.timeout(options.timeoutMs);
+            const request = createJSONRPCRequest(nextId++, method, params as never);
+            const response = await post(url, rpcPath, request, options, timeout);
+            if (response.isErr) {
+                return Result.err(response.error);
+            }
+            return readAnswer(response.value, timeout);
+        },
+        stream: async (url, path, body, options) => {
+            const head = new AbortController();
+            const timer = setTimeout(() => head.abort(), options.timeoutMs);
+            const response = await post(url, path, body, options, head.signal);
+            clearTimeout(timer);
+            return response;
+        },
+        close: () => dispatcher.destroy(),
+    };
+}
+
+async function readAnswer(response: StreamResponse, timeout: AbortSignal): Promise<Result<unknown, RpcError>> {
+    try {
+        const answer = await response.body.json() as JSONRPCResponse;
+        if (answer.error !== undefined && answer.error !== null) {
+            const { code, message } = answer.error;
+            return Result.err({ kind: "rejected", delivered: "yes", code, cause: message });
+        }
+        return Result.ok(answer.result);
+    }
+    catch (error) {
+        return Result.err(fromTransport(error, timeout.aborted));
+    }
+}
--- /dev/null
+++ b/src/rpc/rpcServer.ts
@@ -0,0 +1,82 @@
+/**
+ * JSON-RPC 2.0 over HTTP POST, one call per request. The connection of a call is its liveness signal: when the
+ * calling process goes away, the signal given to the method aborts.
+ */
+
+import { JSONRPCErrorException, JSONRPCServer } from "json-rpc-2.0";
+import type { JSONRPCRequest } from "json-rpc-2.0";
+import type { z } from "zod";
+import { checkValue, describeInvalidInput } from "../common/json.js";
+import { hangUpSignal, readBody, sendJson } from "./httpServer.js";
+import type { Handler } from "./httpServer.js";
+
+/** What a method knows about its call besides the parameters. */
+export interface CallContext {
+    readonly signal: AbortSignal;
+}
+
+/** A method with the schema that its parameters must fit. */
+export interface RpcMethod {
+    readonly invoke: (params: unknown, context: CallContext) => Promise<unknown>;
+}
+
+export type RpcMethods = Readonly<Record<string, RpcMethod>>;
+
+export const rpcPath = "/rpc";
+const maxRpcBodyBytes = 16 * 1024 * 1024;
+const invalidParamsCode = -32602;
+const parseErrorCode = -32700;
+
+/** Declares a method; parameters that do not fit `schema` are answered with the field at fault. */
+export function rpcMethod<Schema extends z.ZodType, Answer>(
+    schema: Schema,
+    run: (params: z.output<Schema>, context: CallContext) => Promise<Answer>,
+): RpcMethod {
+    return {
+        invoke: (params, context) => {
+            const checked = checkValue(schema, params);
+            if (checked.isErr) {
+                throw new JSONRPCErrorException(describeInvalidInput(checked.error), invalidParamsCode);
+            }
+            return run(checked.value, context);
+        },
+    };
+}
+
+/** The HTTP handler that serves `methods` under `rpcPath`. */
+export function createRpcHandler(methods: RpcMethods): Handler {
+    const server = new JSONRPCServer<CallContext>({ errorListener: () => undefined });
+    for (const [name, method] of Object.entries(methods)) {
+        server.addMethod(name, (params, context) => method.invoke(params, context));
+    }
+    return async (request, response) => {
+        const signal = hangUpSignal(response);
+        const body = await readBody(request, maxRpcBodyBytes);
+        if (body.isErr) {
+            sendJson(response, 413, rpcFailure(`request body: ${body.error.kind}`));
+            return;
+        }
+        const call = parseCall(body.value.toString("utf8"));
+        if (call === undefined) {
+            sendJson(response, 400, rpcFailure("request body: not valid JSON"));
+            return;
+        }
+        const answer = await server.receive(call, { signal });
+        if (!signal.aborted) {
+            sendJson(response, 200, answer ?? {});
+        }
+    };
+}
+
+function parseCall(text: string): JSONRPCRequest | undefined {
+    try {
+        return JSON.parse(text) as JSONRPCRequest;
+    }
+    catch {
+        return undefined;
+    }
+}
+
+function rpcFailure(message: string): unknown {
+    return { jsonrpc: "2.0", id: null, error: { code: parseErrorCode, message } };
+}
--- /dev/null
+++ b/src/version.ts
@@ -0,0 +1,5 @@
+/**
+ * The version of this build.
+ */
+
+export const version = "0.1.0";
--- /dev/null
+++ b/test/wholePath.test.ts
@@ -0,0 +1,268 @@
+/**
+ * The whole path as separate processes: caller, entry, agents, engines, and the same with one fault each.
+ */
+
+import { afterEach, expect, test } from "vitest";
+import { expectedText } from "../fakes/engine.js";
+import type { EngineRecord } from "../fakes/engine.js";
+import { callerKey, complete, eventually, getJson, otherKey, post, startSite } from "./site.js";
+import type { EndpointProcess, Site, SiteShape } from "./site.js";
+
+interface EngineState extends EngineRecord {
+    readonly active: number;
+    readonly heldKvBytes: number;
+}
+
+const prompt = "Where does the ridge trail begin?";
+const tokens = 40;
+let site: Site;
+
+afterEach(() => site.stop());
+
+async function recordOf(endpoint: EndpointProcess): Promise<EngineState> {
+    return getJson<EngineState>(`${endpoint.endpoint.url}/record`);
+}
+
+function firstEntry(): Site["entries"][number] {
+    return site.entries[0] as Site["entries"][number];
+}
+
+function endpoint(role: EndpointProcess["role"], index: number): EndpointProcess {
+    return site.byRole(role)[index] as EndpointProcess;
+}
+
+async function setFaults(target: EndpointProcess, faults: unknown): Promise<void> {
+    await post(`${target.endpoint.url}/faults`, faults);
+}
+
+/** Slots at the agents and requests at the engines are back to zero. */
+async function expectNothingHeld(): Promise<void> {
+    await eventually("nothing held", async () => {
+        const held = await Promise.all(
+            site.endpoints.filter(each => each.role !== "plain").map(async each => {
+                const engine = await recordOf(each).catch(() => ({ active: 0, heldKvBytes: 0 }));
+                const agent = await getJson<{ readonly activeSlots: number; }>(`${each.agent.url}/healthz`)
+                    .catch(() => ({ activeSlots: 0 }));
+                return engine.active + engine.heldKvBytes + agent.activeSlots;
+            }),
+        );
+        return held.every(each => each === 0);
+    });
+}
+
+test("a streamed completion goes through entry, two agents and two engines; no endpoint sees the key", async () => {
+    site = await startSite();
+    const answer = await complete(firstEntry(), { prompt, max_tokens: tokens });
+    expect(answer).toEqual({
+        status: 200,
+        text: expectedText(prompt, tokens),
+        done: true,
+        error: undefined,
+        usage: { prompt_tokens: 9, completion_tokens: tokens, total_tokens: 9 + tokens },
+    });
+    const seen = (await Promise.all(site.endpoints.map(recordOf))).flatMap(record => record.seen);
+    expect(seen.length).toBeGreaterThan(1);
+    expect(seen.filter(text => text.includes(callerKey))).toEqual([]);
+    await expectNothingHeld();
+});
+
+interface FaultCase {
+    readonly name: string;
+    readonly shape: SiteShape;
+    /** Sets the fault; called before the request. */
+    readonly before?: () => Promise<void>;
+    /** Called once the first text has arrived. */
+    readonly during?: () => Promise<void>;
+    readonly check?: () => Promise<void>;
+}
+
+const faultCases: readonly FaultCase[] = [
+    {
+        name: "a prefill engine refuses, another takes over",
+        shape: { prefill: 2 },
+        before: () => setFaults(endpoint("prefill", 0), { refusePrefill: true }),
+    },
+    {
+        name: "a prefill engine is dead",
+        shape: { prefill: 2 },
+        before: () => endpoint("prefill", 0).endpoint.kill(),
+    },
+    {
+        name: "a prefill agent is dead",
+        shape: { prefill: 2 },
+        before: () => endpoint("prefill", 0).agent.kill(),
+    },
+    {
+        name: "a decode engine dies mid-stream",
+        shape: { decode: 2 },
+        during: async () => {
+            const records = await Promise.all(site.byRole("decode").map(recordOf));
+            await endpoint("decode", records.findIndex(record => record.active > 0)).endpoint.kill();
+        },
+    },
+    {
+        name: "a decode agent dies mid-stream",
+        shape: { decode: 2 },
+        during: async () => {
+            const records = await Promise.all(site.byRole("decode").map(recordOf));
+            await endpoint("decode", records.findIndex(record => record.active > 0)).agent.kill();
+        },
+    },
+    {
+        name: "decode engines hang up after some tokens of each stream",
+        shape: { decode: 2 },
+        before: async () => {
+            await setFaults(endpoint("decode", 0), { hangUpAfterTokens: 15 });
+            await setFaults(endpoint("decode", 1), { hangUpAfterTokens: 15 });
+        },
+    },
+    {
+        name: "a transfer stalls, another decode engine imports from the same prefill",
+        // The first import is given up after 2 s, so the prefill's result must live longer.
+        shape: { decode: 2, timings: { kvLifeMs: 30_000 } },
+        before: async () => {
+            await setFaults(endpoint("decode", 0), { stallImport: true });
+        },
+        check: async () => {
+            expect((await recordOf(endpoint("prefill", 0))).prefills).toBe(1);
+        },
+    },
+    {
+        name: "tokens arrive doubled, late and crossed",
+        shape: {},
+        before: () => setFaults(endpoint("decode", 0), { crossTokens: true }),
+    },
+];
+
+test.each(faultCases)("one whole answer although $name", async ({ shape, before, during, check }) => {
+    site = await startSite(shape);
+    await before?.();
+    let text = "";
+    let acted: Promise<void> | undefined;
+    const answer = await complete(firstEntry(), { prompt, max_tokens: tokens }, callerKey, chunk => {
+        text += chunk;
+        acted ??= text.includes("text") ? during?.() : undefined;
+    });
+    await acted;
+    expect(answer.error).toBeUndefined();
+    expect(answer.text).toBe(expectedText(prompt, tokens));
+    expect(answer.usage?.completion_tokens).toBe(tokens);
+    expect(answer.done).toBe(true);
+    await check?.();
+    await expectNothingHeld();
+});
+
+const goneCases = [
+    { name: "the caller hangs up", act: async (controller: AbortController) => controller.abort() },
+    { name: "the entry is killed", act: async () => firstEntry().kill() },
+] as const;
+
+test.each(goneCases)("slots and KV memory are freed when $name", async ({ act }) => {
+    site = await startSite({ timings: { tokenIntervalMs: 50 } });
+    const controller = new AbortController();
+    let acted: Promise<void> | undefined;
+    const answer = complete(firstEntry(), { prompt, max_tokens: 900 }, callerKey, () => {
+        acted ??= act(controller);
+    }, controller.signal);
+    await expect(answer).rejects.toThrow();
+    await acted;
+    await expectNothingHeld();
+    expect((await recordOf(endpoint("decode", 0))).finishedDecodes).toBe(0);
+});
+
+test("a restarted agent cancels what its engine still runs", async () => {
+    site = await startSite({ timings: { tokenIntervalMs: 50 } });
+    const decode = endpoint("decode", 0);
+    // The engine works for nobody: the request is sent to it directly and never ends.
+    await setFaults(decode, { stallImport: true });
+    void fetch(`${decode.endpoint.url}/decode`, {
+        method: "POST",
+        body: JSON.stringify({
+            requestId: "lost",
+            attempt: 1,
+            kvId: "x",
+            kvSource: "x",
+            emittedTokens: 0,
+            maxOutputTokens: 9,
+        }),
+    }).catch(() => undefined);
+    await eventually("the engine is busy", async () => (await recordOf(decode)).active === 1);
+    await decode.agent.kill();
+    decode.agent = await site.startAgent(decode.name, decode.endpoint.url);
+    await expectNothingHeld();
+});
+
+interface RefusalCase {
+    readonly name: string;
+    readonly path?: string;
+    readonly key?: string | undefined;
+    readonly body: string;
+    readonly status: number;
+    readonly code: string;
+}
+
+const large = "x".repeat(5 * 1024 * 1024);
+const refusalCases: readonly RefusalCase[] = [
+    { name: "bad JSON", key: callerKey, body: "{\"model\":", status: 400, code: "invalid_request" },
+    { name: "a missing field", key: callerKey, body: "{\"model\":\"guide\"}", status: 400, code: "invalid_request" },
+    { name: "an oversized body", key: callerKey, body: large, status: 413, code: "body_too_large" },
+    {
+        name: "an unknown model",
+        key: callerKey,
+        body: "{\"model\":\"none\",\"prompt\":\"x\"}",
+        status: 404,
+        code: "model_not_found",
+    },
+    { name: "an unknown key", key: "nobody", body: "{}", status: 401, code: "invalid_key" },
+    { name: "no key", body: "{}", status: 401, code: "missing_key" },
+    {
+        name: "the key inside the prompt",
+        key: callerKey,
+        body: JSON.stringify({ model: "guide", prompt: `my key is ${callerKey}` }),
+        status: 400,
+        code: "key_in_request",
+    },
+    { name: "an unknown path", path: "/nowhere", key: callerKey, body: "{}", status: 404, code: "route_not_found" },
+    { name: "no key on a closed route", path: "/pay", body: "{}", status: 401, code: "missing_key" },
+];
+
+test("refusals name their cause, are marked as not run, and reach no endpoint", async () => {
+    site = await startSite({ plain: 1 });
+    const before = await getJson<{ readonly runs: readonly unknown[]; }>(`${endpoint("plain", 0).endpoint.url}/record`);
+    for (const { name, path = "/v1/completions", key, body, status, code } of refusalCases) {
+        const headers: Record<string, string> = key === undefined ? {} : { authorization: `Bearer ${key}` };
+        const answer = await fetch(`${firstEntry().callersUrl}${path}`, { method: "POST", headers, body });
+        const { error } = await answer.json() as {
+            readonly error: { readonly code: string; readonly notRun: boolean; };
+        };
+        expect({ name, status: answer.status, code: error.code, notRun: error.notRun })
+            .toEqual({ name, status, code, notRun: true });
+    }
+    const after = await getJson<{ readonly runs: readonly unknown[]; }>(`${endpoint("plain", 0).endpoint.url}/record`);
+    expect(after.runs.length).toBe(before.runs.length);
+    expect((await recordOf(endpoint("prefill", 0))).prefills).toBe(0);
+});
+
+test("plain services: routes, open routes, at most one run of a call whose answer is lost", async () => {
+    site = await startSite({ plain: 2 });
+    const { callersUrl } = firstEntry();
+    const authorization = { authorization: `Bearer ${otherKey}` };
+    const news = await fetch(`${callersUrl}/news?page=2`);
+    expect(news.status).toBe(200);
+    const log = await fetch(`${callersUrl}/log`, { headers: authorization });
+    expect(log.status).toBe(200);
+    await Promise.all(site.byRole("plain").map(each => setFaults(each, { loseAnswer: true })));
+    const pay = await fetch(`${callersUrl}/pay`, { method: "POST", headers: authorization, body: "{\"amount\":5}" });
+    const { error } = await pay.json() as { readonly error: { readonly code: string; readonly notRun: boolean; }; };
+    expect([pay.status, error.code, error.notRun]).toEqual([502, "outcome_unknown", false]);
+    const runs = (await Promise.all(
+        site.byRole("plain").map(each =>
+            getJson<{ readonly runs: readonly { readonly path: string; readonly headers: string; }[]; }>(
+                `${each.endpoint.url}/record`,
+            )
+        ),
+    )).flatMap(record => record.runs);
+    expect(runs.filter(run => run.path === "/pay").length).toBe(1);
+    expect(runs.some(run => run.path === "/news?page=2")).toBe(true);
+    expect(runs.filter(run => run.headers.includes(otherKey))).toEqual([]);
+});
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,10 @@
+import { defineConfig } from "vitest/config";
+
+export default defineConfig({
+    test: {
+        include: ["src/**/*.test.ts", "test/**/*.test.ts"],
+        testTimeout: 60_000,
+        hookTimeout: 60_000,
+        maxWorkers: 4,
+    },
+});
