Prove admission over all holders against one naive bucket

Differential test on a virtual clock: arrivals, pauses, restarts, releases, store outages and lost answers, lost, doubled and late loans, changed limits; 600 seeded schedules, and directed schedules for what random ones seldom hit.

Found on the way: after a reclaim or a shrink a holder took only the units that its own demand wanted, so free units admitted nothing. It now takes at least half of the free ones.

--- /dev/null
+++ b/src/limits/escrow.test.ts
@@ -0,0 +1,433 @@
+/**
+ * Differential test of admission over several holders against one naive bucket: whatever fails, everything that the
+ * fleet admits, the naive bucket would have admitted too.
+ */
+
+import fc from "fast-check";
+import { describe, expect, test } from "vitest";
+import { fleetAccount, startLimitsFleet } from "../../fakes/limitsFleet.js";
+import type { FleetShape, LimitsFleet } from "../../fakes/limitsFleet.js";
+import { createVirtualClock } from "../../fakes/virtualClock.js";
+import type { VirtualClock } from "../../fakes/virtualClock.js";
+import type { BucketLimits } from "./bucket.js";
+
+interface LimitsChange {
+    readonly atMs: number;
+    readonly limits: BucketLimits;
+}
+
+const seed = 20_261_204;
+const tolerance = 1e-6;
+const shape: FleetShape = {
+    holders: 3,
+    limits: { ratePerSecond: 20, burstRequests: 12 },
+    leaseMs: 12_000,
+    marginMs: 2_000,
+    renewMs: 4_000,
+    rebalanceMs: 2_000,
+    seed,
+};
+
+/** Feeds admissions to one bucket over all holders; returns the first one that it would refuse. */
+function firstExcess(admittedAtMs: readonly number[], changes: readonly LimitsChange[]): number | undefined {
+    let rest = changes.slice(1);
+    let limits = (changes[0] as LimitsChange).limits;
+    let tokens = limits.burstRequests;
+    let nowMs = 0;
+    let isUnused = true;
+
+    function refillTo(atMs: number): void {
+        tokens = Math.min(limits.burstRequests, tokens + (atMs - nowMs) * limits.ratePerSecond / 1_000);
+        nowMs = atMs;
+    }
+
+    for (const atMs of admittedAtMs) {
+        while (rest[0] !== undefined && rest[0].atMs <= atMs) {
+            refillTo(rest[0].atMs);
+            limits = rest[0].limits;
+            // An account that was never used starts with the burst in force at its first request.
+            tokens = isUnused ? limits.burstRequests : Math.min(tokens, limits.burstRequests);
+            rest = rest.slice(1);
+        }
+        refillTo(atMs);
+        isUnused = false;
+        tokens -= 1;
+        if (tokens < -tolerance) {
+            return atMs;
+        }
+    }
+    return undefined;
+}
+
+type Step =
+    | { readonly kind: "arrivals"; readonly holder: number; readonly count: number; }
+    | { readonly kind: "pause" | "resume" | "restart" | "release"; readonly holder: number; }
+    | { readonly kind: "store"; readonly fault: "down" | "losesAnswers" | "none"; }
+    | { readonly kind: "borrow"; readonly fault: "loseRequests" | "loseAnswers" | "duplicate" | "delay" | "none"; }
+    | { readonly kind: "limits"; readonly limits: BucketLimits; }
+    | { readonly kind: "wait"; readonly durationMs: number; };
+
+const holderIndex = fc.integer({ min: 0, max: shape.holders - 1 });
+
+const step: fc.Arbitrary<Step> = fc.oneof(
+    {
+        weight: 8,
+        arbitrary: fc.record({
+            kind: fc.constant("arrivals" as const),
+            holder: holderIndex,
+            count: fc.integer({ min: 1, max: 25 }),
+        }),
+    },
+    {
+        weight: 3,
+        arbitrary: fc.record({
+            kind: fc.constantFrom("pause" as const, "resume" as const, "restart" as const, "release" as const),
+            holder: holderIndex,
+        }),
+    },
+    {
+        weight: 2,
+        arbitrary: fc.record({
+            kind: fc.constant("store" as const),
+            fault: fc.constantFrom("down" as const, "losesAnswers" as const, "none" as const),
+        }),
+    },
+    {
+        weight: 2,
+        arbitrary: fc.record({
+            kind: fc.constant("borrow" as const),
+            fault: fc.constantFrom(
+                "loseRequests" as const,
+                "loseAnswers" as const,
+                "duplicate" as const,
+                "delay" as const,
+                "none" as const,
+            ),
+        }),
+    },
+    {
+        weight: 1,
+        arbitrary: fc.record({
+            kind: fc.constant("limits" as const),
+            limits: fc.record({
+                ratePerSecond: fc.integer({ min: 1, max: 60 }),
+                burstRequests: fc.integer({ min: 1, max: 30 }),
+            }),
+        }),
+    },
+    {
+        weight: 6,
+        arbitrary: fc.record({
+            kind: fc.constant("wait" as const),
+            durationMs: fc.oneof(fc.integer({ min: 1, max: 400 }), fc.integer({ min: 1_000, max: 20_000 })),
+        }),
+    },
+);
+
+async function runStep(clock: VirtualClock, fleet: LimitsFleet, changes: LimitsChange[], current: Step): Promise<void> {
+    switch (current.kind) {
+        case "arrivals":
+            Array.from({ length: current.count }, () => void fleet.arrive(current.holder));
+            await clock.advance(5);
+            return;
+        case "pause":
+            fleet.holder(current.holder).gate.pause();
+            return;
+        case "resume":
+            fleet.holder(current.holder).gate.resume();
+            return;
+        case "restart":
+            fleet.kill(current.holder);
+            void fleet.start(current.holder);
+            await clock.advance(20);
+            return;
+        case "release":
+            void fleet.holder(current.holder).escrow.releaseAll();
+            await clock.advance(20);
+            return;
+        case "store":
+            fleet.faults.storeDown = current.fault === "down";
+            fleet.faults.storeLosesAnswers = current.fault === "losesAnswers";
+            return;
+        case "borrow":
+            fleet.faults.loseBorrowRequests = current.fault === "loseRequests";
+            fleet.faults.loseBorrowAnswers = current.fault === "loseAnswers";
+            fleet.faults.duplicateBorrows = current.fault === "duplicate";
+            fleet.faults.borrowDelayMs = current.fault === "delay" ? 700 : 1;
+            return;
+        case "limits":
+            changes.push({ atMs: clock.monotonicMs(), limits: current.limits });
+            fleet.setLimits(current.limits);
+            return;
+        case "wait":
+            await clock.advance(current.durationMs);
+    }
+}
+
+interface Scenario {
+    readonly name: string;
+    readonly limits?: BucketLimits;
+    readonly run: (clock: VirtualClock, fleet: LimitsFleet) => Promise<void>;
+}
+
+function burstAt(fleet: LimitsFleet, holder: number, count = shape.limits.burstRequests): void {
+    Array.from({ length: count }, () => void fleet.arrive(holder));
+}
+
+/** Lets a request arrive at a holder every half second. */
+async function arriveSteadily(
+    clock: VirtualClock,
+    fleet: LimitsFleet,
+    holder: number,
+    durationMs: number,
+): Promise<void> {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += 500) {
+        void fleet.arrive(holder);
+        await clock.advance(500);
+    }
+}
+
+const pastLeaseMs = 3 * (shape.leaseMs + shape.marginMs);
+
+const scenarios: readonly Scenario[] = [
+    {
+        name: "a holder is paused past its lease, another takes its share, and it resumes with requests waiting",
+        run: async (clock, fleet) => {
+            await arriveSteadily(clock, fleet, 0, 1_000);
+            fleet.holder(0).gate.pause();
+            await arriveSteadily(clock, fleet, 1, pastLeaseMs);
+            await clock.advance(5_000);
+            burstAt(fleet, 0);
+            burstAt(fleet, 1);
+            fleet.holder(0).gate.resume();
+            await clock.advance(10);
+        },
+    },
+    {
+        name: "a holder that lost its share is asked for a loan by one that has not heard of it",
+        run: async (clock, fleet) => {
+            await arriveSteadily(clock, fleet, 0, 1_000);
+            await arriveSteadily(clock, fleet, 2, 500);
+            fleet.holder(0).gate.pause();
+            await arriveSteadily(clock, fleet, 1, pastLeaseMs);
+            await clock.advance(5_000);
+            fleet.faults.storeDown = true;
+            fleet.holder(0).gate.resume();
+            burstAt(fleet, 1);
+            burstAt(fleet, 2);
+            await clock.advance(100);
+        },
+    },
+    {
+        name: "a borrower is paused with a loan in its hands while the lender refills",
+        run: async (clock, fleet) => {
+            await arriveSteadily(clock, fleet, 0, 1_000);
+            fleet.faults.borrowDelayMs = 100;
+            void fleet.arrive(1);
+            // By now the lender has debited the loan and its answer is under way.
+            await clock.advance(150);
+            fleet.holder(1).gate.pause();
+            await clock.advance(1_100);
+            void fleet.arrive(0);
+            await clock.advance(100);
+            fleet.holder(1).gate.resume();
+            burstAt(fleet, 0);
+            await clock.advance(10);
+        },
+    },
+    {
+        name: "a loan is spent at the instant at which the lender has refilled",
+        limits: { ratePerSecond: 1_000, burstRequests: 4 },
+        run: async (clock, fleet) => {
+            await arriveSteadily(clock, fleet, 0, 1_000);
+            fleet.faults.borrowDelayMs = 200;
+            void fleet.arrive(1);
+            void fleet.arrive(1);
+            // The loans are debited 200 ms after they were asked for and arrive at 400 ms.
+            await clock.advance(385);
+            await clock.advance(20);
+            burstAt(fleet, 0, 4);
+            await clock.advance(10);
+        },
+    },
+    {
+        name: "a half empty share is divided",
+        limits: { ratePerSecond: 0.1, burstRequests: 12 },
+        run: async (clock, fleet) => {
+            burstAt(fleet, 0, 6);
+            // The measured demand falls, so that the next loan makes the holder give up half of its share.
+            await clock.advance(20_000);
+            await arriveSteadily(clock, fleet, 1, 500);
+            await clock.advance(4_000);
+            await arriveSteadily(clock, fleet, 1, 6_000);
+            burstAt(fleet, 0);
+            burstAt(fleet, 1);
+            await clock.advance(2_000);
+        },
+    },
+    {
+        name: "a holder is paused for less than its lease while another wants its share",
+        run: async (clock, fleet) => {
+            await arriveSteadily(clock, fleet, 0, 500);
+            fleet.holder(0).gate.pause();
+            // Calls to a paused process are lost, else it would lend all its tokens as soon as it resumes.
+            fleet.faults.loseBorrowRequests = true;
+            await arriveSteadily(clock, fleet, 1, 11_000);
+            burstAt(fleet, 0);
+            burstAt(fleet, 1);
+            fleet.holder(0).gate.resume();
+            await clock.advance(10);
+        },
+    },
+    {
+        name: "a share is returned while the store loses answers, and taken by others",
+        run: async (clock, fleet) => {
+            await arriveSteadily(clock, fleet, 0, 500);
+            fleet.faults.storeLosesAnswers = true;
+            void fleet.holder(0).escrow.releaseAll();
+            await clock.advance(100);
+            fleet.faults.storeLosesAnswers = false;
+            burstAt(fleet, 0);
+            burstAt(fleet, 1);
+            burstAt(fleet, 2);
+            await clock.advance(100);
+        },
+    },
+];
+
+describe("admission over all holders", () => {
+    test.each(scenarios)("stays inside the limits when $name", async ({ limits = shape.limits, run }) => {
+        const clock = createVirtualClock();
+        const fleet = await startLimitsFleet(clock, { ...shape, limits });
+        await run(clock, fleet);
+        expect(fleet.admittedAtMs().length).toBeGreaterThan(0);
+        expect(firstExcess(fleet.admittedAtMs(), [{ atMs: 0, limits }])).toBeUndefined();
+    });
+
+    test("a holder whose lease has run out neither admits nor lends", async () => {
+        const clock = createVirtualClock();
+        const fleet = await startLimitsFleet(clock, { ...shape, renewMs: 60_000, leaseMs: 12_000 });
+        await arriveSteadily(clock, fleet, 0, 1_000);
+        const { escrow } = fleet.holder(0);
+        expect(escrow.lend(fleetAccount, 1)).toBe(1);
+        await clock.advance(12_000);
+        expect(escrow.lend(fleetAccount, 1)).toBe(0);
+        const late = fleet.arrive(0);
+        await clock.advance(3_000);
+        expect((await late).kind).toBe("refused");
+    });
+
+    test("a holder paused between admission and dispatch does not release an old burst", async () => {
+        const clock = createVirtualClock();
+        const fleet = await startLimitsFleet(clock, shape);
+        await arriveSteadily(clock, fleet, 0, 2_000);
+        burstAt(fleet, 0);
+        fleet.holder(0).gate.pause();
+        await clock.advance(5_000);
+        burstAt(fleet, 0);
+        const resumedAtMs = clock.monotonicMs();
+        fleet.holder(0).gate.resume();
+        await clock.advance(1);
+        const dispatched = fleet.dispatchedAtMs().filter(atMs => atMs >= resumedAtMs);
+        expect(dispatched.length).toBe(shape.limits.burstRequests);
+    });
+
+    test("never exceeds rate and burst, whatever fails", async () => {
+        await fc.assert(
+            fc.asyncProperty(fc.array(step, { minLength: 5, maxLength: 60 }), async steps => {
+                const clock = createVirtualClock();
+                const fleet = await startLimitsFleet(clock, shape);
+                const changes: LimitsChange[] = [{ atMs: 0, limits: shape.limits }];
+                for (const current of steps) {
+                    await runStep(clock, fleet, changes, current);
+                }
+                await clock.advance(2_000);
+                expect(firstExcess(fleet.admittedAtMs(), changes)).toBeUndefined();
+            }),
+            { seed, numRuns: 600 },
+        );
+    });
+
+    test("the oracle notices one admission too many", () => {
+        const burst = Array.from({ length: shape.limits.burstRequests }, () => 0);
+        const changes = [{ atMs: 0, limits: shape.limits }];
+        expect(firstExcess([...burst, 50], changes)).toBeUndefined();
+        expect(firstExcess([...burst, 49], changes)).toBe(49);
+    });
+
+    test("a whole burst is admitted at one holder of a new account", async () => {
+        const clock = createVirtualClock();
+        const fleet = await startLimitsFleet(clock, shape);
+        const decisions = Array.from({ length: 30 }, () => fleet.arrive(0));
+        await clock.advance(5_000);
+        const admitted = (await Promise.all(decisions)).filter(decision => decision.kind === "admitted");
+        expect(admitted.length).toBeGreaterThanOrEqual(shape.limits.burstRequests);
+    });
+
+    test("a refusal tells when to come back, and then the request is admitted", async () => {
+        const clock = createVirtualClock();
+        const fleet = await startLimitsFleet(clock, { ...shape, limits: { ratePerSecond: 2, burstRequests: 2 } });
+        const decisions = Array.from({ length: 6 }, () => fleet.arrive(0));
+        await clock.advance(3_000);
+        const refused = (await Promise.all(decisions)).filter(decision => decision.kind === "refused");
+        expect(refused.length).toBeGreaterThan(0);
+        const retryAfterMs = refused[0]?.kind === "refused" ? refused[0].refusal.retryAfterMs : 0;
+        expect(retryAfterMs).toBeGreaterThan(0);
+        expect(retryAfterMs).toBeLessThanOrEqual(500);
+        await clock.advance(retryAfterMs);
+        const again = fleet.arrive(0);
+        await clock.advance(100);
+        expect((await again).kind).toBe("admitted");
+    });
+
+    const outageCases = [
+        { name: "the store is down", fault: (fleet: LimitsFleet) => (fleet.faults.storeDown = true) },
+        { name: "the store loses answers", fault: (fleet: LimitsFleet) => (fleet.faults.storeLosesAnswers = true) },
+    ] as const;
+
+    test.each(outageCases)("holders go on admitting while $name", async ({ fault }) => {
+        const clock = createVirtualClock();
+        const fleet = await startLimitsFleet(clock, { ...shape, leaseMs: 900_000 });
+        void fleet.arrive(0);
+        await clock.advance(1_000);
+        fault(fleet);
+        const decisions: Promise<{ readonly kind: string; }>[] = [];
+        for (let second = 0; second < 20; second++) {
+            decisions.push(fleet.arrive(second % shape.holders));
+            await clock.advance(1_000);
+        }
+        const kinds = (await Promise.all(decisions)).map(decision => decision.kind);
+        expect(kinds.filter(kind => kind === "refused")).toEqual([]);
+    });
+
+    test("the share of a holder that died elsewhere is used again once its lease is over", async () => {
+        const clock = createVirtualClock();
+        const fleet = await startLimitsFleet(clock, shape);
+        void fleet.arrive(0);
+        await clock.advance(1_000);
+        fleet.kill(0);
+        const untilReclaimedMs = 2 * (shape.leaseMs + shape.marginMs);
+        for (let waitedMs = 0; waitedMs < untilReclaimedMs; waitedMs += 1_000) {
+            void fleet.arrive(1);
+            await clock.advance(1_000);
+        }
+        const later = fleet.arrive(1);
+        await clock.advance(1_000);
+        expect((await later).kind).toBe("admitted");
+    });
+
+    test("a holder that comes back on its own address gets its share back at once", async () => {
+        const clock = createVirtualClock();
+        const fleet = await startLimitsFleet(clock, shape);
+        void fleet.arrive(0);
+        await clock.advance(1_000);
+        fleet.kill(0);
+        void fleet.start(0);
+        await clock.advance(100);
+        void fleet.arrive(0);
+        await clock.advance(1_000);
+        const later = fleet.arrive(0);
+        await clock.advance(1_000);
+        expect((await later).kind).toBe("admitted");
+    });
+});
--- a/src/limits/escrow.ts
+++ b/src/limits/escrow.ts
@@ -262,7 +262,8 @@
             if (freeUnits(live) < Math.min(wanted, minimumUnits(limits))) {
                 return undefined;
             }
-            return growShare(live, holderId, wanted);
+            // Free units admit nothing, so a holder that is short takes at least half of them.
+            return growShare(live, holderId, Math.max(wanted, Math.ceil(freeUnits(live) / 2)));
         });
         if (changed === undefined || holderId !== lease.holderId()) {
             return;
