Prove keys, configuration and membership over real processes; idempotency keys

What they found, with cause and change: - SIGTERM hung for 60 s: kept-alive connections that became idle after the close, and connections on which no request had come, were never closed. Connections are tracked; those without a request are closed again and again. With the server's own method put back the new test times out. - A starting entry with the store down served a stale peer's configuration, since the peer had been confirmed seconds ago. It now needs answers from more than half of the entries that it knows, dead ones included. - With the store down an account that nobody had used was refused everywhere. Two entries, chosen by a hash, now hold a share of every account. - An agent without configuration queued work for slots that it did not have. - A generation that had begun was given up when no endpoint could be reached for a moment in a rolling replacement. It is owed, so it now waits and retries. - An entry refused requests at once on SIGTERM, before the balancer could know.

Calls that must not be repeated take an Idempotency-Key: the intent is inserted before dispatch, repeats at any entry get the recorded outcome.

--- a/fakes/limitsFleet.ts
+++ b/fakes/limitsFleet.ts
@@ -152,8 +152,11 @@
             random,
             lease,
             limitsOf: () => limits,
+            url: urlOf(index),
+            clientAccounts: () => [],
             peers: () => holders.map((each, other) => urlOf(other)).filter(url => url !== urlOf(index)),
             borrow: (lender, clientAccount, tokens, timeoutMs) => borrow(gate, lender, tokens, timeoutMs),
+            gauge: () => undefined,
             count: (name, value = 1) => void counts.set(name, (counts.get(name) ?? 0) + value),
         }, defaultEscrowSettings);
         const holder: Holder = { gate, escrow, lease };
--- a/src/callers/callersServer.ts
+++ b/src/callers/callersServer.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Result } from "true-myth";
 import type { Clock } from "../common/clock.js";
+import { sha256Hex } from "../common/hash.js";
 import { describeInvalidInput } from "../common/json.js";
 import type { AccountLimits, Route } from "../configuration/objects.js";
 import { findRoute, limitsOf } from "../configuration/state.js";
@@ -14,8 +15,10 @@
 import type { KeyUses } from "../keys/keyUses.js";
 import type { Admission, AdmissionDecision, Escrow } from "../limits/escrow.js";
 import { callService } from "../requests/callService.js";
+import type { ServiceOutcome } from "../requests/callService.js";
 import type { RequestContext, RequestOwner } from "../requests/context.js";
 import { generate } from "../requests/generate.js";
+import type { IdempotencyError, IdempotentCalls } from "../requests/idempotency.js";
 import type { CandidateIndex } from "../routing/candidates.js";
 import { hangUpSignal, pathOf, queryOf, readBody, sendJson } from "../rpc/httpServer.js";
 import type { Handler, Router } from "../rpc/httpServer.js";
@@ -32,11 +35,14 @@
     readonly keyUses: KeyUses;
     readonly escrow: Escrow;
     readonly candidates: CandidateIndex;
+    readonly idempotentCalls: IdempotentCalls;
     readonly clock: Clock;
     readonly counters: Counters;
     readonly maxBodyBytes: number;
     /** Why this entry takes no requests now, if so. */
     readonly unavailable: () => string | undefined;
+    /** Why the balancer should send it no more requests, if so. */
+    readonly notReady: () => string | undefined;
     readonly contextFor: (confirmAdmission: () => Promise<boolean>) => RequestContext;
 }
 
@@ -254,16 +260,37 @@
         signal: AbortSignal,
     ): Promise<void> {
         const query = queryOf(request).toString();
-        const outcome = await callService(dependencies.contextFor(confirm), {
-            ...ownerFor(caller, ""),
-            poolName: route.pool,
-            method: route.method,
-            path: query === "" ? route.path : `${route.path}?${query}`,
-            headers: forwardedHeaders(request),
-            bodyBase64: body.toString("base64"),
-            idempotent: route.idempotent,
-            timeoutMs: route.timeoutMs,
-        }, signal);
+        const path = query === "" ? route.path : `${route.path}?${query}`;
+        const run = (): Promise<ServiceOutcome> =>
+            callService(dependencies.contextFor(confirm), {
+                ...ownerFor(caller, ""),
+                poolName: route.pool,
+                method: route.method,
+                path,
+                headers: forwardedHeaders(request),
+                bodyBase64: body.toString("base64"),
+                idempotent: route.idempotent,
+                timeoutMs: route.timeoutMs,
+            }, signal);
+        const key = request.headers["idempotency-key"];
+        // Callers of an open route are strangers to each other, so they can't share keys.
+        if (route.idempotent || caller.owner === undefined || typeof key !== "string" || key === "") {
+            sendOutcome(response, await run());
+            return;
+        }
+        const fingerprint = sha256Hex(`${route.method} ${path}\n${body.toString("base64")}`);
+        const outcome = await dependencies.idempotentCalls.runOnce(
+            { clientAccount: caller.clientAccount, key, fingerprint },
+            run,
+        );
+        if (outcome.isErr) {
+            sendError(response, idempotencyError(outcome.error));
+            return;
+        }
+        sendOutcome(response, outcome.value);
+    }
+
+    function sendOutcome(response: ServerResponse, outcome: ServiceOutcome): void {
         switch (outcome.kind) {
             case "answered":
                 response.writeHead(outcome.status, { ...outcome.headers, "content-length": outcome.body.length });
@@ -288,7 +315,7 @@
     };
 
     const handleReady: Handler = async (request, response) => {
-        const reason = dependencies.unavailable();
+        const reason = dependencies.notReady();
         sendJson(response, reason === undefined ? 200 : 503, { ready: reason === undefined, reason });
     };
 
@@ -366,6 +393,14 @@
     return { code: "model_not_found", message: `model "${model}" does not exist`, param: "model", notRun: true };
 }
 
+function idempotencyError(error: IdempotencyError): CallerError {
+    if (error.kind === "keyReused") {
+        const message = "this idempotency key was used for another request";
+        return { code: "idempotency_key_reused", message, param: "Idempotency-Key", notRun: true };
+    }
+    return notAvailable(`the idempotency key could not be recorded: ${error.cause}`);
+}
+
 function notAvailable(message: string): CallerError {
     return { code: "unavailable", message, notRun: true, retryAfterMs: unavailableRetryMs };
 }
--- a/src/callers/errors.ts
+++ b/src/callers/errors.ts
@@ -19,6 +19,7 @@
     | "rate_limit_exceeded"
     | "unavailable"
     | "outcome_unknown"
+    | "idempotency_key_reused"
     | "generation_failed";
 
 export interface CallerError {
@@ -48,6 +49,7 @@
     rate_limit_exceeded: { status: 429, type: "rate_limit_error" },
     unavailable: { status: 503, type: "service_unavailable" },
     outcome_unknown: { status: 502, type: "outcome_unknown" },
+    idempotency_key_reused: { status: 422, type: "invalid_request_error" },
     generation_failed: { status: 502, type: "server_error" },
 };
 
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -11,15 +11,11 @@
 import { objectKinds } from "../configuration/objects.js";
 import type { ObjectKind } from "../configuration/objects.js";
 import type { Change } from "../configuration/state.js";
-import {
-    listAnswerSchema,
-    operatorMethods,
-    statusAnswerSchema,
-    withdrawKeyAnswerSchema,
-} from "../operators/messages.js";
-import type { ListAnswer, StatusAnswer } from "../operators/messages.js";
+import { listAnswerSchema, operatorMethods, withdrawKeyAnswerSchema } from "../operators/messages.js";
+import type { ListAnswer } from "../operators/messages.js";
 import { version } from "../version.js";
 import { differences, parseConfigurationFile } from "./configurationFile.js";
+import { formatFleetStatus, readFleetStatus } from "./fleetStatus.js";
 import { applyChanges, callEntry, describeRefusal } from "./operatorClient.js";
 import { formatTable } from "./table.js";
 
@@ -160,37 +156,12 @@
     await apply(flags, [change], `endpoint "${name}" is ${state}`);
 }
 
-function formatStatus(status: StatusAnswer): string {
-    const hosts = status.hosts.map(({ host, revision, seenMsAgo }) => [
-        host,
-        String(revision),
-        String(status.revision - revision),
-        String(seenMsAgo),
-    ]);
-    const endpoints = status.endpoints.map(each => [
-        each.endpoint,
-        each.pool,
-        each.role,
-        each.state,
-        each.agent ?? "none",
-    ]);
-    return [
-        `host ${status.host}: revision ${status.revision}, confirmed ${Math.round(status.ageMs)} ms ago`,
-        `takes requests: ${status.unavailable ?? "yes"}`,
-        `withdrawn keys not yet durable: ${status.pendingWithdrawals.join(", ") || "none"}`,
-        "",
-        formatTable(["host", "revision", "behind", "seen ms ago"], hosts),
-        "",
-        formatTable(["endpoint", "pool", "role", "state", "agent"], endpoints),
-    ].join("\n");
-}
-
 async function showStatus(flags: CommonFlags): Promise<void> {
-    const answer = await callEntry(entryOf(flags), operatorMethods.status, {}, statusAnswerSchema);
-    if (answer.isErr) {
-        fail(answer.error);
+    const status = await readFleetStatus(entryOf(flags));
+    if (status.isErr) {
+        fail(status.error);
     }
-    printResult(flags, answer.value, formatStatus(answer.value));
+    printResult(flags, status.value, formatFleetStatus(status.value));
 }
 
 async function runObjectVerb(
--- a/src/configuration/distribution.ts
+++ b/src/configuration/distribution.ts
@@ -4,6 +4,7 @@
 
 import type { Clock } from "../common/clock.js";
 import { checkValue } from "../common/json.js";
+import { pickSome } from "../common/random.js";
 import type { Random } from "../common/random.js";
 import type { Platform } from "../platform/ports.js";
 import type { RpcClient } from "../rpc/rpcClient.js";
@@ -38,8 +39,10 @@
     readonly counters: Counters;
     /** Entries of the same data centre that can be asked. */
     readonly localEntries: () => readonly string[];
-    /** Entries of all data centres. */
+    /** Usable entries of all data centres. */
     readonly allEntries: () => readonly string[];
+    /** All other entries that are known, also those that do not answer. */
+    readonly knownEntries: () => readonly string[];
     readonly reportFailure: (url: string) => void;
     readonly reportSuccess: (url: string) => void;
 }
@@ -75,7 +78,6 @@
 const initialAnswerMs = 1_500;
 /** A peer whose state is older than this is passed over while another source can be had. */
 const staleAgeMs = 6_000;
-const freshAgeMs = 10_000;
 const initialPeers = 8;
 const announcedPeers = 64;
 const announceTimeoutMs = 1_000;
@@ -225,7 +227,7 @@
     }
 
     async function loadInitial(): Promise<boolean> {
-        const peers = dependencies.allEntries().filter(url => url !== settings.url).slice(0, initialPeers);
+        const peers = pickSome(random, dependencies.knownEntries(), initialPeers);
         const fromStore = loadFromStore(platform, replica.state());
         const answers = await Promise.all(peers.map(url => askPeer(url, 0)));
         const answered = answers.filter(answer => answer !== undefined);
@@ -236,8 +238,8 @@
             noteConfirmed(0);
             return true;
         }
-        const freshPeer = answered.some(answer => answer.ageMs < freshAgeMs);
-        return freshPeer || answered.length * 2 > peers.length;
+        // Few answers might all come from entries that lag behind what this host served before.
+        return answered.length * 2 > peers.length;
     }
 
     async function announce(revision: number): Promise<void> {
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -28,6 +28,7 @@
 import type { HostRecord, Platform } from "../platform/ports.js";
 import { defaultTimeouts } from "../requests/context.js";
 import type { RequestContext, RequestTimeouts } from "../requests/context.js";
+import { createIdempotentCalls } from "../requests/idempotency.js";
 import { createRetryBudget } from "../requests/retryBudget.js";
 import { createCandidateIndex } from "../routing/candidates.js";
 import { defaultPolicies } from "../routing/choose.js";
@@ -66,6 +67,7 @@
 const leaseRenewalsPerLease = 3;
 const leaseMarginPart = 0.1;
 const leaseMinimumMarginMs = 2_000;
+const idempotencySweepMs = 600_000;
 
 export async function startEntry(
     settings: EntryFileSettings,
@@ -92,6 +94,7 @@
     const hosts = createHostDirectory(platform.hosts, clock, staticHosts);
     const candidates = createCandidateIndex(hosts);
     let ready = false;
+    let leaving = false;
     let draining = false;
     let wasCutOff = false;
 
@@ -102,7 +105,8 @@
             return handlers.rpc;
         }
         return method === "GET" && path === "/healthz"
-            ? async (request, response) => sendJson(response, 200, { counters: counters.snapshot() })
+            ? async (request, response) =>
+                sendJson(response, 200, { counters: counters.snapshot(), traffic: server.traffic() })
             : undefined;
     });
 
@@ -129,6 +133,7 @@
             counters,
             localEntries: () => peersOf(settings.dataCentre),
             allEntries: () => peersOf(undefined),
+            knownEntries: () => hosts.known("entry").map(host => host.url).filter(url => url !== server.url),
             reportFailure: hosts.reportFailure,
             reportSuccess: hosts.reportSuccess,
         },
@@ -183,7 +188,9 @@
         random,
         lease,
         limitsOf: clientAccount => limitsOf(replica.state(), clientAccount),
+        url: server.url,
         peers: () => peersOf(undefined),
+        clientAccounts: () => listObjects(replica.state(), "account").map(account => account.name),
         borrow: async (lender, clientAccount, tokens) => {
             const answer = await rpc.call(lender, limitsMethods.borrow, { clientAccount, tokens }, {
                 timeoutMs: loanTimeoutMs,
@@ -191,6 +198,7 @@
             return answer.isOk ? checkValue(borrowAnswerSchema, answer.value).unwrapOr(noLoan) : noLoan;
         },
         count: counters.add,
+        gauge: counters.set,
     }, defaultEscrowSettings);
 
     function cutOff(): boolean {
@@ -260,6 +268,7 @@
         },
         createOperatorMethods({
             host: settings.host,
+            url: server.url,
             configuration: replica.state,
             append,
             withdrawals,
@@ -296,7 +305,14 @@
         log.info("entry ready", { url: server.url, revision: replica.state().revision });
     }
 
+    const idempotentCalls = createIdempotentCalls({
+        tables: platform.tables,
+        clock,
+        newId: randomUUID,
+        count: counters.add,
+    });
     const router = createCallersRouter({
+        idempotentCalls,
         configuration: replica.state,
         keyring,
         keyUses,
@@ -306,6 +322,7 @@
         counters,
         maxBodyBytes: settings.maxBodyBytes,
         unavailable,
+        notReady: () => leaving ? "this entry is shutting down" : unavailable(),
         contextFor,
     });
     const callers = await listen(settings.callersListen.address, settings.callersListen.port, router);
@@ -314,6 +331,7 @@
         void distribution.follow(stopping.signal);
         void withdrawals.run(stopping.signal);
         void every(settings.hostListPollMs, hosts.refresh);
+        void every(idempotencySweepMs, idempotentCalls.sweep);
         void every(settings.limitsLeaseMs / leaseRenewalsPerLease, lease.renew);
         void every(settings.limitsRebalanceMs, escrow.rebalance);
     });
@@ -330,12 +348,14 @@
         callersUrl: callers.url,
         configuration: replica.state,
         shutDown: async () => {
-            draining = true;
+            leaving = true;
+            callers.announceClose();
             log.info("entry is draining");
-            // Health checks fail from now on; the balancer needs a moment to notice before the port closes.
+            // The readiness check fails from now on; until the balancer has noticed, requests are still taken.
             await clock.sleep(settings.drainDelayMs);
-            await callers.drain();
+            draining = true;
             await escrow.releaseAll();
+            await callers.drain();
             await lease.release();
             await end();
             log.info("entry ended");
--- a/src/endpoint/agent.ts
+++ b/src/endpoint/agent.ts
@@ -79,7 +79,9 @@
     const rpc = createRpcClient();
     const health = createEndpointHealth(engine, clock, stopping.signal, () => applyAvailability());
     let shuttingDown = false;
-    let leaving = false;
+    // Until the endpoint's configuration is known there is nothing to grant, so nothing may wait for it.
+    let leaving = true;
+    queue.setUnavailable("draining");
 
     function applyAvailability(): void {
         if (shuttingDown || leaving) {
--- a/src/limits/escrow.ts
+++ b/src/limits/escrow.ts
@@ -7,6 +7,7 @@
  */
 
 import type { Clock } from "../common/clock.js";
+import { hash32 } from "../common/hash.js";
 import { pickSome } from "../common/random.js";
 import type { Random } from "../common/random.js";
 import type { TableService } from "../platform/ports.js";
@@ -73,11 +74,15 @@
     readonly random: Random;
     readonly lease: HolderLease;
     readonly limitsOf: (clientAccount: string) => BucketLimits | undefined;
+    /** Base URL of this process. */
+    readonly url: string;
     /** Base URLs of other entry processes, asked while an account's holders are not known. */
     readonly peers: () => readonly string[];
+    readonly clientAccounts: () => readonly string[];
     /** Asks a process for tokens; resolves to `noLoan` on any failure. */
     readonly borrow: (lender: string, clientAccount: string, tokens: number, timeoutMs: number) => Promise<Loan>;
     readonly count: (name: string, value?: number) => void;
+    readonly gauge: (name: string, value: number) => void;
 }
 
 export interface Escrow {
@@ -120,6 +125,9 @@
 const extensionRetryMs = 5_000;
 const noShareRetryMs = 500;
 const maxEmptyMs = 500;
+/** How many entries hold a share of an account that nobody uses. */
+const preferredHolders = 2;
+const preferredPerRebalance = 50;
 const demandSmoothing = 0.5;
 const demandHeadroom = 1.25;
 const shrinkThreshold = 1.2;
@@ -130,6 +138,7 @@
     const ledger = createShareLedger(dependencies.tables, lease, count);
     const shares = new Map<string, Share>();
     let releasing = false;
+    let preferred: { readonly basis: string; readonly accounts: readonly string[]; } = { basis: "", accounts: [] };
 
     function shareOf(clientAccount: string, limits: BucketLimits): Share {
         const existing = shares.get(clientAccount);
@@ -176,9 +185,15 @@
     function lendersOf(share: Share): readonly string[] {
         const holders = ledger.holdersOf(share.clientAccount);
         const nowMs = clock.monotonicMs();
-        const known = holders.length > 0 ? holders : dependencies.peers();
-        const promising = known.filter(url => (share.emptyUntilMs.get(url) ?? 0) <= nowMs);
-        return pickSome(random, promising, settings.maxLenders);
+        const isPromising = (url: string): boolean => (share.emptyUntilMs.get(url) ?? 0) <= nowMs;
+        if (holders.length > 0) {
+            return pickSome(random, holders.filter(isPromising), settings.maxLenders);
+        }
+        // Every account has a share at its first choices, so they are asked while the row can't be read.
+        return byPreference(share.clientAccount, dependencies.peers()).filter(isPromising).slice(
+            0,
+            settings.maxLenders,
+        );
     }
 
     async function borrowFrom(lender: string, share: Share, tokens: number): Promise<Loan> {
@@ -335,7 +350,7 @@
         if (takeOwn(share, 1) || await takeAfterWait(share) || await takeWithLoans(share)) {
             return admitted(clientAccount);
         }
-        if (share.units === 0 && dependencies.peers().length === 0) {
+        if (share.units === 0 && ledger.holdersOf(clientAccount).length === 0) {
             return refused("noShare", noShareRetryMs);
         }
         return refused("rateExceeded", retryAfterMs(share, limits));
@@ -397,6 +412,31 @@
         }
     }
 
+    /**
+     * Takes shares of unused accounts for which this process is among the first choices. Without them, nobody could
+     * admit a request of such an account while the store is down.
+     */
+    async function holdPreferred(): Promise<void> {
+        const entries = [dependencies.url, ...dependencies.peers()];
+        const clientAccounts = dependencies.clientAccounts();
+        // Hashing every account with every entry is dear, so it is done only when one of the two lists has changed.
+        const basis = [...entries, "", ...clientAccounts].join(" ");
+        if (basis !== preferred.basis) {
+            const accounts = clientAccounts.filter(clientAccount =>
+                byPreference(clientAccount, entries).slice(0, preferredHolders).includes(dependencies.url)
+            );
+            preferred = { basis, accounts };
+        }
+        const missing = preferred.accounts.filter(clientAccount => (shares.get(clientAccount)?.units ?? 0) === 0);
+        for (const clientAccount of missing.slice(0, preferredPerRebalance)) {
+            const limits = dependencies.limitsOf(clientAccount);
+            if (limits !== undefined) {
+                await extend(shareOf(clientAccount, limits), limits);
+            }
+        }
+        dependencies.gauge("limits.sharesHeld", [...shares.values()].filter(share => share.units > 0).length);
+    }
+
     async function rebalance(): Promise<void> {
         const short = [...shares.values()].filter(share => share.shortfalls > 0);
         if (short.length > 0) {
@@ -405,6 +445,7 @@
         for (const share of shares.values()) {
             await rebalanceShare(share);
         }
+        await holdPreferred();
     }
 
     async function releaseAll(): Promise<void> {
@@ -437,6 +478,11 @@
     };
 }
 
+/** Entries in an account's own order, which all entries agree on (rendezvous hashing). */
+function byPreference(clientAccount: string, urls: readonly string[]): readonly string[] {
+    return [...urls].sort((left, right) => hash32(`${clientAccount}|${left}`) - hash32(`${clientAccount}|${right}`));
+}
+
 function createShare(clientAccount: string, limits: BucketLimits, nowMs: number): Share {
     return {
         clientAccount,
--- a/src/operators/messages.ts
+++ b/src/operators/messages.ts
@@ -58,6 +58,9 @@
     ageMs: z.number(),
     unavailable: z.string().optional(),
     pendingWithdrawals: z.array(z.string()),
+    /** Internal addresses of all entries that this one knows, itself included. */
+    entryUrls: z.array(z.string()),
+    /** The hosts that get their configuration from this entry. */
     hosts: z.array(z.object({ host: z.string(), revision: z.number().int(), seenMsAgo: z.number() })),
     endpoints: z.array(z.object({
         endpoint: z.string(),
--- a/src/operators/operatorMethods.ts
+++ b/src/operators/operatorMethods.ts
@@ -20,6 +20,7 @@
 
 export interface OperatorDependencies {
     readonly host: string;
+    readonly url: string;
     readonly configuration: () => ConfigurationState;
     readonly append: (proposed: ProposedChanges) => Promise<Result<ConfigurationState, AppendError>>;
     readonly withdrawals: Withdrawals;
@@ -60,6 +61,7 @@
             ageMs: distribution.ageMs(),
             unavailable: dependencies.unavailable(),
             pendingWithdrawals: dependencies.withdrawals.pending().map(withdrawal => withdrawal.keyName),
+            entryUrls: [...new Set([dependencies.url, ...dependencies.hosts.known("entry").map(host => host.url)])],
             hosts: distribution.hostRevisions().map(({ host, revision, seenAtMs }) => ({
                 host,
                 revision,
--- a/src/requests/generate.ts
+++ b/src/requests/generate.ts
@@ -13,6 +13,8 @@
 const maxAttempts = 5;
 const retryBackoffMs = 20;
 const maxRetryBackoffMs = 500;
+const routeBackoffMs = 150;
+const maxRouteBackoffMs = 2_000;
 const refusalRetryAfterMs = 1_000;
 
 /** Passes text to `onText` as it comes; resolves once the outcome is certain. Aborting `signal` cancels it. */
@@ -69,9 +71,16 @@
         }
         const outcome = findOutcome(ended.error.stage, ended.error.failure);
         mayHaveRun ||= outcome.mayHaveRun;
-        if (outcome.idempotent === "refuse" || attempt >= maxAttempts) {
+        // Once something may have run, the caller is owed the whole answer, so endpoints may come back meanwhile.
+        const isOwed = mayHaveRun && ended.error.stage === "route";
+        if (outcome.idempotent === "refuse" && !isOwed || attempt >= maxAttempts) {
             return failed(ended.error);
         }
+        if (isOwed) {
+            context.counters.add("requests.waitedForEndpoints");
+            await context.clock.sleep(backoffMs(context.random, attempt, routeBackoffMs, maxRouteBackoffMs), signal);
+            continue;
+        }
         if (!context.retryBudget.takeRetry(request.clientAccount, request.poolName)) {
             context.counters.add("requests.retryBudgetEmpty");
             return failed(ended.error);
--- a/src/rpc/httpServer.ts
+++ b/src/rpc/httpServer.ts
@@ -6,6 +6,8 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { Result } from "true-myth";
+import { trackConnections } from "./connections.js";
+import type { Connections, Traffic } from "./connections.js";
 
 export type Handler = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
 
@@ -20,6 +22,9 @@
     /** Base URL by IP number, such as `http://127.0.0.1:4100`. */
     readonly url: string;
     readonly server: Server;
+    readonly traffic: () => Traffic;
+    /** Tells the peer of each further answer to use its connection no more. */
+    readonly announceClose: () => void;
     /** Takes no new connections and resolves once running responses have ended. */
     readonly drain: () => Promise<void>;
     /** Ends every connection at once. */
@@ -27,12 +32,18 @@
 }
 
 const keepAliveTimeoutMs = 65_000;
+const idleSweepMs = 50;
 
 /** Listens on `address` and `port` (0 lets the system choose). */
 export async function listen(address: string, port: number, router: Router): Promise<HttpServer> {
+    let closing = false;
     const server = createServer((request, response) => {
+        if (closing) {
+            response.setHeader("connection", "close");
+        }
         void dispatch(router, request, response);
     });
+    const connections = trackConnections(server);
     server.keepAliveTimeout = keepAliveTimeoutMs;
     server.requestTimeout = 0;
     await new Promise<void>((resolve, reject) => {
@@ -43,8 +54,12 @@
     return {
         url: `http://${bound.address}:${bound.port}`,
         server,
-        drain: () => closeServer(server, false),
-        close: () => closeServer(server, true),
+        traffic: connections.traffic,
+        announceClose: () => {
+            closing = true;
+        },
+        drain: () => drainServer(server, connections),
+        close: () => closeServer(server),
     };
 }
 
@@ -72,12 +87,19 @@
     sendJson(response, 500, { error: { message, notRun: false } });
 }
 
-async function closeServer(server: Server, force: boolean): Promise<void> {
+async function drainServer(server: Server, connections: Connections): Promise<void> {
     const closed = new Promise<void>(resolve => server.close(() => resolve()));
-    server.closeIdleConnections();
-    if (force) {
-        server.closeAllConnections();
-    }
+    // A connection that was busy at first is kept alive by its client after its answer, so idle ones are closed again
+    // and again.
+    const sweep = setInterval(connections.closeIdle, idleSweepMs);
+    connections.closeIdle();
+    await closed;
+    clearInterval(sweep);
+}
+
+async function closeServer(server: Server): Promise<void> {
+    const closed = new Promise<void>(resolve => server.close(() => resolve()));
+    server.closeAllConnections();
     await closed;
 }
 
--- a/test/wholePath.test.ts
+++ b/test/wholePath.test.ts
@@ -5,8 +5,8 @@
 import { afterEach, expect, test } from "vitest";
 import { expectedText } from "../fakes/engine.js";
 import type { EngineRecord } from "../fakes/engine.js";
-import { callerKey, complete, eventually, getJson, otherKey, post, startSite } from "./site.js";
-import type { EndpointProcess, Site, SiteShape } from "./site.js";
+import { callerKey, complete, eventually, getJson, otherKey, post, startSite } from "../fakes/site.js";
+import type { EndpointProcess, Process, Site, SiteShape } from "../fakes/site.js";
 
 interface EngineState extends EngineRecord {
     readonly active: number;
@@ -192,6 +192,25 @@
     await expectNothingHeld();
 });
 
+test("an agent that does not know its endpoint yet refuses work instead of queueing it", async () => {
+    site = await startSite();
+    const fresh = await site.startAgent("not-configured", endpoint("decode", 0).endpoint.url);
+    const reserve = {
+        requestId: "r",
+        attempt: 1,
+        clientAccount: "walkers",
+        weight: 1,
+        requestClass: "interactive",
+        maxQueueMs: 60_000,
+        promptTokens: 1,
+        maxOutputTokens: 1,
+        kvBytes: 1,
+        startWithinMs: 1_000,
+    };
+    const answer = await fetch(`${fresh.url}/decode`, { method: "POST", body: JSON.stringify(reserve) });
+    expect(await answer.text()).toContain("\"reason\":\"draining\"");
+});
+
 interface RefusalCase {
     readonly name: string;
     readonly path?: string;
@@ -266,3 +285,47 @@
     expect(runs.some(run => run.path === "/news?page=2")).toBe(true);
     expect(runs.filter(run => run.headers.includes(otherKey))).toEqual([]);
 });
+
+test("a payment with an idempotency key runs once, at whatever entry it is repeated and whatever died", async () => {
+    site = await startSite({ plain: 1, entries: 2 });
+    const service = endpoint("plain", 0);
+    const first = firstEntry();
+    const second = site.entries[1] as Process;
+
+    async function pay(at: Process, key: string, amount: number): Promise<readonly [number, string]> {
+        const answer = await fetch(`${at.callersUrl}/pay`, {
+            method: "POST",
+            headers: { authorization: `Bearer ${otherKey}`, "idempotency-key": key },
+            body: JSON.stringify({ amount }),
+        });
+        return [answer.status, await answer.text()];
+    }
+
+    async function runsOf(amount: number): Promise<number> {
+        const record = await getJson<{ readonly runs: readonly { readonly body: string; }[]; }>(
+            `${service.endpoint.url}/record`,
+        );
+        return record.runs.filter(run => run.body === JSON.stringify({ amount })).length;
+    }
+
+    const answer = await pay(first, "k1", 5);
+    expect(answer[0]).toBe(200);
+    expect(await pay(second, "k1", 5)).toEqual(answer);
+    const [status, text] = await pay(second, "k1", 6);
+    expect([status, text.includes("idempotency_key_reused")]).toEqual([422, true]);
+    expect([await runsOf(5), await runsOf(6)]).toEqual([1, 0]);
+
+    await setFaults(service, { delayMs: 1_000 });
+    const cut = pay(first, "k2", 7).catch(() => "cut");
+    await eventually("the payment runs", async () => await runsOf(7) === 1);
+    await first.kill();
+    expect(await cut).toBe("cut");
+    const [repeatStatus, repeatText] = await pay(second, "k2", 7);
+    expect([repeatStatus, repeatText.includes("\"notRun\":false")]).toEqual([502, true]);
+    expect(await runsOf(7)).toBe(1);
+
+    await post(`${site.platform.url}/faults`, { down: true });
+    const [refusedStatus, refusedText] = await pay(second, "k3", 8);
+    expect([refusedStatus, refusedText.includes("\"notRun\":true")]).toEqual([503, true]);
+    expect(await runsOf(8)).toBe(0);
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -5,6 +5,7 @@
         include: ["src/**/*.test.ts", "test/**/*.test.ts"],
         testTimeout: 60_000,
         hookTimeout: 60_000,
-        maxWorkers: 4,
+        // Several files start dozens of processes each.
+        fileParallelism: false,
     },
 });
