--- a/src/callers/completionResponse.ts
+++ b/src/callers/completionResponse.ts
@@ -29,9 +29,11 @@
 }
 
 const streamHeaders = { "content-type": "text/event-stream", "cache-control": "no-store" };
+const textPlaceholder = "\u0000text\u0000";
 const streamEnd = "data: [DONE]\n\n";
 
 export function createStreamWriter(response: ServerResponse, head: CompletionHead): CompletionWriter {
+    const [beforeText, afterText] = textEventParts(head);
     let started = false;
     let buffered = "";
 
@@ -60,7 +62,7 @@
     return {
         writeText: text => {
             start();
-            write(formatEvent({ ...headFields(head, true), choices: [streamChoice(head, text, null)] }));
+            write(beforeText + JSON.stringify(text) + afterText);
         },
         complete: outcome => {
             start();
@@ -98,6 +100,14 @@
     };
 }
 
+/** What stands before and after the text in each of a stream's many events; only the text differs. */
+function textEventParts(head: CompletionHead): readonly [string, string] {
+    const event = formatEvent({ ...headFields(head, true), choices: [streamChoice(head, textPlaceholder, null)] });
+    const placeholder = JSON.stringify(textPlaceholder);
+    const position = event.lastIndexOf(placeholder);
+    return [event.slice(0, position), event.slice(position + placeholder.length)];
+}
+
 function headFields(head: CompletionHead, stream: boolean): Readonly<Record<string, unknown>> {
     const object = head.style === "completion"
         ? "text_completion"
--- a/src/requests/agentStream.ts
+++ b/src/requests/agentStream.ts
@@ -23,6 +23,7 @@
 }
 
 const headTimeoutMs = 3_000;
+const watchIntervalMs = 200;
 
 export async function openAgentStream(
     rpc: RpcClient,
@@ -42,7 +43,9 @@
 
 function createAgentStream(response: StreamResponse, clock: Clock, closing: AbortController): AgentStream {
     const events: DecodeEvent[] = [];
+    const watching = new AbortController();
     let over = false;
+    let waitUntilMs = Number.POSITIVE_INFINITY;
     let wake: (() => void) | undefined;
 
     function wakeReader(): void {
@@ -73,21 +76,32 @@
             // The reader sees the interruption as a stream that is over.
         }
         over = true;
+        watching.abort();
         wakeReader();
     }
 
+    /** Ends waits that are past their deadline. One task a stream, since a timer a token would be dear. */
+    async function watch(): Promise<void> {
+        while (!over) {
+            await clock.sleep(watchIntervalMs, watching.signal);
+            if (clock.monotonicMs() >= waitUntilMs) {
+                wakeReader();
+            }
+        }
+    }
+
     async function waitForMore(timeoutMs: number): Promise<boolean> {
-        const timer = new AbortController();
-        const woken = new Promise<boolean>(resolve => {
-            wake = () => resolve(true);
+        waitUntilMs = clock.monotonicMs() + timeoutMs;
+        await new Promise<void>(resolve => {
+            wake = resolve;
         });
-        const timedOut = clock.sleep(timeoutMs, timer.signal).then(() => false);
-        const more = await Promise.race([woken, timedOut]);
-        timer.abort();
-        return more;
+        const isLate = clock.monotonicMs() >= waitUntilMs;
+        waitUntilMs = Number.POSITIVE_INFINITY;
+        return events.length > 0 || over || !isLate;
     }
 
     void pump();
+    void watch();
     return {
         next: async timeoutMs => {
             while (true) {
