Refuse a key that is withdrawn while a request's body comes in; split large files

Cause: the key was looked up before the body was read and registered as in use after it, so a withdrawal in between ended nothing: a slow caller's request ran on a withdrawn key.

Checks and bounds are unchanged.

--- /dev/null
+++ b/src/callers/dependencies.ts
@@ -0,0 +1,30 @@
+/**
+ * What the callers' interface needs from the rest of an entry.
+ */
+
+import type { Clock } from "../common/clock.js";
+import type { ConfigurationState } from "../configuration/state.js";
+import type { Keyring } from "../keys/keyring.js";
+import type { KeyUses } from "../keys/keyUses.js";
+import type { Escrow } from "../limits/escrow.js";
+import type { RequestContext } from "../requests/context.js";
+import type { IdempotentCalls } from "../requests/idempotency.js";
+import type { CandidateIndex } from "../routing/candidates.js";
+import type { Counters } from "../telemetry/telemetry.js";
+
+export interface CallersDependencies {
+    readonly configuration: () => ConfigurationState;
+    readonly keyring: Keyring;
+    readonly keyUses: KeyUses;
+    readonly escrow: Escrow;
+    readonly candidates: CandidateIndex;
+    readonly idempotentCalls: IdempotentCalls;
+    readonly clock: Clock;
+    readonly counters: Counters;
+    readonly maxBodyBytes: number;
+    /** Why this entry takes no requests now, if so. */
+    readonly unavailable: () => string | undefined;
+    /** Why the balancer should send it no more requests, if so. */
+    readonly notReady: () => string | undefined;
+    readonly contextFor: (confirmAdmission: () => Promise<boolean>) => RequestContext;
+}
--- a/src/limits/escrow.test.ts
+++ b/src/limits/escrow.test.ts
@@ -404,6 +404,23 @@
         expect(firstExcessWindow([...burst, 49], changes)).toEqual({ fromMs: 0, toMs: 49, admitted: 13 });
     });
 
+    test("a removed account is refused everywhere and starts without a new burst when it comes back", async () => {
+        const clock = createVirtualClock();
+        const fleet = await startLimitsFleet(clock, shape);
+        burstAt(fleet, 0, 20);
+        burstAt(fleet, 1, 20);
+        await clock.advance(1_000);
+        fleet.setLimits(undefined);
+        const refused = await Promise.all([0, 1, 2].map(holder => fleet.arrive(holder)));
+        expect(refused.map(decision => decision.kind === "refused" && decision.refusal.kind))
+            .toEqual(["unknownAccount", "unknownAccount", "unknownAccount"]);
+        await clock.advance(100);
+        fleet.setLimits(shape.limits);
+        [0, 1, 2].forEach(holder => burstAt(fleet, holder, 20));
+        await clock.advance(1_000);
+        expect(firstExcess(fleet.admittedAtMs(), shape.limits)).toBeUndefined();
+    });
+
     test("units of a dead holder bring no tokens after the burst was lowered", async () => {
         const clock = createVirtualClock();
         const fleet = await startLimitsFleet(clock, shape);
--- a/src/limits/escrow.ts
+++ b/src/limits/escrow.ts
@@ -7,13 +7,15 @@
  */
 
 import type { Clock } from "../common/clock.js";
-import { hash32 } from "../common/hash.js";
 import { pickSome } from "../common/random.js";
 import type { Random } from "../common/random.js";
 import type { TableService } from "../platform/ports.js";
-import { createBucket, tokenTolerance } from "./bucket.js";
-import type { BucketLimits, TokenBucket } from "./bucket.js";
+import { tokenTolerance } from "./bucket.js";
+import type { BucketLimits } from "./bucket.js";
 import type { HolderLease } from "./lease.js";
+import { byPreference, createPreference } from "./preference.js";
+import { createShare, measureDemand } from "./share.js";
+import type { Share } from "./share.js";
 import { createShareLedger } from "./shareLedger.js";
 import { shareUnits } from "./shareRow.js";
 
@@ -101,34 +103,11 @@
     readonly releaseAll: () => Promise<void>;
 }
 
-interface Share {
-    readonly clientAccount: string;
-    readonly bucket: TokenBucket;
-    /** Until when a lender need not be asked, by its URL. */
-    readonly emptyUntilMs: Map<string, number>;
-    nextBorrowMs: number;
-    units: number;
-    /** A write of the row had no answer, so the row may differ from `units`. */
-    unsettled: boolean;
-    extending: Promise<void> | undefined;
-    nextExtensionMs: number;
-    // Since the last rebalance.
-    requests: number;
-    shortfalls: number;
-    lentTokens: number;
-    measuredAtMs: number;
-    /** Smoothed over rebalances. */
-    demandPerSecond: number;
-}
-
 const msPerSecond = 1_000;
 const extensionRetryMs = 5_000;
 const noShareRetryMs = 500;
 const maxEmptyMs = 500;
-/** How many entries hold a share of an account that nobody uses. */
-const preferredHolders = 2;
 const preferredPerRebalance = 50;
-const demandSmoothing = 0.5;
 const demandHeadroom = 1.25;
 const shrinkThreshold = 1.2;
 const noLimits: BucketLimits = { ratePerSecond: 0, burstRequests: 0 };
@@ -138,7 +117,7 @@
     const ledger = createShareLedger(dependencies.tables, lease, count);
     const shares = new Map<string, Share>();
     let releasing = false;
-    let preferred: { readonly basis: string; readonly accounts: readonly string[]; } = { basis: "", accounts: [] };
+    const preference = createPreference();
 
     function shareOf(clientAccount: string, limits: BucketLimits): Share {
         const existing = shares.get(clientAccount);
@@ -418,16 +397,8 @@
      */
     async function holdPreferred(): Promise<void> {
         const entries = [dependencies.url, ...dependencies.peers()];
-        const clientAccounts = dependencies.clientAccounts();
-        // Hashing every account with every entry is dear, so it is done only when one of the two lists has changed.
-        const basis = [...entries, "", ...clientAccounts].join(" ");
-        if (basis !== preferred.basis) {
-            const accounts = clientAccounts.filter(clientAccount =>
-                byPreference(clientAccount, entries).slice(0, preferredHolders).includes(dependencies.url)
-            );
-            preferred = { basis, accounts };
-        }
-        const missing = preferred.accounts.filter(clientAccount => (shares.get(clientAccount)?.units ?? 0) === 0);
+        const missing = preference.accountsOf(dependencies.url, entries, dependencies.clientAccounts())
+            .filter(clientAccount => (shares.get(clientAccount)?.units ?? 0) === 0);
         for (const clientAccount of missing.slice(0, preferredPerRebalance)) {
             const limits = dependencies.limitsOf(clientAccount);
             if (limits !== undefined) {
@@ -477,38 +448,3 @@
         releaseAll,
     };
 }
-
-/** Entries in an account's own order, which all entries agree on (rendezvous hashing). */
-function byPreference(clientAccount: string, urls: readonly string[]): readonly string[] {
-    return [...urls].sort((left, right) => hash32(`${clientAccount}|${left}`) - hash32(`${clientAccount}|${right}`));
-}
-
-function createShare(clientAccount: string, limits: BucketLimits, nowMs: number): Share {
-    return {
-        clientAccount,
-        bucket: createBucket(limits, nowMs),
-        emptyUntilMs: new Map(),
-        nextBorrowMs: nowMs,
-        units: 0,
-        unsettled: false,
-        extending: undefined,
-        nextExtensionMs: nowMs,
-        requests: 0,
-        shortfalls: 0,
-        lentTokens: 0,
-        measuredAtMs: nowMs,
-        demandPerSecond: 0,
-    };
-}
-
-/** Smooths the demand since the last measurement and starts the next one. */
-function measureDemand(share: Share, nowMs: number): number {
-    const elapsedSeconds = Math.max(0.001, (nowMs - share.measuredAtMs) / msPerSecond);
-    const perSecond = share.requests / elapsedSeconds;
-    share.demandPerSecond += demandSmoothing * (perSecond - share.demandPerSecond);
-    share.measuredAtMs = nowMs;
-    share.requests = 0;
-    share.shortfalls = 0;
-    share.lentTokens = 0;
-    return share.demandPerSecond;
-}
--- a/test/sharedState.test.ts
+++ b/test/sharedState.test.ts
@@ -4,6 +4,8 @@
  */
 
 import { once } from "node:events";
+import { request as httpRequest } from "node:http";
+import type { IncomingMessage } from "node:http";
 import { connect } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { afterEach, describe, expect, test } from "vitest";
@@ -126,6 +128,32 @@
         );
     });
 
+    test("is refused as not run in a request whose body was still coming in", async () => {
+        site = await startSite();
+        const body = JSON.stringify({ model: "guide", prompt, max_tokens: 1 });
+        const request = httpRequest(`${entry(0).callersUrl}/v1/completions`, {
+            method: "POST",
+            headers: { authorization: `Bearer ${callerKey}`, "content-length": body.length },
+        });
+        const answered = once(request, "response");
+        request.write(body.slice(0, 10));
+        // By now the entry has looked the key up and waits for the rest.
+        await delay(300);
+        await withdraw(entry(0), "walkers-1");
+        request.end(body.slice(10));
+        const [response] = await answered as [IncomingMessage];
+        const chunks: Buffer[] = [];
+        for await (const chunk of response as AsyncIterable<Buffer>) {
+            chunks.push(chunk);
+        }
+        const { error } = JSON.parse(Buffer.concat(chunks).toString("utf8")) as { readonly error: unknown; };
+        expect(error).toMatchObject({ code: "key_withdrawn", notRun: true });
+        const record = await getJson<{ readonly prefills: number; }>(
+            `${(site.byRole("prefill")[0] as EndpointProcess).endpoint.url}/record`,
+        );
+        expect(record.prefills).toBe(0);
+    });
+
     test("stops at an entry that was paused while it was withdrawn", async () => {
         site = await startSite({ entries: 3 });
         await everywhere("served", callerKey);
