--- a/src/callers/completions.ts
+++ b/src/callers/completions.ts
@@ -5,7 +5,7 @@
 import type { ServerResponse } from "node:http";
 import { describeInvalidInput } from "../common/json.js";
 import { generate } from "../requests/generate.js";
-import type { CandidateIndex } from "../routing/candidates.js";
+import type { NamedPool } from "../routing/candidates.js";
 import type { Handler } from "../rpc/httpServer.js";
 import { bearerKey, notAvailable, ownerFor, readCallerBody } from "./callerGate.js";
 import type { Caller, CallerGate } from "./callerGate.js";
@@ -25,22 +25,14 @@
 ): (style: CompletionStyle) => Handler {
     const { clock } = dependencies;
 
-    function findModel(parsed: CompletionRequest): ReturnType<CandidateIndex["poolOfModel"]> {
-        return dependencies.candidates.poolOfModel(parsed.model);
-    }
-
     async function runCompletion(
         caller: Caller,
         parsed: CompletionRequest,
+        found: NamedPool,
         confirm: () => Promise<boolean>,
         response: ServerResponse,
         signal: AbortSignal,
     ): Promise<void> {
-        const found = findModel(parsed);
-        if (found === undefined) {
-            sendError(response, modelNotFound(parsed.model));
-            return;
-        }
         const owner = ownerFor(caller, parsed.model);
         const head = {
             id: owner.requestId,
@@ -92,7 +84,8 @@
                 sendError(response, parsed.error);
                 return;
             }
-            if (findModel(parsed.value) === undefined) {
+            const found = dependencies.candidates.poolOfModel(parsed.value.model);
+            if (found === undefined) {
                 sendError(response, modelNotFound(parsed.value.model));
                 return;
             }
@@ -102,7 +95,7 @@
                     sendError(response, confirm.error);
                     return;
                 }
-                await runCompletion(caller.value, parsed.value, confirm.value, response, signal);
+                await runCompletion(caller.value, parsed.value, found, confirm.value, response, signal);
             });
         };
     }
--- a/test/sharedState.test.ts
+++ b/test/sharedState.test.ts
@@ -128,6 +128,26 @@
         );
     });
 
+    test("lets a call that must not be repeated run to its end", async () => {
+        site = await startSite({ plain: 1 });
+        const service = (site.byRole("plain")[0] as EndpointProcess).endpoint;
+        await post(`${service.url}/faults`, { delayMs: 1_000 });
+        const runs = async (): Promise<number> =>
+            (await getJson<{ readonly runs: readonly unknown[]; }>(`${service.url}/record`)).runs.length;
+        const pay = (): Promise<Response> =>
+            fetch(`${entry(0).callersUrl}/pay`, {
+                method: "POST",
+                headers: { authorization: `Bearer ${callerKey}` },
+                body: "{\"amount\":5}",
+            });
+        const answer = pay();
+        await eventually("the payment runs", async () => await runs() === 1);
+        await withdraw(entry(0), "walkers-1");
+        expect((await answer).status).toBe(200);
+        expect((await pay()).status).toBe(401);
+        expect(await runs()).toBe(1);
+    });
+
     test("is refused as not run in a request whose body was still coming in", async () => {
         site = await startSite();
         const body = JSON.stringify({ model: "guide", prompt, max_tokens: 1 });
