Serve the whole path on the platform through platform/

Cause: the product spoke to callers, agents and the store in its own words only, so it did not start on the platform. It gains slices for forwarding (routes, engines, scheduling, exchange between entries, duties) behind an engine port, and platform/ translates settings, desired state, registry, store, engines and callers' HTTP.

--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -31,3 +31,8 @@
         }
     },
 };
+
+/** A signal that aborts after `durationMs`, which may be a fraction or already over. */
+export function timeoutSignal(durationMs: number): AbortSignal {
+    return AbortSignal.timeout(Math.max(1, Math.ceil(durationMs)));
+}
--- /dev/null
+++ b/src/daemon/forwardingEntry.ts
@@ -0,0 +1,260 @@
+/**
+ * The entry that forwards to engines directly: puts the slices together around ports that an adapter fills.
+ *
+ * It starts empty, learns the desired state and the engines from the store or from other entries, and keeps nothing
+ * that must last.
+ */
+
+import { randomUUID } from "node:crypto";
+import type { Result } from "true-myth";
+import type { Clock } from "../common/clock.js";
+import type { JsonValue } from "../common/json.js";
+import { createRandom } from "../common/random.js";
+import { createOrderDuty } from "../duties/orderDuty.js";
+import { createStageKeeper } from "../duties/stageKeeper.js";
+import { createEngineDirectory } from "../engines/engineDirectory.js";
+import { createEngineHealth } from "../engines/engineHealth.js";
+import { createEngineLoads } from "../engines/engineLoads.js";
+import type { DecodeEngine, EnginePort, EngineRecord } from "../engines/enginePort.js";
+import { createEntryList } from "../exchange/entryList.js";
+import { createExchange } from "../exchange/exchange.js";
+import type { EntryState } from "../exchange/messages.js";
+import { createTableReplica } from "../exchange/tableReplica.js";
+import type { TableCopy, TableFeed } from "../exchange/tableReplica.js";
+import type { ForwardContext } from "../forwarding/context.js";
+import { forward } from "../forwarding/forward.js";
+import type { ForwardOutcome, ForwardRequest } from "../forwarding/forwardRequest.js";
+import { createFleetQuota } from "../limits/fleetQuota.js";
+import { createFleetRetryBudget } from "../limits/fleetRetryBudget.js";
+import type { TableService } from "../platform/ports.js";
+import type { CallerLimits, DesiredState } from "../routes/desiredState.js";
+import { createRouteTable } from "../routes/routeTable.js";
+import type { RouteTable } from "../routes/routeTable.js";
+import { listen } from "../rpc/httpServer.js";
+import { createRpcClient } from "../rpc/rpcClient.js";
+import { createRpcHandler, rpcPath } from "../rpc/rpcServer.js";
+import { createDecodePlaces, defaultPlaceSettings } from "../scheduling/decodePlaces.js";
+import type { PlacementView } from "../scheduling/placement.js";
+import type { DecisionLog } from "../telemetry/decisionLog.js";
+import type { ServedMetrics } from "../telemetry/servedMetrics.js";
+import type { ForwardingSettings } from "./forwardingSettings.js";
+
+/** What an adapter gives the entry. */
+export interface ForwardingPorts {
+    readonly tables: TableService;
+    /** The table with the desired state, and its decoder. */
+    readonly desiredState: {
+        readonly table: string;
+        readonly key: string;
+        readonly feed: TableFeed;
+        readonly decode: (value: JsonValue) => Result<DesiredState, string>;
+    };
+    /** The engines' registry, and its decoder. */
+    readonly registry: { readonly table: string; readonly feed: TableFeed; readonly decode: DecodeEngine; };
+    readonly engines: EnginePort;
+}
+
+export interface ForwardingEntry {
+    readonly forward: (request: ForwardRequest) => Promise<ForwardOutcome>;
+    readonly limits: () => CallerLimits;
+    readonly isReady: () => boolean;
+    /** Generations are refused from now on, so that none is cut when the process ends. */
+    readonly refuseGenerations: () => void;
+    /** Tells the other entries and the store that this one leaves. */
+    readonly leave: () => Promise<void>;
+    readonly close: () => Promise<void>;
+}
+
+/** Limits until a desired state is known; the platform's usual ones. */
+const initialLimits: CallerLimits = {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 4_194_304,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 15_000,
+};
+/** How long the store may hold a call for changes: a silent connection is noticed soon after. */
+const feedWaitMs = 1_500;
+/** Engines' records change often; several changes come in one call. */
+const registryPauseMs = 500;
+const desiredStatePauseMs = 50;
+const feedRetryMs = 250;
+const missingCopyRetryMs = 300;
+/** Part of the platform's slack on quotas that is used, so that callers within their rate are not refused. */
+const quotaLeniencyPart = 0.15;
+/** Part of a service's model engines that read prompts. */
+const prefillPart = 0.25;
+
+export async function startForwardingEntry(
+    settings: ForwardingSettings,
+    ports: ForwardingPorts,
+    clock: Clock,
+    log: DecisionLog,
+    metrics: ServedMetrics,
+): Promise<ForwardingEntry> {
+    const start = randomUUID();
+    const url = `http://${settings.exchange.ip}:${settings.exchange.port}`;
+    const random = createRandom(Math.trunc(clock.wallMs()) ^ Number.parseInt(start.slice(0, 8), 16));
+    const stopping = new AbortController();
+    const rpc = createRpcClient();
+    const { engines } = ports;
+    const directory = createEngineDirectory(clock, log);
+    const health = createEngineHealth(clock);
+    const loads = createEngineLoads();
+    const quota = createFleetQuota(clock, { leniency: settings.quotaSlack * quotaLeniencyPart });
+    const retryBudget = createFleetRetryBudget(clock, settings.retryBudget);
+    let routes: RouteTable | undefined;
+    let closingCause: string | undefined;
+
+    const view: PlacementView = { dataCentre: settings.dataCentre, workAt: loads.total, random };
+    const places = createDecodePlaces(
+        { clock, view, directory, health, loads, engines, log, metrics },
+        defaultPlaceSettings,
+    );
+
+    function applyDesiredState({ rows, revision }: TableCopy): void {
+        const row = rows.find(({ key }) => key === ports.desiredState.key);
+        if (row === undefined) {
+            return;
+        }
+        const decoded = ports.desiredState.decode(row.value);
+        if (decoded.isErr) {
+            log.warn("the desired state can't be read; the last one stays in force", { cause: decoded.error });
+            return;
+        }
+        const before = routes?.state.version;
+        if (before !== undefined && decoded.value.version <= before) {
+            return;
+        }
+        routes = createRouteTable(decoded.value);
+        for (const { name, maxConnections } of decoded.value.services) {
+            engines.setMaxConnections(name, maxConnections);
+        }
+        log.info("a desired state is in force", { version: decoded.value.version, before, revision });
+    }
+
+    function applyRegistry({ rows, revision }: TableCopy, afterOutage: boolean): void {
+        const records: EngineRecord[] = [];
+        for (const { key, value } of rows) {
+            const decoded = ports.registry.decode(key, value);
+            if (decoded.isOk) {
+                records.push(decoded.value);
+            }
+            else {
+                log.decision("a record of the registry names no engine", { key, cause: decoded.error, revision });
+            }
+        }
+        directory.load(records, afterOutage);
+    }
+
+    const desiredStateReplica = createTableReplica(ports.desiredState.feed, clock, log, {
+        table: ports.desiredState.table,
+        waitMs: feedWaitMs,
+        pauseMs: desiredStatePauseMs,
+        retryMs: feedRetryMs,
+    }, applyDesiredState);
+    const registryReplica = createTableReplica(ports.registry.feed, clock, log, {
+        table: ports.registry.table,
+        waitMs: feedWaitMs,
+        pauseMs: registryPauseMs,
+        retryMs: feedRetryMs,
+    }, applyRegistry);
+    directory.onChange(() => {
+        const known = directory.known();
+        engines.keepOnly(known);
+        health.keepOnly(new Set(known.map(engine => engine.id)));
+    });
+
+    const duty = createOrderDuty(ports.tables, clock, log, settings.host);
+    const stages = createStageKeeper(
+        { clock, directory, loads, engines, duty, log, metrics, routes: () => routes },
+        { prefillPart },
+    );
+
+    function onState(state: EntryState): void {
+        quota.noteUsage(state.start, state.usage);
+        loads.setPeer(state.url, state.work);
+        stages.noteReconfiguring(state.reconfiguring);
+    }
+
+    const exchange = createExchange({ url, start, seeds: settings.seeds.filter(seed => seed !== url) }, {
+        clock,
+        rpc,
+        log,
+        replicas: {
+            [ports.desiredState.table]: desiredStateReplica,
+            [ports.registry.table]: registryReplica,
+        },
+        localState: () => ({ usage: quota.usage(), work: loads.own(), reconfiguring: stages.reconfiguring() }),
+        onState,
+        onGone: loads.forgetPeer,
+    });
+    const entryList = createEntryList(ports.tables, clock, log, { url, start }, exchange.addEntries);
+    const handler = createRpcHandler(exchange.methods);
+    const server = await listen(
+        settings.exchange.ip,
+        settings.exchange.port,
+        (method, path) => method === "POST" && path === rpcPath ? handler : undefined,
+    );
+
+    async function fetchCopies(): Promise<void> {
+        while (!stopping.signal.aborted && routes === undefined) {
+            await clock.sleep(missingCopyRetryMs, stopping.signal);
+            await exchange.fetchMissingCopies();
+        }
+    }
+
+    async function shareBudgets(): Promise<void> {
+        while (!stopping.signal.aborted) {
+            retryBudget.setEntries(exchange.members());
+            quota.setKnownShare(exchange.heardShare());
+            await clock.sleep(missingCopyRetryMs, stopping.signal);
+        }
+    }
+
+    metrics.gauge("membersKnown", "entries that may be admitting", exchange.members);
+    metrics.gauge("requestsWaiting", "requests that wait for a place at a decode engine", places.waiting);
+    metrics.gauge("desiredStateVersion", "version in force", () => routes?.state.version ?? 0);
+    metrics.gauge("storeSilenceMs", "time since the store confirmed the desired state", desiredStateReplica.silenceMs);
+
+    void desiredStateReplica.follow(stopping.signal);
+    void registryReplica.follow(stopping.signal);
+    void exchange.run(stopping.signal);
+    void entryList.run(stopping.signal);
+    void stages.run(stopping.signal);
+    void fetchCopies();
+    void shareBudgets();
+
+    const context: ForwardContext = {
+        clock,
+        random,
+        log,
+        metrics,
+        view,
+        routes: () => routes,
+        directory,
+        health,
+        loads,
+        engines,
+        places,
+        quota,
+        retryBudget,
+        closingCause: () => closingCause,
+    };
+
+    return {
+        forward: request => forward(context, request),
+        limits: () => routes?.state.limits ?? initialLimits,
+        isReady: () => routes !== undefined && registryReplica.copy().revision >= 0,
+        refuseGenerations: () => {
+            closingCause = "this entry is shutting down";
+        },
+        leave: async () => {
+            stopping.abort();
+            await Promise.all([exchange.leave(), entryList.remove()]);
+        },
+        close: async () => {
+            stopping.abort();
+            await Promise.all([server.close(), engines.close(), rpc.close()]);
+        },
+    };
+}
--- /dev/null
+++ b/src/exchange/entryList.ts
@@ -0,0 +1,58 @@
+/**
+ * The entries' rows in the store, through which entries find each other when no seed answers.
+ */
+
+import type { Clock } from "../common/clock.js";
+import type { TableService } from "../platform/ports.js";
+import type { Log } from "../telemetry/telemetry.js";
+
+export interface EntryList {
+    readonly run: (signal: AbortSignal) => Promise<void>;
+    readonly remove: () => Promise<void>;
+}
+
+const table = "entries";
+/** How often the list is read; entries tell each other of new ones much sooner. */
+const readIntervalMs = 10_000;
+const writeRetryMs = 1_000;
+const scanLimit = 500;
+
+export function createEntryList(
+    tables: TableService,
+    clock: Clock,
+    log: Log,
+    own: { readonly url: string; readonly start: string; },
+    onEntries: (urls: readonly string[]) => void,
+): EntryList {
+    const key = { table, key: own.url };
+
+    async function write(): Promise<boolean> {
+        const outcome = await tables.commit({ conditions: [], writes: [{ ...key, value: { start: own.start } }] });
+        return outcome.isOk;
+    }
+
+    async function read(): Promise<void> {
+        const rows = await tables.scan(table, "", scanLimit);
+        if (rows.isOk) {
+            onEntries(rows.value.map(row => row.key));
+        }
+    }
+
+    return {
+        run: async signal => {
+            while (!signal.aborted && !await write()) {
+                await clock.sleep(writeRetryMs, signal);
+            }
+            while (!signal.aborted) {
+                await read();
+                await clock.sleep(readIntervalMs, signal);
+            }
+        },
+        remove: async () => {
+            const outcome = await tables.commit({ conditions: [], writes: [{ ...key, value: undefined }] });
+            if (outcome.isErr) {
+                log.info("the entry's row stays in the store", { cause: outcome.error.cause });
+            }
+        },
+    };
+}
--- /dev/null
+++ b/src/forwarding/context.ts
@@ -0,0 +1,36 @@
+/**
+ * What the forwarding of one request needs from the rest of the process.
+ */
+
+import type { Clock } from "../common/clock.js";
+import type { Random } from "../common/random.js";
+import type { EngineDirectory } from "../engines/engineDirectory.js";
+import type { EngineHealth } from "../engines/engineHealth.js";
+import type { EngineLoads } from "../engines/engineLoads.js";
+import type { EnginePort } from "../engines/enginePort.js";
+import type { FleetQuota } from "../limits/fleetQuota.js";
+import type { FleetRetryBudget } from "../limits/fleetRetryBudget.js";
+import type { RouteTable } from "../routes/routeTable.js";
+import type { DecodePlaces } from "../scheduling/decodePlaces.js";
+import type { PlacementView } from "../scheduling/placement.js";
+import type { DecisionLog } from "../telemetry/decisionLog.js";
+import type { ServedMetrics } from "../telemetry/servedMetrics.js";
+
+export interface ForwardContext {
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly log: DecisionLog;
+    readonly metrics: ServedMetrics;
+    readonly view: PlacementView;
+    /** `undefined` until a desired state is known. */
+    readonly routes: () => RouteTable | undefined;
+    readonly directory: EngineDirectory;
+    readonly health: EngineHealth;
+    readonly loads: EngineLoads;
+    readonly engines: EnginePort;
+    readonly places: DecodePlaces;
+    readonly quota: FleetQuota;
+    readonly retryBudget: FleetRetryBudget;
+    /** Why no new generations are taken; `undefined` in normal service. */
+    readonly closingCause: () => string | undefined;
+}
--- /dev/null
+++ b/src/forwarding/forward.ts
@@ -0,0 +1,84 @@
+/**
+ * A request's way: route, key, quota, then a plain call or a generation. Guards come first; each refusal says why.
+ */
+
+import type { Route } from "../routes/desiredState.js";
+import { pickService } from "../routes/routeTable.js";
+import type { RouteTable } from "../routes/routeTable.js";
+import type { ForwardContext } from "./context.js";
+import { refuse } from "./forwardRequest.js";
+import type { ForwardOutcome, ForwardRequest } from "./forwardRequest.js";
+import { generate } from "./generation.js";
+import { callPlain } from "./plainCall.js";
+
+/** A request that passed all guards. */
+export interface RoutedRequest {
+    readonly request: ForwardRequest;
+    readonly route: Route;
+    readonly service: string;
+    /** Monotonic time by which the whole answer is due. */
+    readonly dueAtMs: number;
+    /** From 0 to 9; 0 is the most urgent. */
+    readonly priority: number;
+}
+
+/** How soon a caller should come back to a process that is starting or cut off. */
+const noConfigurationRetryMs = 500;
+/** How soon a caller should come back to find another entry behind the balancer. */
+const closingRetryMs = 0;
+
+export async function forward(context: ForwardContext, request: ForwardRequest): Promise<ForwardOutcome> {
+    const table = context.routes();
+    if (table === undefined) {
+        return refuse(503, "no desired state is known yet", noConfigurationRetryMs);
+    }
+    const route = table.find(request.host, request.path);
+    if (route === undefined) {
+        return refuse(404, `no route for host ${request.host} and path ${request.path}`);
+    }
+    const account = request.key === undefined ? undefined : table.accountOf(request.key);
+    if (account === undefined && table.state.clientAccounts !== undefined && !route.isPublic) {
+        return refuse(401, request.key === undefined ? "no key was sent" : "the key belongs to no client account");
+    }
+    const service = pickService(route, context.random);
+    if (service === undefined) {
+        return refuse(503, `route ${route.name} names no service`, noConfigurationRetryMs);
+    }
+    const closing = route.kind === "stream" ? context.closingCause() : undefined;
+    if (closing !== undefined) {
+        return refuse(503, closing, closingRetryMs);
+    }
+    const units = account?.unit === "tokens" ? tokensOf(request, account.plainTokens) : 1;
+    const admission = account === undefined
+        ? undefined
+        : context.quota.admit(account.name, { ratePerSecond: account.ratePerSecond, burst: account.burst }, units);
+    if (admission?.kind === "refused") {
+        return refuse(429, `client account ${account?.name} is over its rate`, admission.retryAfterMs);
+    }
+    context.retryBudget.noteRequest(service);
+    const patienceMs = Math.min(route.timeoutMs, request.callerPatienceMs ?? route.timeoutMs);
+    const routed: RoutedRequest = {
+        request: { ...request, clientAccount: account?.name },
+        route,
+        service,
+        dueAtMs: request.receivedAtMs + patienceMs,
+        priority: account?.priority ?? route.priority,
+    };
+    const outcome = await dispatch(context, table, routed);
+    if (outcome.kind === "refused" && outcome.refusal.status === 503) {
+        admission?.refund();
+    }
+    return outcome;
+}
+
+function tokensOf({ size }: ForwardRequest, plainTokens: number): number {
+    return size === undefined ? plainTokens : size.promptTokens + size.maxOutputTokens;
+}
+
+function dispatch(context: ForwardContext, table: RouteTable, routed: RoutedRequest): Promise<ForwardOutcome> {
+    const figures = table.service(routed.service)?.engine;
+    const { size } = routed.request;
+    return figures === undefined || size === undefined
+        ? callPlain(context, routed)
+        : generate(context, { ...routed, size, figures });
+}
--- /dev/null
+++ b/src/scheduling/decodePlaces.ts
@@ -0,0 +1,285 @@
+/**
+ * Places (a slot and KV memory) at decode engines, given out in the order of the waiting line.
+ *
+ * An engine's own word on a reservation decides whether there is room; what is in flight only says where to ask first.
+ * A request that can't get a place while it is still worth having one is refused as not run, at once if the line is
+ * already too long when it arrives.
+ */
+
+import { Result } from "true-myth";
+import type { Clock } from "../common/clock.js";
+import type { EngineDirectory } from "../engines/engineDirectory.js";
+import type { EngineHealth } from "../engines/engineHealth.js";
+import type { EngineLoads } from "../engines/engineLoads.js";
+import type { EnginePort, EngineRecord, Reservation } from "../engines/enginePort.js";
+import type { GenerationSize } from "../forwarding/forwardRequest.js";
+import type { GenerationRequest } from "../forwarding/generation.js";
+import type { DecisionLog } from "../telemetry/decisionLog.js";
+import type { ServedMetrics } from "../telemetry/servedMetrics.js";
+import { prefillTokensPerMs, prefillWaitMs, rankForDecode } from "./placement.js";
+import type { PlacementView } from "./placement.js";
+import { createWaitingLine } from "./waitingLine.js";
+import type { Waiter, WaitingLine } from "./waitingLine.js";
+
+export interface DecodePlace {
+    readonly engine: EngineRecord;
+    /** `undefined` at engines that take no reservations. */
+    readonly reservation: Reservation | undefined;
+    /** Ends the accounting of the place; the reservation is the engine's to end. */
+    readonly end: () => void;
+}
+
+export interface NoPlace {
+    readonly cause: string;
+    readonly retryAfterMs: number;
+}
+
+export interface DecodePlaces {
+    readonly obtain: (generation: GenerationRequest) => Promise<Result<DecodePlace, NoPlace>>;
+    /** How long a request that comes now would probably wait. */
+    readonly estimatedWaitMs: (service: string) => number;
+    readonly waiting: () => number;
+}
+
+/** How requests wait and how much memory they ask for. */
+export interface PlaceSettings {
+    /** Part of the expected output for which memory is reserved besides the prompt. */
+    readonly reservedOutputPart: number;
+    /** How long after its objective a request is still kept waiting. */
+    readonly lateWaitMs: number;
+    /** A request is refused at once if the line is longer than this. */
+    readonly maxWaitMs: number;
+    /** No place is taken while every prefill engine has more than this to read. */
+    readonly maxPrefillWaitMs: number;
+}
+
+export const defaultPlaceSettings: PlaceSettings = {
+    reservedOutputPart: 0.5,
+    lateWaitMs: 600,
+    maxWaitMs: 1_400,
+    maxPrefillWaitMs: 250,
+};
+
+export interface PlaceDependencies {
+    readonly clock: Clock;
+    readonly view: PlacementView;
+    readonly directory: EngineDirectory;
+    readonly health: EngineHealth;
+    readonly loads: EngineLoads;
+    readonly engines: EnginePort;
+    readonly log: DecisionLog;
+    readonly metrics: ServedMetrics;
+}
+
+interface Waiting extends Waiter {
+    readonly generation: GenerationRequest;
+    readonly settle: (result: Result<DecodePlace, NoPlace>) => void;
+}
+
+interface PlaceQueue {
+    readonly line: WaitingLine<Waiting>;
+    pumping: boolean;
+    wake: () => void;
+}
+
+/** Engines that are asked in one try of one request. */
+const enginesPerTry = 3;
+/** A full engine is not asked again for this long, unless own work there ends. */
+const fullPauseMs = 60;
+/** The line is tried again at this interval when nothing else wakes it: work of other entries ends unseen. */
+const retryMs = 30;
+/** An engine that answers no reservation within this time is treated as unresponsive. */
+const reserveTimeoutMs = 300;
+/** Time from a place to the first token besides the reading of the prompt: set-up, transfer and first step. */
+const firstTokenMs = 110;
+/** What a reservation lives longer than the prefill is expected to take. */
+const reservationMarginMs = 900;
+/** Shortest and longest time after which a refused caller is asked to come back. */
+const minimumRetryAfterMs = 400;
+const maximumRetryAfterMs = 4_000;
+/** Grants of this last time tell how fast the line moves. */
+const grantWindowMs = 2_000;
+
+/** Output tokens that a generation is expected to make. */
+export function expectedOutputTokens(size: GenerationSize): number {
+    return Math.min(size.maxOutputTokens, size.outputHintTokens ?? Math.ceil(size.maxOutputTokens / 2));
+}
+
+export function createDecodePlaces(dependencies: PlaceDependencies, settings: PlaceSettings): DecodePlaces {
+    const { clock, view, directory, health, loads, engines, log, metrics } = dependencies;
+    const queues = new Map<string, PlaceQueue>();
+    const fullUntilMs = new Map<string, number>();
+    let grants: readonly { readonly atMs: number; readonly tokens: number; readonly service: string; }[] = [];
+
+    function queueOf(service: string): PlaceQueue {
+        const existing = queues.get(service);
+        if (existing !== undefined) {
+            return existing;
+        }
+        const created: PlaceQueue = { line: createWaitingLine(), pumping: false, wake: () => undefined };
+        queues.set(service, created);
+        return created;
+    }
+
+    loads.onEnd(() => queues.forEach(queue => queue.wake()));
+    directory.onChange(() => queues.forEach(queue => queue.wake()));
+
+    function decodeEngines(service: string): readonly EngineRecord[] {
+        return health.withoutAvoided(directory.usable(service).filter(engine => engine.stage === "decode"));
+    }
+
+    function prefillIsCongested(service: string): boolean {
+        const waits = directory.usable(service)
+            .filter(engine => engine.stage === "prefill")
+            .map(engine => prefillWaitMs(view, engine));
+        return waits.length > 0 && Math.min(...waits) > settings.maxPrefillWaitMs;
+    }
+
+    function estimatedWaitMs(service: string): number {
+        const sinceMs = clock.monotonicMs() - grantWindowMs;
+        grants = grants.filter(grant => grant.atMs >= sinceMs);
+        const granted = grants.filter(grant => grant.service === service)
+            .reduce((sum, grant) => sum + grant.tokens, 0);
+        const waitingTokens = queueOf(service).line.tokens();
+        if (waitingTokens === 0) {
+            return minimumRetryAfterMs;
+        }
+        const tokensPerMs = Math.max(granted, 1) / grantWindowMs;
+        return Math.min(maximumRetryAfterMs, Math.max(minimumRetryAfterMs, waitingTokens / tokensPerMs));
+    }
+
+    function noteGrant(item: Waiting, nowMs: number): void {
+        const { service } = item.generation;
+        grants = [...grants, { atMs: nowMs, tokens: item.tokens, service }];
+        queueOf(service).line.noteGranted(item.clientAccount, item.tokens, nowMs);
+        metrics.observe("placeWaitMs", service, nowMs - item.arrivedAtMs);
+    }
+
+    async function tryEngine(item: Waiting, engine: EngineRecord): Promise<DecodePlace | undefined> {
+        const { size, figures, request, service } = item.generation;
+        const asked = size.promptTokens + Math.ceil(expectedOutputTokens(size) * settings.reservedOutputPart);
+        const end = loads.start(engine.id, { requests: 1, kvTokens: item.tokens, prefillTokens: 0 });
+        if (figures.maxReservationMs === 0) {
+            return { engine, reservation: undefined, end };
+        }
+        const lifeMs = Math.min(
+            figures.maxReservationMs,
+            settings.maxPrefillWaitMs + size.promptTokens / prefillTokensPerMs + reservationMarginMs,
+        );
+        const reserved = await engines.reserve(engine, asked, Math.ceil(lifeMs), reserveTimeoutMs);
+        if (reserved.isOk) {
+            return { engine, reservation: reserved.value, end };
+        }
+        end();
+        fullUntilMs.set(engine.id, clock.monotonicMs() + fullPauseMs);
+        if (reserved.error.kind !== "notExecuted") {
+            health.note(engine.id, "unresponsive");
+            log.decision("an engine did not answer a reservation", {
+                requestId: request.requestId,
+                engine: engine.id,
+                service,
+                cause: reserved.error.cause,
+            });
+        }
+        return undefined;
+    }
+
+    async function tryPlace(item: Waiting): Promise<boolean> {
+        const { service, figures, request } = item.generation;
+        const nowMs = clock.monotonicMs();
+        const open = decodeEngines(service).filter(engine => (fullUntilMs.get(engine.id) ?? 0) <= nowMs);
+        const queue = queueOf(service);
+        for (const engine of rankForDecode(view, open, figures.kvTokens).slice(0, enginesPerTry)) {
+            const place = await tryEngine(item, engine);
+            if (place === undefined) {
+                continue;
+            }
+            queue.line.remove(item);
+            if (request.callerGone.aborted) {
+                place.end();
+                if (place.reservation !== undefined) {
+                    engines.releaseReservation(engine, place.reservation);
+                }
+                return true;
+            }
+            noteGrant(item, clock.monotonicMs());
+            item.settle(Result.ok(place));
+            return true;
+        }
+        return false;
+    }
+
+    function refuseExpired(queue: PlaceQueue, service: string): void {
+        for (const item of queue.line.takeExpired(clock.monotonicMs())) {
+            const retryAfterMs = estimatedWaitMs(service);
+            item.settle(Result.err({ cause: "no decode engine had room in time", retryAfterMs }));
+        }
+    }
+
+    async function pump(service: string, queue: PlaceQueue): Promise<void> {
+        if (queue.pumping) {
+            queue.wake();
+            return;
+        }
+        queue.pumping = true;
+        while (queue.line.size() > 0) {
+            refuseExpired(queue, service);
+            const candidates = prefillIsCongested(service) ? [] : queue.line.candidates(clock.monotonicMs());
+            const placed = await Promise.all(candidates.map(tryPlace));
+            if (!placed.includes(true) && queue.line.size() > 0) {
+                const woken = new AbortController();
+                queue.wake = () => woken.abort();
+                await clock.sleep(retryMs, woken.signal);
+            }
+        }
+        queue.pumping = false;
+    }
+
+    function waiterOf(generation: GenerationRequest, settle: Waiting["settle"]): Waiting {
+        const { size, route, request, dueAtMs } = generation;
+        const readMs = size.promptTokens / prefillTokensPerMs + firstTokenMs;
+        const objectiveAtMs = request.receivedAtMs + route.objectiveMs;
+        return {
+            generation,
+            settle,
+            clientAccount: request.clientAccount ?? "",
+            tokens: size.promptTokens + expectedOutputTokens(size),
+            arrivedAtMs: clock.monotonicMs(),
+            onTimeUntilMs: objectiveAtMs - readMs,
+            givenUpAtMs: Math.min(dueAtMs - readMs, Math.max(objectiveAtMs, clock.monotonicMs()) + settings.lateWaitMs),
+        };
+    }
+
+    return {
+        estimatedWaitMs,
+        waiting: () => [...queues.values()].reduce((sum, queue) => sum + queue.line.size(), 0),
+        obtain: async generation => {
+            const { service, size, figures, request } = generation;
+            if (size.promptTokens + size.maxOutputTokens > figures.kvTokens) {
+                return Result.err({ cause: "larger than an engine's memory", retryAfterMs: maximumRetryAfterMs });
+            }
+            if (decodeEngines(service).length === 0) {
+                return Result.err({ cause: "no decode engine is available", retryAfterMs: minimumRetryAfterMs });
+            }
+            const waitMs = estimatedWaitMs(service);
+            if (waitMs > settings.maxWaitMs) {
+                return Result.err({ cause: "too many requests wait for a decode engine", retryAfterMs: waitMs });
+            }
+            const queue = queueOf(service);
+            return new Promise(resolve => {
+                const item = waiterOf(generation, resolve);
+                const leave = (): void => {
+                    queue.line.remove(item);
+                    resolve(Result.err({ cause: "the caller went away", retryAfterMs: minimumRetryAfterMs }));
+                };
+                if (request.callerGone.aborted) {
+                    leave();
+                    return;
+                }
+                request.callerGone.addEventListener("abort", leave, { once: true });
+                queue.line.add(item);
+                void pump(service, queue);
+            });
+        },
+    };
+}
--- /dev/null
+++ b/src/telemetry/servedMetrics.ts
@@ -0,0 +1,79 @@
+/**
+ * Counters and latency histograms, served as text on the metrics address.
+ */
+
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const counterHelp = {
+    requests: "requests by service and outcome",
+    repeats: "sends to a further engine",
+    resumes: "streams continued at another engine",
+    prefillsDiscarded: "prefills whose result was not used",
+    callersGone: "requests whose callers went away",
+    storeCalls: "calls to the platform's store by outcome",
+    ordersSent: "orders to engines by outcome",
+} as const;
+
+const histogramHelp = {
+    placeWaitMs: "time that requests waited for a place at a decode engine",
+    prefillMs: "time from the send of a prefill to its result",
+    firstByteMs: "time from a request's arrival to the first byte of its answer",
+    wholeAnswerMs: "time from a request's arrival to the end of its answer",
+} as const;
+
+export type CounterName = keyof typeof counterHelp;
+export type HistogramName = keyof typeof histogramHelp;
+
+export interface ServedMetrics {
+    readonly count: (name: CounterName, label: string, outcome?: string) => void;
+    readonly observe: (name: HistogramName, label: string, valueMs: number) => void;
+    /** A gauge that is read when the metrics are served. */
+    readonly gauge: (name: string, help: string, read: () => number) => void;
+    readonly text: () => Promise<string>;
+}
+
+/** Upper bounds of the histograms' buckets, in milliseconds: from a plain call's time to the longest request's. */
+const bucketsMs = [5, 10, 20, 50, 100, 200, 400, 600, 900, 1_500, 3_000, 6_000, 14_000];
+
+function metricName(name: string): string {
+    return `gooseberrywell_${name.replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`)}`;
+}
+
+export function createServedMetrics(): ServedMetrics {
+    const registry = new Registry();
+    const counters = new Map<CounterName, Counter>();
+    const histograms = new Map<HistogramName, Histogram>();
+    for (const [name, help] of Object.entries(counterHelp)) {
+        const counter = new Counter({
+            name: metricName(name),
+            help,
+            labelNames: ["label", "outcome"],
+            registers: [registry],
+        });
+        counters.set(name as CounterName, counter);
+    }
+    for (const [name, help] of Object.entries(histogramHelp)) {
+        const histogram = new Histogram({
+            name: metricName(name),
+            help,
+            labelNames: ["label"],
+            buckets: bucketsMs,
+            registers: [registry],
+        });
+        histograms.set(name as HistogramName, histogram);
+    }
+    return {
+        count: (name, label, outcome = "") => counters.get(name)?.inc({ label, outcome }),
+        observe: (name, label, valueMs) => histograms.get(name)?.observe({ label }, valueMs),
+        gauge: (name, help, read) =>
+            void new Gauge({
+                name: metricName(name),
+                help,
+                registers: [registry],
+                collect() {
+                    this.set(read());
+                },
+            }),
+        text: () => registry.metrics(),
+    };
+}
