--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -105,7 +105,18 @@
     let routes: RouteTable | undefined;
     let closingCause: string | undefined;
 
-    const view: PlacementView = { dataCentre: settings.dataCentre, workAt: loads.total, random };
+    const duty = createOrderDuty(ports.tables, clock, log, settings.host);
+    const stages = createStageKeeper(
+        { clock, directory, loads, engines, duty, log, metrics, routes: () => routes },
+        { prefillPart },
+    );
+    const view: PlacementView = {
+        dataCentre: settings.dataCentre,
+        workAt: loads.total,
+        staged: (service, stage) =>
+            directory.usable(service).filter(engine => engine.stage === stage && !stages.isReconfiguring(engine.id)),
+        random,
+    };
     const places = createDecodePlaces(
         { clock, view, directory, health, loads, engines, log, metrics },
         defaultPlaceSettings,
@@ -164,12 +175,6 @@
         health.keepOnly(new Set(known.map(engine => engine.id)));
     });
 
-    const duty = createOrderDuty(ports.tables, clock, log, settings.host);
-    const stages = createStageKeeper(
-        { clock, directory, loads, engines, duty, log, metrics, routes: () => routes },
-        { prefillPart },
-    );
-
     function onState(state: EntryState): void {
         quota.noteUsage(state.start, state.usage);
         loads.setPeer(state.url, state.work);
--- a/src/duties/stageKeeper.ts
+++ b/src/duties/stageKeeper.ts
@@ -39,9 +39,11 @@
     readonly prefillPart: number;
 }
 
-/** Engines register within about this time of a fleet's start. */
-const settleMs = 2_500;
-const intervalMs = 1_000;
+/** No order is given until the list of engines has been the same for this long: at a start they register one by one. */
+const settleMs = 1_500;
+const intervalMs = 250;
+/** Records are written at intervals, so a changed stage shows this much later than the change itself. */
+const recordDelayMs = 1_500;
 /** Pause between two changes while requests run: a change costs an engine for seconds. */
 const pauseBetweenChangesMs = 15_000;
 const orderTimeoutMs = 1_500;
@@ -55,6 +57,7 @@
     const { clock, directory, loads, engines, duty, log, metrics } = dependencies;
     const ordered = new Map<string, { readonly stage: Stage; readonly untilMs: number; }>();
     const heardUntilMs = new Map<string, number>();
+    const settled = new Map<string, { readonly names: string; readonly sinceMs: number; }>();
     let nextChangeAtMs = 0;
 
     function isReconfiguring(engineId: string): boolean {
@@ -62,6 +65,25 @@
         return (ordered.get(engineId)?.untilMs ?? 0) > nowMs || (heardUntilMs.get(engineId) ?? 0) > nowMs;
     }
 
+    /** A change is over as soon as the engine's record shows it. */
+    function forgetDone(): void {
+        for (const [id, { stage }] of ordered) {
+            if (directory.get(id)?.stage === stage) {
+                ordered.delete(id);
+            }
+        }
+    }
+
+    function isSettled(service: string): boolean {
+        const names = directory.usable(service).map(engine => engine.id).sort().join(" ");
+        const seen = settled.get(service);
+        if (seen?.names === names) {
+            return clock.monotonicMs() - seen.sinceMs >= settleMs;
+        }
+        settled.set(service, { names, sinceMs: clock.monotonicMs() });
+        return false;
+    }
+
     function isIdle(service: readonly EngineRecord[]): boolean {
         return service.every(engine => loads.total(engine.id).requests === 0);
     }
@@ -79,7 +101,7 @@
             { stage, holder, fencingToken, expectedSequence },
             orderTimeoutMs,
         );
-        const pauseMs = outcome === "unknown" ? unansweredPauseMs : reconfigureMs;
+        const pauseMs = outcome === "unknown" ? unansweredPauseMs : reconfigureMs + recordDelayMs;
         ordered.set(engine.id, { stage, untilMs: clock.monotonicMs() + (outcome === "rejected" ? 0 : pauseMs) });
         metrics.count("ordersSent", stage, outcome);
         log.info("ordered an engine to another stage", { engine: engine.id, stage, fencingToken, outcome });
@@ -125,14 +147,14 @@
             }
         },
         run: async signal => {
-            await clock.sleep(settleMs, signal);
             while (!signal.aborted) {
+                await clock.sleep(intervalMs, signal);
+                forgetDone();
                 for (const { name, engine } of dependencies.routes()?.state.services ?? []) {
-                    if (engine !== undefined) {
+                    if (engine !== undefined && isSettled(name)) {
                         await balance(name, engine.reconfigureMs);
                     }
                 }
-                await clock.sleep(intervalMs, signal);
             }
         },
     };
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -133,7 +133,8 @@
         if (provesNotRun(sent.error)) {
             discard(context, place, cache);
         }
-        context.health.note(place.engine.id, sent.error.kind === "notExecuted" ? "failed" : "unresponsive");
+        // An engine that takes a reservation and rejects its request is not what its record says.
+        context.health.note(place.engine.id, "unresponsive");
         return sent;
     }
     context.health.note(place.engine.id, sent.value.status >= serverError ? "failed" : "succeeded");
@@ -153,8 +154,8 @@
 /** Has the prompt read at a prefill engine. Without a result, the decode engine reads it itself. */
 async function prefill(context: ForwardContext, generation: GenerationRequest): Promise<PrefilledCache | undefined> {
     const { request, service, size } = generation;
-    const engines = context.directory.usable(service).filter(engine => engine.stage === "prefill");
-    const ranked = rankForPrefill(context.view, context.health.withoutAvoided(engines));
+    const engines = context.health.withoutAvoided(context.view.staged(service, "prefill"));
+    const ranked = rankForPrefill(context.view, engines);
     for (const [index, engine] of ranked.slice(0, maxPrefillSends).entries()) {
         // Only the first accepted prefill is free of the retry budget.
         if (index > 0 && !context.retryBudget.take(service)) {
--- a/src/scheduling/decodePlaces.ts
+++ b/src/scheduling/decodePlaces.ts
@@ -125,13 +125,11 @@
     directory.onChange(() => queues.forEach(queue => queue.wake()));
 
     function decodeEngines(service: string): readonly EngineRecord[] {
-        return health.withoutAvoided(directory.usable(service).filter(engine => engine.stage === "decode"));
+        return health.withoutAvoided(view.staged(service, "decode"));
     }
 
     function prefillIsCongested(service: string): boolean {
-        const waits = directory.usable(service)
-            .filter(engine => engine.stage === "prefill")
-            .map(engine => prefillWaitMs(view, engine));
+        const waits = view.staged(service, "prefill").map(engine => prefillWaitMs(view, engine));
         return waits.length > 0 && Math.min(...waits) > settings.maxPrefillWaitMs;
     }
 
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -3,12 +3,14 @@
  */
 
 import type { EngineWork } from "../engines/engineLoads.js";
-import type { EngineRecord } from "../engines/enginePort.js";
+import type { EngineRecord, Stage } from "../engines/enginePort.js";
 
 export interface PlacementView {
     /** Data centre of this entry. */
     readonly dataCentre: string;
     readonly workAt: (engineId: string) => EngineWork;
+    /** Engines of a service that take work of a stage now: ready, and not changing their stage. */
+    readonly staged: (service: string, stage: Stage) => readonly EngineRecord[];
     /** Breaks ties between equals, so that entries that know the same don't all choose the same. */
     readonly random: () => number;
 }
