--- /dev/null
+++ b/fakes/forwardingRig.ts
@@ -0,0 +1,221 @@
+/**
+ * Everything that the forwarding of a request needs, with engines that answer as a test says and a virtual clock.
+ */
+
+import { Readable } from "node:stream";
+import { Result } from "true-myth";
+import { createEngineDirectory } from "../src/engines/engineDirectory.js";
+import { createEngineHealth } from "../src/engines/engineHealth.js";
+import { createEngineLoads } from "../src/engines/engineLoads.js";
+import type {
+    EngineAnswer,
+    EngineError,
+    EnginePort,
+    EngineRecord,
+    PrefilledCache,
+    Reservation,
+    SendOptions,
+    Stage,
+} from "../src/engines/enginePort.js";
+import type { ForwardContext } from "../src/forwarding/context.js";
+import type { ForwardRequest, GenerationSize } from "../src/forwarding/forwardRequest.js";
+import { createFleetQuota } from "../src/limits/fleetQuota.js";
+import { createFleetRetryBudget } from "../src/limits/fleetRetryBudget.js";
+import type { DesiredState, Route, RouteKind } from "../src/routes/desiredState.js";
+import { createRouteTable } from "../src/routes/routeTable.js";
+import { createDecodePlaces, defaultPlaceSettings } from "../src/scheduling/decodePlaces.js";
+import type { PlaceSettings } from "../src/scheduling/decodePlaces.js";
+import type { PlacementView } from "../src/scheduling/placement.js";
+import type { DecisionLog } from "../src/telemetry/decisionLog.js";
+import { createServedMetrics } from "../src/telemetry/servedMetrics.js";
+import { createVirtualClock } from "./virtualClock.js";
+import type { VirtualClock } from "./virtualClock.js";
+
+export const silentDecisionLog: DecisionLog = {
+    info: () => undefined,
+    warn: () => undefined,
+    decision: () => undefined,
+};
+
+export function engineRecord(id: string, stage?: Stage, changes: Partial<EngineRecord> = {}): EngineRecord {
+    return {
+        id,
+        bornMs: 1,
+        service: stage === undefined ? "desk" : "models",
+        address: `${id}:1`,
+        dataCentre: "a",
+        slots: 4,
+        state: "ready",
+        stage,
+        recordSequence: 1,
+        coldMs: 0,
+        ...changes,
+    };
+}
+
+/** What engines do with one call; by default all of it succeeds. */
+export interface EngineScript {
+    readonly send?: (engine: EngineRecord, options: SendOptions) => Promise<Result<EngineAnswer, EngineError>>;
+    readonly prefill?: (engine: EngineRecord) => Promise<Result<PrefilledCache, EngineError>>;
+    readonly reserve?: (engine: EngineRecord, tokens: number) => Promise<Result<Reservation, EngineError>>;
+}
+
+/** Calls in the order in which they came, such as `send i-1`. */
+export interface EngineCalls {
+    readonly calls: string[];
+}
+
+export function answerOf(status: number, chunks: readonly string[] = ["ok"]): Result<EngineAnswer, EngineError> {
+    const body = Readable.from(chunks.map(chunk => Buffer.from(chunk)));
+    return Result.ok({ status, headers: [], body, load: undefined });
+}
+
+export function errorOf(kind: EngineError["kind"]): Result<never, EngineError> {
+    return Result.err(kind === "notExecuted" ? { kind, status: 503, cause: kind } : { kind, cause: kind });
+}
+
+function scriptedEngines(script: EngineScript, calls: string[]): EnginePort {
+    let reservations = 0;
+    return {
+        send: async (engine, request, options) => {
+            calls.push(`send ${engine.id}`);
+            return script.send?.(engine, options) ?? answerOf(200);
+        },
+        prefill: async engine => {
+            calls.push(`prefill ${engine.id}`);
+            return script.prefill?.(engine) ?? Result.ok({ address: engine.address, handle: "h", tokens: 10 });
+        },
+        reserve: async (engine, tokens) => {
+            calls.push(`reserve ${engine.id}`);
+            reservations += 1;
+            return script.reserve?.(engine, tokens) ?? Result.ok({ id: `hold-${reservations}`, tokens });
+        },
+        releaseCache: ({ address }) => void calls.push(`releaseCache ${address}`),
+        releaseReservation: engine => void calls.push(`releaseReservation ${engine.id}`),
+        report: async () => errorOf("unreachable"),
+        orderStage: async () => "rejected",
+        keepOnly: () => undefined,
+        setMaxConnections: () => undefined,
+        close: async () => undefined,
+    };
+}
+
+export interface ForwardingRig extends EngineCalls {
+    readonly context: ForwardContext;
+    readonly clock: VirtualClock;
+    readonly load: (engines: readonly EngineRecord[]) => void;
+}
+
+export function routeOf(kind: RouteKind, changes: Partial<Route> = {}): Route {
+    return {
+        name: kind,
+        host: "caller.example",
+        pathPrefix: `/${kind}/`,
+        kind,
+        timeoutMs: 2_000,
+        objectiveMs: 900,
+        priority: 1,
+        services: [{ service: kind === "stream" ? "models" : "desk", weight: 1 }],
+        maxEngines: 2,
+        isPublic: true,
+        isResumable: false,
+        ...changes,
+    };
+}
+
+export function stateOf(routes: readonly Route[]): DesiredState {
+    return {
+        version: 1,
+        routes,
+        services: [
+            { name: "desk", maxConnections: 10, engine: undefined },
+            {
+                name: "models",
+                maxConnections: 10,
+                engine: {
+                    slots: 8,
+                    kvTokens: 10_000,
+                    cacheLifeMs: 500,
+                    reconfigureMs: 6_000,
+                    maxReservationMs: 2_000,
+                    tokensPerEvent: 1,
+                },
+            },
+        ],
+        clientAccounts: [{
+            name: "account",
+            keys: ["key"],
+            priority: undefined,
+            unit: "tokens",
+            plainTokens: 10,
+            ratePerSecond: 100,
+            burst: 1_000,
+        }],
+        limits: { maxHeaderBytes: 1_000, maxBodyBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 },
+    };
+}
+
+export function createForwardingRig(
+    state: DesiredState,
+    script: EngineScript = {},
+    places: Partial<PlaceSettings> = {},
+    budget = { ratio: 1, slack: 100, windowMs: 10_000 },
+): ForwardingRig {
+    const clock = createVirtualClock();
+    const calls: string[] = [];
+    const engines = scriptedEngines(script, calls);
+    const directory = createEngineDirectory(clock, silentDecisionLog);
+    const health = createEngineHealth(clock);
+    const loads = createEngineLoads();
+    const metrics = createServedMetrics();
+    const log = silentDecisionLog;
+    const view: PlacementView = {
+        dataCentre: "a",
+        workAt: loads.total,
+        staged: (service, stage) => directory.usable(service).filter(engine => engine.stage === stage),
+        random: () => 0,
+    };
+    const routes = createRouteTable(state);
+    const context: ForwardContext = {
+        clock,
+        random: () => 0,
+        log,
+        metrics,
+        view,
+        routes: () => routes,
+        directory,
+        health,
+        loads,
+        engines,
+        places: createDecodePlaces(
+            { clock, view, directory, health, loads, engines, log, metrics },
+            { ...defaultPlaceSettings, ...places },
+        ),
+        quota: createFleetQuota(clock, { leniency: 0 }),
+        retryBudget: createFleetRetryBudget(clock, budget),
+        closingCause: () => undefined,
+    };
+    return { context, clock, calls, load: records => directory.load(records, false) };
+}
+
+export const smallSize: GenerationSize = { promptTokens: 1_000, maxOutputTokens: 200, outputHintTokens: 100 };
+
+export function requestTo(path: string, changes: Partial<ForwardRequest> = {}): ForwardRequest {
+    return {
+        requestId: "r-1",
+        method: "POST",
+        target: path,
+        path,
+        host: "caller.example:80",
+        headers: [],
+        body: Buffer.alloc(0),
+        clientAccount: undefined,
+        key: undefined,
+        size: undefined,
+        receivedAtMs: 0,
+        callerPatienceMs: 2_000,
+        lastEventId: undefined,
+        callerGone: new AbortController().signal,
+        ...changes,
+    };
+}
