Let decode engines read prompts in a burst, and estimate the line by what engines free

And the wait was estimated from grants alone, so that after a quiet moment two waiting requests looked like seconds.

The estimate takes the faster of grants and of what the engines free.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["dist/", "node_modules/"] },
+    { ignores: ["dist/", "node_modules/", "target/"] },
     ...tseslint.configs.strict,
     {
         files: ["**/*.ts"],
--- a/fakes/forwardingRig.ts
+++ b/fakes/forwardingRig.ts
@@ -114,6 +114,7 @@
         kind,
         timeoutMs: 2_000,
         objectiveMs: 900,
+        maxGapMs: 300,
         priority: 1,
         services: [{ service: kind === "stream" ? "models" : "desk", weight: 1 }],
         maxEngines: 2,
@@ -188,7 +189,7 @@
         loads,
         engines,
         places: createDecodePlaces(
-            { clock, view, directory, health, loads, engines, log, metrics },
+            { clock, view, directory, health, loads, engines, log, metrics, entries: () => 1 },
             { ...defaultPlaceSettings, ...places },
         ),
         quota: createFleetQuota(clock, { leniency: 0 }),
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -118,7 +118,7 @@
         random,
     };
     const places = createDecodePlaces(
-        { clock, view, directory, health, loads, engines, log, metrics },
+        { clock, view, directory, health, loads, engines, log, metrics, entries: () => exchange.members() },
         defaultPlaceSettings,
     );
 
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -12,7 +12,7 @@
 import type { EngineFigures } from "../routes/desiredState.js";
 import { expectedOutputTokens } from "../scheduling/decodePlaces.js";
 import type { DecodePlace } from "../scheduling/decodePlaces.js";
-import { rankForPrefill } from "../scheduling/placement.js";
+import { isSoonerByItself, mayReadItself, rankForPrefill } from "../scheduling/placement.js";
 import type { ForwardContext } from "./context.js";
 import type { RoutedRequest } from "./forward.js";
 import { answered, refuse } from "./forwardRequest.js";
@@ -104,7 +104,7 @@
 }
 
 function retryAfterMs(context: ForwardContext, { service }: GenerationRequest): number {
-    return context.places.estimatedWaitMs(service);
+    return context.places.retryAfterMs(service);
 }
 
 async function sendTo(
@@ -114,8 +114,15 @@
     lastEventId: string | undefined,
 ): Promise<Result<EngineAnswer, EngineError>> {
     const { request } = generation;
-    const cache = await prefill(context, generation);
+    const cache = await prefill(context, generation, place.engine);
+    // Without a cache, the decode engine reads the prompt before its first token.
+    const endReading = context.loads.start(place.engine.id, {
+        requests: 0,
+        kvTokens: 0,
+        prefillTokens: cache === undefined ? generation.size.promptTokens : 0,
+    });
     if (request.callerGone.aborted) {
+        endReading();
         discard(context, place, cache);
         return cancelled();
     }
@@ -126,6 +133,7 @@
         ...cache === undefined ? {} : { cache },
         ...lastEventId === undefined ? {} : { lastEventId },
     });
+    endReading();
     if (request.callerGone.aborted) {
         return sent;
     }
@@ -152,11 +160,22 @@
 }
 
 /** Has the prompt read at a prefill engine. Without a result, the decode engine reads it itself. */
-async function prefill(context: ForwardContext, generation: GenerationRequest): Promise<PrefilledCache | undefined> {
+async function prefill(
+    context: ForwardContext,
+    generation: GenerationRequest,
+    decodeEngine: EngineRecord,
+): Promise<PrefilledCache | undefined> {
     const { request, service, size } = generation;
     const engines = context.health.withoutAvoided(context.view.staged(service, "prefill"));
     const ranked = rankForPrefill(context.view, engines);
     for (const [index, engine] of ranked.slice(0, maxPrefillSends).entries()) {
+        if (
+            mayReadItself(generation.route, generation.figures)
+            && isSoonerByItself(context.view, decodeEngine, engine, size.promptTokens)
+        ) {
+            context.metrics.count("ownPrefills", service);
+            return undefined;
+        }
         // Only the first accepted prefill is free of the retry budget.
         if (index > 0 && !context.retryBudget.take(service)) {
             return undefined;
--- a/src/routes/desiredState.ts
+++ b/src/routes/desiredState.ts
@@ -22,6 +22,8 @@
     readonly timeoutMs: number;
     /** Response-time objective; for streams up to the first event. */
     readonly objectiveMs: number;
+    /** Longest pause between a stream's events for which its answer is still on time. */
+    readonly maxGapMs: number;
     /** 0 is the most urgent. */
     readonly priority: number;
     /** More than one for a split route. */
--- a/src/scheduling/decodePlaces.ts
+++ b/src/scheduling/decodePlaces.ts
@@ -16,7 +16,7 @@
 import type { GenerationRequest } from "../forwarding/generation.js";
 import type { DecisionLog } from "../telemetry/decisionLog.js";
 import type { ServedMetrics } from "../telemetry/servedMetrics.js";
-import { prefillTokensPerMs, prefillWaitMs, rankForDecode } from "./placement.js";
+import { mayReadItself, prefillTokensPerMs, prefillWaitMs, rankForDecode } from "./placement.js";
 import type { PlacementView } from "./placement.js";
 import { createWaitingLine } from "./waitingLine.js";
 import type { Waiter, WaitingLine } from "./waitingLine.js";
@@ -36,8 +36,8 @@
 
 export interface DecodePlaces {
     readonly obtain: (generation: GenerationRequest) => Promise<Result<DecodePlace, NoPlace>>;
-    /** How long a request that comes now would probably wait. */
-    readonly estimatedWaitMs: (service: string) => number;
+    /** When a refused caller should come back. */
+    readonly retryAfterMs: (service: string) => number;
     readonly waiting: () => number;
 }
 
@@ -49,7 +49,7 @@
     readonly lateWaitMs: number;
     /** A request is refused at once if the line is longer than this. */
     readonly maxWaitMs: number;
-    /** No place is taken while every prefill engine has more than this to read. */
+    /** Where decode engines must not read prompts, no place is taken while all prefill engines have more to read. */
     readonly maxPrefillWaitMs: number;
 }
 
@@ -69,6 +69,8 @@
     readonly engines: EnginePort;
     readonly log: DecisionLog;
     readonly metrics: ServedMetrics;
+    /** Entries that share the engines, this one included. */
+    readonly entries: () => number;
 }
 
 interface Waiting extends Waiter {
@@ -78,6 +80,8 @@
 
 interface PlaceQueue {
     readonly line: WaitingLine<Waiting>;
+    /** KV memory of one engine of the service. */
+    kvTokens: number;
     pumping: boolean;
     wake: () => void;
 }
@@ -93,12 +97,16 @@
 /** Time from a place to the first token besides the reading of the prompt: set-up, transfer and first step. */
 const firstTokenMs = 110;
 /** What a reservation lives longer than the prefill is expected to take. */
-const reservationMarginMs = 900;
+const reservationMarginMs = 1_200;
 /** Shortest and longest time after which a refused caller is asked to come back. */
 const minimumRetryAfterMs = 400;
 const maximumRetryAfterMs = 4_000;
 /** Grants of this last time tell how fast the line moves. */
 const grantWindowMs = 2_000;
+/** Time that a place is held until answers have told: some hundred tokens at a few milliseconds each. */
+const initialPlaceMs = 4_000;
+/** Weight of the newest answer in the mean time of a place. */
+const placeWeight = 0.05;
 
 /** Output tokens that a generation is expected to make. */
 export function expectedOutputTokens(size: GenerationSize): number {
@@ -109,6 +117,7 @@
     const { clock, view, directory, health, loads, engines, log, metrics } = dependencies;
     const queues = new Map<string, PlaceQueue>();
     const fullUntilMs = new Map<string, number>();
+    let meanPlaceMs = initialPlaceMs;
     let grants: readonly { readonly atMs: number; readonly tokens: number; readonly service: string; }[] = [];
 
     function queueOf(service: string): PlaceQueue {
@@ -116,7 +125,7 @@
         if (existing !== undefined) {
             return existing;
         }
-        const created: PlaceQueue = { line: createWaitingLine(), pumping: false, wake: () => undefined };
+        const created: PlaceQueue = { line: createWaitingLine(), kvTokens: 0, pumping: false, wake: () => undefined };
         queues.set(service, created);
         return created;
     }
@@ -128,22 +137,31 @@
         return health.withoutAvoided(view.staged(service, "decode"));
     }
 
-    function prefillIsCongested(service: string): boolean {
+    function canReadPrompt({ service, route, figures }: GenerationRequest): boolean {
         const waits = view.staged(service, "prefill").map(engine => prefillWaitMs(view, engine));
-        return waits.length > 0 && Math.min(...waits) > settings.maxPrefillWaitMs;
+        return waits.length === 0 || Math.min(...waits) <= settings.maxPrefillWaitMs || mayReadItself(route, figures);
     }
 
-    function estimatedWaitMs(service: string): number {
+    /**
+     * How long the line of a service takes: by the memory that lately was granted, or by this entry's part of what the
+     * decode engines give free, whichever is faster. Grants alone would tell little after a quiet moment.
+     */
+    function lineMs(service: string): number {
         const sinceMs = clock.monotonicMs() - grantWindowMs;
         grants = grants.filter(grant => grant.atMs >= sinceMs);
         const granted = grants.filter(grant => grant.service === service)
             .reduce((sum, grant) => sum + grant.tokens, 0);
-        const waitingTokens = queueOf(service).line.tokens();
-        if (waitingTokens === 0) {
-            return minimumRetryAfterMs;
-        }
-        const tokensPerMs = Math.max(granted, 1) / grantWindowMs;
-        return Math.min(maximumRetryAfterMs, Math.max(minimumRetryAfterMs, waitingTokens / tokensPerMs));
+        const freedPerMs = decodeEngines(service).length * queueOf(service).kvTokens / meanPlaceMs
+            / Math.max(1, dependencies.entries());
+        return queueOf(service).line.tokens() / Math.max(granted / grantWindowMs, freedPerMs, 1 / grantWindowMs);
+    }
+
+    function retryAfterMs(service: string): number {
+        return Math.min(maximumRetryAfterMs, minimumRetryAfterMs + lineMs(service));
+    }
+
+    function notePlaceEnd(startedAtMs: number): void {
+        meanPlaceMs += placeWeight * (clock.monotonicMs() - startedAtMs - meanPlaceMs);
     }
 
     function noteGrant(item: Waiting, nowMs: number): void {
@@ -156,19 +174,24 @@
     async function tryEngine(item: Waiting, engine: EngineRecord): Promise<DecodePlace | undefined> {
         const { size, figures, request, service } = item.generation;
         const asked = size.promptTokens + Math.ceil(expectedOutputTokens(size) * settings.reservedOutputPart);
-        const end = loads.start(engine.id, { requests: 1, kvTokens: item.tokens, prefillTokens: 0 });
+        const startedAtMs = clock.monotonicMs();
+        const endWork = loads.start(engine.id, { requests: 1, kvTokens: item.tokens, prefillTokens: 0 });
+        const end = (): void => {
+            endWork();
+            notePlaceEnd(startedAtMs);
+        };
         if (figures.maxReservationMs === 0) {
             return { engine, reservation: undefined, end };
         }
         const lifeMs = Math.min(
             figures.maxReservationMs,
-            settings.maxPrefillWaitMs + size.promptTokens / prefillTokensPerMs + reservationMarginMs,
+            size.promptTokens / prefillTokensPerMs + reservationMarginMs,
         );
         const reserved = await engines.reserve(engine, asked, Math.ceil(lifeMs), reserveTimeoutMs);
         if (reserved.isOk) {
             return { engine, reservation: reserved.value, end };
         }
-        end();
+        endWork();
         fullUntilMs.set(engine.id, clock.monotonicMs() + fullPauseMs);
         if (reserved.error.kind !== "notExecuted") {
             health.note(engine.id, "unresponsive");
@@ -209,8 +232,9 @@
 
     function refuseExpired(queue: PlaceQueue, service: string): void {
         for (const item of queue.line.takeExpired(clock.monotonicMs())) {
-            const retryAfterMs = estimatedWaitMs(service);
-            item.settle(Result.err({ cause: "no decode engine had room in time", retryAfterMs }));
+            item.settle(
+                Result.err({ cause: "no decode engine had room in time", retryAfterMs: retryAfterMs(service) }),
+            );
         }
     }
 
@@ -222,7 +246,9 @@
         queue.pumping = true;
         while (queue.line.size() > 0) {
             refuseExpired(queue, service);
-            const candidates = prefillIsCongested(service) ? [] : queue.line.candidates(clock.monotonicMs());
+            const candidates = queue.line.candidates(clock.monotonicMs()).filter(item =>
+                canReadPrompt(item.generation)
+            );
             const placed = await Promise.all(candidates.map(tryPlace));
             if (!placed.includes(true) && queue.line.size() > 0) {
                 const woken = new AbortController();
@@ -249,7 +275,7 @@
     }
 
     return {
-        estimatedWaitMs,
+        retryAfterMs,
         waiting: () => [...queues.values()].reduce((sum, queue) => sum + queue.line.size(), 0),
         obtain: async generation => {
             const { service, size, figures, request } = generation;
@@ -259,11 +285,14 @@
             if (decodeEngines(service).length === 0) {
                 return Result.err({ cause: "no decode engine is available", retryAfterMs: minimumRetryAfterMs });
             }
-            const waitMs = estimatedWaitMs(service);
-            if (waitMs > settings.maxWaitMs) {
-                return Result.err({ cause: "too many requests wait for a decode engine", retryAfterMs: waitMs });
-            }
             const queue = queueOf(service);
+            queue.kvTokens = figures.kvTokens;
+            if (lineMs(service) > settings.maxWaitMs) {
+                return Result.err({
+                    cause: "too many requests wait for a decode engine",
+                    retryAfterMs: retryAfterMs(service),
+                });
+            }
             return new Promise(resolve => {
                 const item = waiterOf(generation, resolve);
                 const leave = (): void => {
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -4,6 +4,7 @@
 
 import type { EngineWork } from "../engines/engineLoads.js";
 import type { EngineRecord, Stage } from "../engines/enginePort.js";
+import type { EngineFigures, Route } from "../routes/desiredState.js";
 
 export interface PlacementView {
     /** Data centre of this entry. */
@@ -28,6 +29,34 @@
     return items.map(item => ({ item, cost: cost(item) })).sort((a, b) => a.cost - b.cost).map(({ item }) => item);
 }
 
+/** Prompt tokens that a decode engine reads in a millisecond, between the tokens of its other requests (platform). */
+const decodeEnginePrefillTokensPerMs = 25;
+/** A decode engine reads a prompt itself only if that is sooner by this much: it slows its other requests. */
+const ownPrefillAdvantageMs = 60;
+
+/** One step of a decode engine that reads a piece of a prompt as well, on a slow engine (platform's sheets). */
+const stepWithPrefillMs = 31;
+
+/**
+ * Whether decode engines may read prompts while prefill engines can: each token of their other requests then takes
+ * longer, and an event is a number of tokens.
+ */
+export function mayReadItself(route: Route, figures: EngineFigures): boolean {
+    return figures.tokensPerEvent * stepWithPrefillMs < route.maxGapMs;
+}
+
+/** Whether a decode engine would have read a prompt sooner by itself than the best prefill engine. */
+export function isSoonerByItself(
+    view: PlacementView,
+    decodeEngine: EngineRecord,
+    prefillEngine: EngineRecord,
+    promptTokens: number,
+): boolean {
+    const elsewhereMs = prefillWaitMs(view, prefillEngine) + promptTokens / prefillTokensPerMs;
+    const pendingTokens = view.workAt(decodeEngine.id).prefillTokens + promptTokens;
+    return pendingTokens / decodeEnginePrefillTokensPerMs + ownPrefillAdvantageMs < elsewhereMs;
+}
+
 /** How long a prompt sent now would wait at a prefill engine before it is read. */
 export function prefillWaitMs(view: PlacementView, engine: EngineRecord): number {
     return view.workAt(engine.id).prefillTokens / prefillTokensPerMs + engine.coldMs;
--- a/src/telemetry/servedMetrics.ts
+++ b/src/telemetry/servedMetrics.ts
@@ -8,6 +8,7 @@
     requests: "requests by service and outcome",
     repeats: "sends to a further engine",
     resumes: "streams continued at another engine",
+    ownPrefills: "prompts that a decode engine read itself because the prefill engines were busy",
     prefillsDiscarded: "prefills whose result was not used",
     callersGone: "requests whose callers went away",
     storeCalls: "calls to the platform's store by outcome",
