Send one Last-Event-Id when a caller's own resumption is continued

Cause: a caller that goes on after a broken connection sends Last-Event-Id; when the engine broke off as well, the request went on with the caller's header and the entry's own, and the engine took the first. Ruled out: events split across chunks (the id in the log was that of the last whole event). The caller's value now travels apart from the headers. Two cases fail before and pass after.

Also: no more work is sent to an engine than fits its memory by estimate (memoryPart).

--- a/src/forwarding/forward.test.ts
+++ b/src/forwarding/forward.test.ts
@@ -188,6 +188,8 @@
 
 interface ResumeCase {
     readonly name: string;
+    /** Where the caller itself goes on. */
+    readonly from?: string;
     readonly isResumable: boolean;
     readonly first: readonly string[];
     readonly outcome: string;
@@ -209,6 +211,22 @@
         outcome: "200 id: 2\ndata: b\n\n",
         lastEventIds: [undefined, undefined],
     },
+    {
+        name: "goes on after the last whole event of a caller that itself went on after an event",
+        from: "7",
+        isResumable: true,
+        first: ["id: 8\ndata: a\n\nid: 9\nda"],
+        outcome: "200 id: 8\ndata: a\n\nid: 2\ndata: b\n\n",
+        lastEventIds: ["7", "8"],
+    },
+    {
+        name: "goes on where the caller went on, where no event was whole",
+        from: "7",
+        isResumable: true,
+        first: ["id: 8\nda"],
+        outcome: "200 id: 2\ndata: b\n\n",
+        lastEventIds: ["7", "7"],
+    },
     {
         name: "breaks off where the route forbids it",
         isResumable: false,
@@ -219,7 +237,7 @@
 ];
 
 describe("a broken stream", () => {
-    it.each(resumeCases)("$name", async ({ isResumable, first, outcome, lastEventIds }) => {
+    it.each(resumeCases)("$name", async ({ from, isResumable, first, outcome, lastEventIds }) => {
         const seen: (string | undefined)[] = [];
         const rig = createForwardingRig(stateOf([routeOf("stream", { isResumable })]), {
             send: async (engine, { lastEventId }) => {
@@ -235,8 +253,8 @@
             },
         });
         rig.load(models);
-        const outcomeOf = await forward(rig.context, requestTo("/stream/x", { size: smallSize }));
-        expect(await textOf(outcomeOf)).toBe(outcome);
+        const request = requestTo("/stream/x", { size: smallSize, lastEventId: from });
+        expect(await textOf(await forward(rig.context, request))).toBe(outcome);
         expect(seen).toEqual(lastEventIds);
     });
 });
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -50,7 +50,7 @@
 const firstTry = 0;
 
 export async function generate(context: ForwardContext, generation: GenerationRequest): Promise<ForwardOutcome> {
-    const started = await startStream(context, generation, undefined);
+    const started = await startStream(context, generation, generation.request.lastEventId);
     if (started.kind === "refused") {
         return started.outcome;
     }
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -83,6 +83,7 @@
     const end = context.loads.start(engine.id, { requests: 1, kvTokens: 0, prefillTokens: 0 });
     const sent = await context.engines.send(engine, request, {
         remainingMs,
+        ...request.lastEventId === undefined ? {} : { lastEventId: request.lastEventId },
         signal: AbortSignal.any([timeout, request.callerGone]),
     });
     const result = sent.isErr ? sent : await readWhole(sent.value);
--- a/src/scheduling/decodePlaces.ts
+++ b/src/scheduling/decodePlaces.ts
@@ -45,6 +45,11 @@
 export interface PlaceSettings {
     /** Part of the expected output for which memory is reserved besides the prompt. */
     readonly reservedOutputPart: number;
+    /**
+     * Part of an engine's memory that the work in flight may need at its end by estimate. What runs grows, and an engine
+     * that runs out stops its newest request in the middle and reads it anew later.
+     */
+    readonly memoryPart: number;
     /** How long after its objective a request is still kept waiting. */
     readonly lateWaitMs: number;
     /** A request is refused at once if the line is longer than this. */
@@ -55,6 +60,7 @@
 
 export const defaultPlaceSettings: PlaceSettings = {
     reservedOutputPart: 0.5,
+    memoryPart: 1,
     lateWaitMs: 600,
     maxWaitMs: 1_400,
     maxPrefillWaitMs: 250,
@@ -208,7 +214,10 @@
     async function tryPlace(item: Waiting): Promise<boolean> {
         const { service, figures, request } = item.generation;
         const nowMs = clock.monotonicMs();
-        const open = decodeEngines(service).filter(engine => (fullUntilMs.get(engine.id) ?? 0) <= nowMs);
+        const memory = figures.kvTokens * settings.memoryPart;
+        const open = decodeEngines(service).filter(engine =>
+            (fullUntilMs.get(engine.id) ?? 0) <= nowMs && view.workAt(engine.id).kvTokens + item.tokens <= memory
+        );
         const queue = queueOf(service);
         for (const engine of rankForDecode(view, open, figures.kvTokens).slice(0, enginesPerTry)) {
             const place = await tryEngine(item, engine);
