--- /dev/null
+++ b/src/engines/engines.test.ts
@@ -0,0 +1,126 @@
+/**
+ * Which engines are used: through records that change, lapse or lie, and through the outcomes of requests.
+ */
+
+import { describe, expect, it } from "vitest";
+import { engineRecord, silentDecisionLog } from "../../fakes/forwardingRig.js";
+import { createVirtualClock } from "../../fakes/virtualClock.js";
+import { createEngineDirectory, lapsedEngineGraceMs } from "./engineDirectory.js";
+import { createEngineHealth } from "./engineHealth.js";
+import type { AttemptOutcome } from "./engineHealth.js";
+import type { EngineRecord } from "./enginePort.js";
+
+const first = engineRecord("i-1", undefined, { recordSequence: 5 });
+
+interface RecordCase {
+    readonly name: string;
+    readonly lists: readonly (readonly EngineRecord[])[];
+    readonly usable: boolean;
+}
+
+const recordCases: readonly RecordCase[] = [
+    { name: "a ready engine", lists: [[first]], usable: true },
+    {
+        name: "a draining engine",
+        lists: [[first], [{ ...first, state: "draining", recordSequence: 6 }]],
+        usable: false,
+    },
+    {
+        name: "an old ready record after a draining one",
+        lists: [[{ ...first, state: "draining", recordSequence: 6 }], [first]],
+        usable: false,
+    },
+    {
+        name: "a newer ready record of a draining engine",
+        lists: [[{ ...first, state: "draining", recordSequence: 6 }], [{ ...first, recordSequence: 7 }]],
+        usable: false,
+    },
+    {
+        name: "a new start under the id of a draining engine",
+        lists: [[{ ...first, state: "draining" }], [{ ...first, bornMs: 2, recordSequence: 1 }]],
+        usable: true,
+    },
+    {
+        name: "a record of an earlier start",
+        lists: [[{ ...first, bornMs: 2, state: "draining" }], [{ ...first, bornMs: 1, recordSequence: 9 }]],
+        usable: false,
+    },
+    { name: "a removed record", lists: [[first], []], usable: false },
+];
+
+describe("the directory of engines", () => {
+    it.each(recordCases)("$name is usable: $usable", ({ lists, usable }) => {
+        const directory = createEngineDirectory(createVirtualClock(), silentDecisionLog);
+        lists.forEach(list => directory.load(list, false));
+        expect(directory.usable("desk").length > 0).toBe(usable);
+    });
+
+    it("keeps a record that lapsed during an outage until it must be taken as gone", async () => {
+        const clock = createVirtualClock();
+        const directory = createEngineDirectory(clock, silentDecisionLog);
+        directory.load([first, engineRecord("i-2")], false);
+        directory.load([], true);
+        await clock.advance(lapsedEngineGraceMs - 1);
+        expect(directory.usable("desk")).toHaveLength(2);
+        directory.load([first], false);
+        await clock.advance(1);
+        expect(directory.usable("desk").map(engine => engine.id)).toEqual(["i-1"]);
+    });
+});
+
+interface HealthCase {
+    readonly name: string;
+    /** Outcomes of each of three engines, in turn. */
+    readonly outcomes: Readonly<Record<string, readonly AttemptOutcome[]>>;
+    readonly good: readonly string[];
+}
+
+const many = (outcome: AttemptOutcome, count: number): readonly AttemptOutcome[] => Array(count).fill(outcome);
+const mixed = (failures: number, of: number): readonly AttemptOutcome[] =>
+    Array.from({ length: of }, (empty, index) => index % of < failures ? "failed" : "succeeded");
+
+const healthCases: readonly HealthCase[] = [
+    { name: "all well", outcomes: {}, good: ["a", "b", "c"] },
+    { name: "one does not respond", outcomes: { a: many("unresponsive", 1) }, good: ["b", "c"] },
+    {
+        name: "one fails nearly all, whatever it says of its health",
+        outcomes: { a: many("failed", 12), b: many("succeeded", 12), c: many("succeeded", 12) },
+        good: ["b", "c"],
+    },
+    {
+        name: "all fail some of their requests",
+        outcomes: { a: mixed(2, 12), b: mixed(2, 12), c: mixed(2, 12) },
+        good: ["a", "b", "c"],
+    },
+    {
+        name: "most do not respond: the fault is more likely this host's",
+        outcomes: { a: many("unresponsive", 3), b: many("unresponsive", 3) },
+        good: ["a", "b", "c"],
+    },
+];
+
+describe("the health of engines", () => {
+    it.each(healthCases)("$name", ({ outcomes, good }) => {
+        const health = createEngineHealth(createVirtualClock());
+        Object.entries(outcomes).forEach(([id, list]) => list.forEach(outcome => health.note(id, outcome)));
+        const engines = ["a", "b", "c"].map(id => engineRecord(id));
+        expect(health.withoutAvoided(engines).map(engine => engine.id)).toEqual(good);
+    });
+
+    it("asks a silent engine again after a pause, and trusts it after a success", async () => {
+        const clock = createVirtualClock();
+        const health = createEngineHealth(clock);
+        health.note("a", "unresponsive");
+        expect(health.isAvoided("a")).toBe(true);
+        await clock.advance(500);
+        expect(health.isAvoided("a")).toBe(false);
+        health.note("a", "unresponsive");
+        await clock.advance(500);
+        expect(health.isAvoided("a")).toBe(true);
+        await clock.advance(500);
+        health.note("a", "succeeded");
+        health.note("a", "unresponsive");
+        await clock.advance(500);
+        expect(health.isAvoided("a")).toBe(false);
+    });
+});
