--- a/src/scheduling/decodePlaces.ts
+++ b/src/scheduling/decodePlaces.ts
@@ -143,6 +143,11 @@
         return health.withoutAvoided(view.staged(service, "decode"));
     }
 
+    /** Whether an engine said a moment ago that it has no room. */
+    function isFull({ id }: EngineRecord): boolean {
+        return (fullUntilMs.get(id) ?? 0) > clock.monotonicMs();
+    }
+
     function canReadPrompt({ service, route, figures }: GenerationRequest): boolean {
         const waits = view.staged(service, "prefill").map(engine => prefillWaitMs(view, engine));
         return waits.length === 0 || Math.min(...waits) <= settings.maxPrefillWaitMs || mayReadItself(route, figures);
@@ -157,9 +162,16 @@
         grants = grants.filter(grant => grant.atMs >= sinceMs);
         const granted = grants.filter(grant => grant.service === service)
             .reduce((sum, grant) => sum + grant.tokens, 0);
-        const freedPerMs = decodeEngines(service).length * queueOf(service).kvTokens / meanPlaceMs
-            / Math.max(1, dependencies.entries());
-        return queueOf(service).line.tokens() / Math.max(granted / grantWindowMs, freedPerMs, 1 / grantWindowMs);
+        const { line, kvTokens } = queueOf(service);
+        const decode = decodeEngines(service);
+        const freedPerMs = decode.length * kvTokens / meanPlaceMs / Math.max(1, dependencies.entries());
+        // What fits now does not wait.
+        const freeTokens = decode
+            .filter(engine => !isFull(engine))
+            .map(engine => Math.max(0, kvTokens * settings.memoryPart - view.workAt(engine.id).kvTokens))
+            .reduce((sum, free) => sum + free, 0);
+        const excessTokens = Math.max(0, line.tokens() - freeTokens);
+        return excessTokens / Math.max(granted / grantWindowMs, freedPerMs, 1 / grantWindowMs);
     }
 
     function retryAfterMs(service: string): number {
@@ -213,10 +225,9 @@
 
     async function tryPlace(item: Waiting): Promise<boolean> {
         const { service, figures, request } = item.generation;
-        const nowMs = clock.monotonicMs();
         const memory = figures.kvTokens * settings.memoryPart;
         const open = decodeEngines(service).filter(engine =>
-            (fullUntilMs.get(engine.id) ?? 0) <= nowMs && view.workAt(engine.id).kvTokens + item.tokens <= memory
+            !isFull(engine) && view.workAt(engine.id).kvTokens + item.tokens <= memory
         );
         const queue = queueOf(service);
         for (const engine of rankForDecode(view, open, figures.kvTokens).slice(0, enginesPerTry)) {
