--- a/fakes/forwardingRig.ts
+++ b/fakes/forwardingRig.ts
@@ -67,7 +67,7 @@
 
 export function answerOf(status: number, chunks: readonly string[] = ["ok"]): Result<EngineAnswer, EngineError> {
     const body = Readable.from(chunks.map(chunk => Buffer.from(chunk)));
-    return Result.ok({ status, headers: [], body, load: undefined });
+    return Result.ok({ engine: "", status, headers: [], body, load: undefined });
 }
 
 export function errorOf(kind: EngineError["kind"]): Result<never, EngineError> {
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -57,6 +57,7 @@
 export interface ForwardingEntry {
     readonly forward: (request: ForwardRequest) => Promise<ForwardOutcome>;
     readonly limits: () => CallerLimits;
+    readonly desiredStateVersion: () => number | undefined;
     readonly isReady: () => boolean;
     /** Generations are refused from now on, so that none is cut when the process ends. */
     readonly refuseGenerations: () => void;
@@ -249,6 +250,7 @@
     return {
         forward: request => forward(context, request),
         limits: () => routes?.state.limits ?? initialLimits,
+        desiredStateVersion: () => routes?.state.version,
         isReady: () => routes !== undefined && registryReplica.copy().revision >= 0,
         refuseGenerations: () => {
             closingCause = "this entry is shutting down";
--- a/src/engines/enginePort.ts
+++ b/src/engines/enginePort.ts
@@ -86,6 +86,8 @@
 
 /** An engine's own answer. Reading `body` fails if the engine breaks off. */
 export interface EngineAnswer {
+    /** Id of the engine. */
+    readonly engine: string;
     readonly status: number;
     /** Name and value in turn, without what concerns one connection. */
     readonly headers: readonly string[];
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -192,7 +192,13 @@
         end();
         if (result.isOk) {
             context.health.note(engine.id, "succeeded");
-            context.metrics.observe("prefillMs", service, context.clock.monotonicMs() - sentAtMs);
+            const tookMs = context.clock.monotonicMs() - sentAtMs;
+            context.metrics.observe("prefillMs", service, tookMs);
+            context.log.decision("the prompt was read", {
+                requestId: request.requestId,
+                engine: engine.id,
+                tookMs: Math.round(tookMs),
+            });
             return result.value;
         }
         if (request.callerGone.aborted || timeLeft(context, generation) <= 0) {
--- a/src/scheduling/decodePlaces.ts
+++ b/src/scheduling/decodePlaces.ts
@@ -244,6 +244,15 @@
                 return true;
             }
             noteGrant(item, clock.monotonicMs());
+            log.decision("placed at a decode engine", {
+                requestId: request.requestId,
+                engine: engine.id,
+                promptTokens: item.generation.size.promptTokens,
+                expectedTokens: item.tokens,
+                engineTokens: view.workAt(engine.id).kvTokens,
+                enginesOpen: open.length,
+                waitedMs: Math.round(clock.monotonicMs() - item.arrivedAtMs),
+            });
             item.settle(Result.ok(place));
             return true;
         }
