--- a/fakes/embeddedSite.ts
+++ b/fakes/embeddedSite.ts
@@ -3,7 +3,7 @@
  */
 
 import { systemClock } from "../src/common/clock.js";
-import { sha256Hex } from "../src/common/hash.js";
+import { sha256Hex } from "../src/common/digest.js";
 import { appendChanges } from "../src/configuration/log.js";
 import { emptyState } from "../src/configuration/state.js";
 import type { Change } from "../src/configuration/state.js";
--- a/fakes/site.ts
+++ b/fakes/site.ts
@@ -10,7 +10,7 @@
 import { join } from "node:path";
 import { createInterface } from "node:readline";
 import { setTimeout as delay } from "node:timers/promises";
-import { sha256Hex } from "../src/common/hash.js";
+import { sha256Hex } from "../src/common/digest.js";
 import type { Change } from "../src/configuration/state.js";
 import { operatorMethods } from "../src/operators/messages.js";
 import type { ApplyAnswer } from "../src/operators/messages.js";
--- a/src/callers/serviceRoutes.ts
+++ b/src/callers/serviceRoutes.ts
@@ -4,7 +4,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Result } from "true-myth";
-import { sha256Hex } from "../common/hash.js";
+import { sha256Hex } from "../common/digest.js";
 import type { AccountLimits, Route } from "../configuration/objects.js";
 import { callService } from "../requests/callService.js";
 import type { ServiceOutcome } from "../requests/callService.js";
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,7 +7,7 @@
 import { parse } from "jsonc-parser";
 import { randomBytes } from "node:crypto";
 import { readFileSync } from "node:fs";
-import { sha256Hex } from "../common/hash.js";
+import { sha256Hex } from "../common/digest.js";
 import { objectKinds } from "../configuration/objects.js";
 import type { ObjectKind } from "../configuration/objects.js";
 import type { Change } from "../configuration/state.js";
--- a/src/common/hash.ts
+++ b/src/common/hash.ts
@@ -1,9 +1,7 @@
 /**
- * Non-cryptographic hashes for placement decisions, and digests for secrets.
+ * Non-cryptographic hashes for placement decisions.
  */
 
-import { createHash } from "node:crypto";
-import { timingSafeEqual } from "node:crypto";
 import xxhash from "xxhash-wasm";
 
 const hasher = await xxhash();
@@ -12,16 +10,3 @@
 export function hash32(text: string): number {
     return hasher.h32(text);
 }
-
-/** The SHA-256 digest of `text` in lower-case hexadecimal. */
-export function sha256Hex(text: string): string {
-    return createHash("sha256").update(text).digest("hex");
-}
-
-/** Compares two hexadecimal digests in constant time. */
-export function digestsEqual(left: string, right: string): boolean {
-    if (left.length !== right.length) {
-        return false;
-    }
-    return timingSafeEqual(Buffer.from(left), Buffer.from(right));
-}
--- a/src/keys/keyring.ts
+++ b/src/keys/keyring.ts
@@ -5,7 +5,7 @@
  * A digest withdrawn by a peer's message stays withdrawn even if the configuration at hand still says "active".
  */
 
-import { digestsEqual, sha256Hex } from "../common/hash.js";
+import { digestsEqual, sha256Hex } from "../common/digest.js";
 import type { Key } from "../configuration/objects.js";
 import { listObjects } from "../configuration/state.js";
 import type { ConfigurationState } from "../configuration/state.js";
--- a/src/requests/idempotency.ts
+++ b/src/requests/idempotency.ts
@@ -9,7 +9,7 @@
 import { Result } from "true-myth";
 import { z } from "zod";
 import type { Clock } from "../common/clock.js";
-import { sha256Hex } from "../common/hash.js";
+import { sha256Hex } from "../common/digest.js";
 import { checkValue } from "../common/json.js";
 import type { JsonValue } from "../common/json.js";
 import type { Row, RowKey, TableService } from "../platform/ports.js";
--- a/src/routes/routeTable.ts
+++ b/src/routes/routeTable.ts
@@ -2,7 +2,7 @@
  * Indexes of one desired state: routes by host and longest path prefix, client accounts by the digest of their keys.
  */
 
-import { digestsEqual, sha256Hex } from "../common/hash.js";
+import { digestsEqual, sha256Hex } from "../common/digest.js";
 import type { Random } from "../common/random.js";
 import type { ClientAccount, DesiredState, Route, Service } from "./desiredState.js";
 
