--- a/src/callers/callersServer.ts
+++ b/src/callers/callersServer.ts
@@ -5,7 +5,7 @@
 import { findRoute } from "../configuration/state.js";
 import { pathOf, sendJson } from "../rpc/httpServer.js";
 import type { Handler, Router } from "../rpc/httpServer.js";
-import { createCallerGate } from "./callerGate.js";
+import { bearerKey, createCallerGate } from "./callerGate.js";
 import { createCompletionHandlers } from "./completions.js";
 import type { CallersDependencies } from "./dependencies.js";
 import { sendError } from "./errors.js";
@@ -17,6 +17,11 @@
     const handleRoute = createRouteHandler(dependencies, gate);
 
     const handleModels: Handler = async (request, response) => {
+        const caller = gate.authenticate(bearerKey(request));
+        if (caller.isErr) {
+            sendError(response, caller.error);
+            return;
+        }
         const data = dependencies.candidates.models().map(id => ({ id, object: "model", owned_by: "gooseberrywell" }));
         sendJson(response, 200, { object: "list", data });
     };
--- a/src/routing/candidates.ts
+++ b/src/routing/candidates.ts
@@ -21,6 +21,7 @@
 
 export interface CandidateIndex {
     readonly poolOfModel: (model: string) => NamedPool | undefined;
+    /** Names of the models; pools of plain services are none. */
     readonly models: () => readonly string[];
     /** Serving endpoints of a pool whose agents are known and not passed over, without those in `excluded`. */
     readonly candidates: (
@@ -51,7 +52,12 @@
 
     return {
         poolOfModel: model => poolsByModel.get(model),
-        models: () => [...poolsByModel.keys()],
+        models: () =>
+            [...poolsByModel.values()]
+                .filter(({ name }) =>
+                    (endpointsByPool.get(name) ?? []).some(({ endpoint }) => endpoint.role !== "plain")
+                )
+                .map(({ pool }) => pool.model),
         candidates: (pool, role, excluded) =>
             (endpointsByPool.get(pool) ?? [])
                 .filter(({ name, endpoint }) => endpoint.role === role && !excluded.has(name))
--- a/test/wholePath.test.ts
+++ b/test/wholePath.test.ts
@@ -262,6 +262,15 @@
     expect((await recordOf(endpoint("prefill", 0))).prefills).toBe(0);
 });
 
+test("models are listed to known keys only, and plain services are none", async () => {
+    site = await startSite({ plain: 1 });
+    const url = `${firstEntry().callersUrl}/v1/models`;
+    const listed = await getJson<{ readonly data: readonly { readonly id: string; }[]; }>(url, callerKey);
+    expect(listed.data.map(({ id }) => id)).toEqual(["guide"]);
+    expect((await fetch(url, { headers: { authorization: "Bearer nobody" } })).status).toBe(401);
+    expect((await fetch(url)).status).toBe(401);
+});
+
 test("plain services: routes, open routes, at most one run of a call whose answer is lost", async () => {
     site = await startSite({ plain: 2 });
     const { callersUrl } = firstEntry();
