Continue a broken stream at another engine than the one that broke off

Found by the new test of the path over real processes: the continuation went back to the same, least loaded engine and broke again. The engine is passed over for its pause now. Ruled out: the retry budget (1,000 in the test).

--- /dev/null
+++ b/fakes/platformSite.ts
@@ -0,0 +1,271 @@
+/**
+ * A small site on a stand-in of the platform: the real entries as separate processes, store and engines in this one.
+ */
+
+import { spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as delay } from "node:timers/promises";
+import { request } from "undici";
+import { startPlatformEngine } from "./platformEngine.js";
+import type { PlatformEngine } from "./platformEngine.js";
+import { startFakeStore } from "./platformStore.js";
+import type { FakeStore } from "./platformStore.js";
+
+export interface EntryProcess {
+    readonly name: string;
+    readonly callersUrl: string;
+    readonly readyUrl: string;
+    readonly metricsUrl: string;
+    /** Log lines so far. */
+    readonly log: () => string;
+    readonly signal: (signal: NodeJS.Signals) => void;
+    /** Resolves with the exit code, or with the signal that ended it. */
+    readonly ended: Promise<number | NodeJS.Signals | null>;
+    readonly restart: () => Promise<void>;
+}
+
+export interface PlatformSite {
+    readonly store: FakeStore;
+    readonly entries: readonly EntryProcess[];
+    readonly engines: readonly PlatformEngine[];
+    /** Writes a desired state with these keys of the one client account; versions grow by themselves. */
+    readonly publish: (keys: readonly string[]) => void;
+    /** Writes the registry's record of an engine. */
+    readonly register: (engine: PlatformEngine, state: "ready" | "draining") => void;
+    readonly close: () => Promise<void>;
+}
+
+export interface PlatformSiteShape {
+    readonly entries: number;
+    readonly events?: number;
+    readonly eventMs?: number;
+    /** Whether a desired state and the engines are written at once. */
+    readonly empty?: boolean;
+}
+
+export const siteKey = "key-of-the-walkers";
+const host = "site.example";
+const graceS = 6;
+const waitMs = 20_000;
+
+async function freePorts(count: number): Promise<readonly number[]> {
+    const servers = Array.from({ length: count }, () => createServer());
+    await Promise.all(servers.map(server => new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))));
+    const ports = servers.map(server => (server.address() as AddressInfo).port);
+    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    return ports;
+}
+
+/** Polls until `check` holds. */
+export async function until(what: string, check: () => boolean | Promise<boolean>): Promise<void> {
+    const deadline = Date.now() + waitMs;
+    while (!await check()) {
+        if (Date.now() > deadline) {
+            throw new Error(`gave up waiting for: ${what}`);
+        }
+        await delay(20);
+    }
+}
+
+export async function isReady(entry: EntryProcess): Promise<boolean> {
+    return fetch(entry.readyUrl).then(response => response.status === 200, () => false);
+}
+
+function startProcess(settingsFile: string): { readonly child: ChildProcess; readonly log: () => string; } {
+    const child = spawn(process.execPath, ["dist/platform/main.js"], {
+        env: { GOOSEBERRYWELL_BOOT: settingsFile, PATH: process.env["PATH"] },
+        stdio: ["ignore", "pipe", "pipe"],
+    });
+    let text = "";
+    child.stdout.on("data", (chunk: Buffer) => (text += chunk.toString()));
+    child.stderr.on("data", (chunk: Buffer) => (text += chunk.toString()));
+    return { child, log: () => text };
+}
+
+async function startEntryProcess(
+    index: number,
+    directory: string,
+    storeAddress: string,
+    ports: readonly number[],
+    seed: string,
+): Promise<EntryProcess> {
+    const [front, readiness, control, metrics] = ports;
+    const file = join(directory, `entry-${index}.conf`);
+    writeFileSync(
+        file,
+        [
+            `node_name=entry-${index}`,
+            "ip=127.0.0.1",
+            "zone=a",
+            `listen.front=127.0.0.1:${front}`,
+            `listen.readiness=127.0.0.1:${readiness}`,
+            `listen.control=127.0.0.1:${control}`,
+            `port_range=${metrics},${metrics}`,
+            `seeds=${seed}`,
+            `platform.address=${storeAddress}`,
+            `bounds.grace_s=${graceS}`,
+            "bounds.retry_budget_ratio=0.2",
+            "bounds.budget_slack=1000",
+            "bounds.budget_window_s=10",
+            "bounds.drain_ms=2000",
+            "bounds.config_apply_ms=2000",
+        ].join("\n"),
+    );
+    const state = { current: startProcess(file) };
+    const endOf = (child: ChildProcess): EntryProcess["ended"] =>
+        new Promise(resolve => child.once("exit", (code, signal) => resolve(code ?? signal)));
+    const entry = {
+        name: `entry-${index}`,
+        callersUrl: `http://127.0.0.1:${front}`,
+        readyUrl: `http://127.0.0.1:${readiness}/ready`,
+        metricsUrl: `http://127.0.0.1:${metrics}/metrics`,
+        log: () => state.current.log(),
+        signal: (signal: NodeJS.Signals) => void state.current.child.kill(signal),
+        ended: endOf(state.current.child),
+        restart: async () => {
+            await entry.ended;
+            state.current = startProcess(file);
+            entry.ended = endOf(state.current.child);
+        },
+    };
+    return entry;
+}
+
+export async function startPlatformSite(shape: PlatformSiteShape): Promise<PlatformSite> {
+    const directory = mkdtempSync(join(tmpdir(), "gooseberrywell-"));
+    const store = await startFakeStore();
+    const engineOf = (id: string, stage: PlatformEngine["stage"]): Promise<PlatformEngine> =>
+        startPlatformEngine({ id, stage, events: shape.events ?? 5, eventMs: shape.eventMs ?? 10, places: 50 });
+    const engines = await Promise.all([
+        engineOf("p-1", "prefill"),
+        engineOf("m-1", "decode"),
+        engineOf("m-2", "decode"),
+        engineOf("d-1", undefined),
+        engineOf("d-2", undefined),
+    ]);
+    let version = 0;
+
+    function publish(keys: readonly string[]): void {
+        version += 3;
+        const route = { host, timeout_ms: 5_000, target_latency_ms: 900, priority: 1, attempts: 2, public: false };
+        const figures = { slots: 50, kv_tokens: 100_000, hold_ms: 2_000, stride: 1 };
+        store.put(
+            "op",
+            "config",
+            JSON.stringify({
+                version,
+                routes: [
+                    { ...route, name: "chat", prefix: "/chat/", kind: "stream", service: "models" },
+                    { ...route, name: "long", prefix: "/long/", kind: "stream", service: "models", resumable: true },
+                    { ...route, name: "pay", prefix: "/pay/", kind: "non_idempotent", service: "desk" },
+                    { ...route, name: "look", prefix: "/look/", kind: "idempotent", service: "desk" },
+                ],
+                services: [{ name: "models", max_connections: 400, engine: figures }, {
+                    name: "desk",
+                    max_connections: 100,
+                }],
+                tenants: [{ name: "walkers", api_keys: keys }],
+            }),
+        );
+    }
+
+    function register(engine: PlatformEngine, state: "ready" | "draining"): void {
+        const service = engine.stage === undefined ? "desk" : "models";
+        const stage = engine.stage === undefined ? {} : { stage: engine.stage };
+        version += 1;
+        store.put(
+            "servers",
+            engine.id,
+            JSON.stringify({
+                service,
+                address: engine.address,
+                zone: "a",
+                slots: 50,
+                state,
+                sequence: version,
+                born: 1,
+                ...stage,
+            }),
+        );
+    }
+
+    if (shape.empty !== true) {
+        publish([siteKey]);
+        engines.forEach(engine => register(engine, "ready"));
+    }
+    const ports = await freePorts(shape.entries * 4);
+    const seed = `127.0.0.1:${ports[2]}`;
+    const entries = await Promise.all(
+        Array.from(
+            { length: shape.entries },
+            (unused, index) =>
+                startEntryProcess(index, directory, store.address, ports.slice(index * 4, index * 4 + 4), seed),
+        ),
+    );
+    return {
+        store,
+        entries,
+        engines,
+        publish,
+        register,
+        close: async () => {
+            entries.forEach(entry => entry.signal("SIGKILL"));
+            await Promise.all(entries.map(entry => entry.ended));
+            await Promise.all(engines.map(engine => engine.close()));
+            await store.close();
+            rmSync(directory, { recursive: true, force: true });
+        },
+    };
+}
+
+let requests = 0;
+
+export interface SiteAnswer {
+    readonly requestId: string;
+    readonly status: number;
+    /** `undefined` if the answer broke off. */
+    readonly body: string | undefined;
+    readonly retryAfter: string | null;
+}
+
+/** Sends one request as a caller; rejects if no answer came at all. */
+export async function callSite(
+    entry: EntryProcess,
+    path: string,
+    key: string = siteKey,
+    signal?: AbortSignal,
+): Promise<SiteAnswer> {
+    requests += 1;
+    const requestId = `r-${requests}`;
+    const isGeneration = path.startsWith("/chat/") || path.startsWith("/long/");
+    const response = await request(`${entry.callersUrl}${path}`, {
+        method: "POST",
+        headers: {
+            host,
+            "api-key": key,
+            "x-gooseberrywell-request-id": requestId,
+            "x-gooseberrywell-request-deadline": "5000",
+            ...isGeneration ? { "x-gooseberrywell-token-usage": "1000,100" } : {},
+        },
+        body: `body of ${requestId}`,
+        ...signal === undefined ? {} : { signal },
+    });
+    const body = await response.body.text().catch(() => undefined);
+    const retryAfter = response.headers["retry-after"];
+    return {
+        requestId,
+        status: response.statusCode,
+        body,
+        retryAfter: retryAfter === undefined ? null : String(retryAfter),
+    };
+}
+
+/** The whole stream that belongs to a request. */
+export function wholeStream(requestId: string, events: number): string {
+    return Array.from({ length: events }, (unused, index) => `id: ${index + 1}\ndata: ${requestId}\n\n`).join("");
+}
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -48,6 +48,10 @@
         if (!progress.isBroken) {
             return;
         }
+        if (!request.callerGone.aborted) {
+            // The continuation must not go back to an engine that has just broken off.
+            context.health.note(stream.engine.id, "unresponsive");
+        }
         const mayResume = engines < route.maxEngines && !request.callerGone.aborted
             && context.retryBudget.take(generation.service);
         if (!mayResume) {
