--- a/fakes/forwardingRig.ts
+++ b/fakes/forwardingRig.ts
@@ -67,7 +67,7 @@
 
 export function answerOf(status: number, chunks: readonly string[] = ["ok"]): Result<EngineAnswer, EngineError> {
     const body = Readable.from(chunks.map(chunk => Buffer.from(chunk)));
-    return Result.ok({ engine: "", status, headers: [], body, load: undefined });
+    return Result.ok({ engine: "", status, headers: [], body });
 }
 
 export function errorOf(kind: EngineError["kind"]): Result<never, EngineError> {
@@ -115,7 +115,6 @@
         timeoutMs: 2_000,
         objectiveMs: 900,
         maxGapMs: 300,
-        priority: 1,
         services: [{ service: kind === "stream" ? "models" : "desk", weight: 1 }],
         maxEngines: 2,
         isPublic: true,
@@ -136,7 +135,6 @@
                 engine: {
                     slots: 8,
                     kvTokens: 10_000,
-                    cacheLifeMs: 500,
                     reconfigureMs: 6_000,
                     maxReservationMs: 2_000,
                     tokensPerEvent: 1,
@@ -146,7 +144,6 @@
         clientAccounts: [{
             name: "account",
             keys: ["key"],
-            priority: undefined,
             unit: "tokens",
             plainTokens: 10,
             ratePerSecond: 100,
--- a/src/engines/enginePort.ts
+++ b/src/engines/enginePort.ts
@@ -28,13 +28,6 @@
     readonly coldMs: number;
 }
 
-/** Requests running and waiting at an engine, as it said in an answer. */
-export interface EngineLoad {
-    readonly running: number;
-    readonly waiting: number;
-    readonly slots: number;
-}
-
 /** Why a send gave no usable answer. Only `notExecuted` and `unreachable` prove that the request did not run. */
 export type EngineError =
     | { readonly kind: "notExecuted"; readonly status: number; readonly cause: string; }
@@ -80,8 +73,6 @@
     readonly cache?: PrefilledCache;
     /** Continues a stream after this event. */
     readonly lastEventId?: string;
-    /** From 0 to 9; 0 goes first. */
-    readonly priority?: number;
 }
 
 /** An engine's own answer. Reading `body` fails if the engine breaks off. */
@@ -92,7 +83,6 @@
     /** Name and value in turn, without what concerns one connection. */
     readonly headers: readonly string[];
     readonly body: Readable;
-    readonly load: EngineLoad | undefined;
 }
 
 export interface EngineReport {
--- a/src/forwarding/forward.test.ts
+++ b/src/forwarding/forward.test.ts
@@ -249,7 +249,7 @@
                     yield* first.map(text => Buffer.from(text));
                     throw new Error("reset");
                 })());
-                return Result.ok({ engine: "", status: 200, headers: [], body, load: undefined });
+                return Result.ok({ engine: "", status: 200, headers: [], body });
             },
         });
         rig.load(models);
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -18,8 +18,6 @@
     readonly service: string;
     /** Monotonic time by which the whole answer is due. */
     readonly dueAtMs: number;
-    /** From 0 to 9; 0 is the most urgent. */
-    readonly priority: number;
 }
 
 /** How soon a caller should come back to a process that is starting or cut off. */
@@ -62,7 +60,6 @@
         route,
         service,
         dueAtMs: request.receivedAtMs + patienceMs,
-        priority: account?.priority ?? route.priority,
     };
     const outcome = await dispatch(context, table, routed);
     if (outcome.kind === "refused" && outcome.refusal.status === 503) {
--- a/src/forwarding/forwardRequest.ts
+++ b/src/forwarding/forwardRequest.ts
@@ -30,7 +30,7 @@
 
 /** This system's own answer. `notRun` statuses promise that no engine has run the request, nor will. */
 export interface Refusal {
-    readonly status: 400 | 401 | 404 | 413 | 429 | 502 | 503 | 504;
+    readonly status: 400 | 401 | 404 | 413 | 429 | 431 | 502 | 503 | 504;
     readonly cause: string;
     readonly retryAfterMs?: number;
 }
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -10,7 +10,6 @@
 import { provesNotRun } from "../engines/enginePort.js";
 import type { EngineAnswer, EngineError, EngineRecord, PrefilledCache } from "../engines/enginePort.js";
 import type { EngineFigures } from "../routes/desiredState.js";
-import { expectedOutputTokens } from "../scheduling/decodePlaces.js";
 import type { DecodePlace } from "../scheduling/decodePlaces.js";
 import { isSoonerByItself, mayReadItself, rankForPrefill } from "../scheduling/placement.js";
 import type { ForwardContext } from "./context.js";
@@ -230,8 +229,3 @@
     }
     return refuse(timeLeft(context, generation) <= 0 ? 504 : 502, `the outcome is unknown: ${cause}`);
 }
-
-/** KV memory that a generation is expected to need at its end. */
-export function expectedTokens(size: GenerationSize): number {
-    return size.promptTokens + expectedOutputTokens(size);
-}
--- a/src/routes/desiredState.ts
+++ b/src/routes/desiredState.ts
@@ -24,8 +24,6 @@
     readonly objectiveMs: number;
     /** Longest pause between a stream's events for which its answer is still on time. */
     readonly maxGapMs: number;
-    /** 0 is the most urgent. */
-    readonly priority: number;
     /** More than one for a split route. */
     readonly services: readonly WeightedService[];
     /** Largest number of engines on which one request may run. */
@@ -40,8 +38,6 @@
     readonly slots: number;
     /** KV memory of one engine, in tokens. */
     readonly kvTokens: number;
-    /** How long a prefill's KV cache waits for its decode engine. */
-    readonly cacheLifeMs: number;
     /** How long a change of stage keeps an engine busy. */
     readonly reconfigureMs: number;
     /** Longest life of a reservation. */
@@ -59,8 +55,6 @@
 export interface ClientAccount {
     readonly name: string;
     readonly keys: readonly string[];
-    /** Goes before the route's priority when set. */
-    readonly priority: number | undefined;
     /** Whether rate and burst count requests or tokens. */
     readonly unit: "requests" | "tokens";
     /** What a request without token figures counts as, where the unit is tokens. */
--- a/src/scheduling/scheduling.test.ts
+++ b/src/scheduling/scheduling.test.ts
@@ -36,7 +36,6 @@
         route,
         service: "models",
         dueAtMs: 2_000,
-        priority: 1,
         size,
         figures,
     };
