--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -44,6 +44,8 @@
     readonly entries: number;
     readonly events?: number;
     readonly eventMs?: number;
+    /** Turns an engine's address into one through which entries reach it. */
+    readonly reachThrough?: (address: string) => Promise<string>;
     /** Whether a desired state and the engines are written at once. */
     readonly empty?: boolean;
 }
@@ -148,6 +150,13 @@
         engineOf("d-1", undefined),
         engineOf("d-2", undefined),
     ]);
+    const reachThrough = shape.reachThrough ?? (async (address: string) => address);
+    const addresses = new Map<string, string>();
+    for (const engine of engines) {
+        addresses.set(engine.id, await reachThrough(engine.address));
+    }
+    /** Each registration as ready is a new start. */
+    const born = new Map<string, number>();
     let version = 0;
 
     function publish(keys: readonly string[]): void {
@@ -178,17 +187,20 @@
         const service = engine.stage === undefined ? "desk" : "models";
         const stage = engine.stage === undefined ? {} : { stage: engine.stage };
         version += 1;
+        if (state === "ready") {
+            born.set(engine.id, version);
+        }
         store.put(
             "servers",
             engine.id,
             JSON.stringify({
                 service,
-                address: engine.address,
+                address: addresses.get(engine.id),
                 zone: "a",
                 slots: 50,
                 state,
                 sequence: version,
-                born: 1,
+                born: born.get(engine.id),
                 ...stage,
             }),
         );
