--- a/src/exchange/exchange.test.ts
+++ b/src/exchange/exchange.test.ts
@@ -80,6 +80,23 @@
         expect(seen.map(({ revision }) => revision)).toEqual([1, 2, 3]);
     });
 
+    it("takes up a whole table of its own revision: the feed may have kept a change back", async () => {
+        const clock = createVirtualClock();
+        const feed = createHandFeed(clock);
+        const replica = follow(clock, feed, []);
+        await clock.advance(100);
+        // The feed goes on to the newest revision without the change that was made there.
+        feed.copy = { revision: 2, rows: [] };
+        await clock.advance(2_000);
+        expect(replica.copy()).toEqual({ revision: 2, rows: [{ key: "a", value: 1 }] });
+        feed.failure = "historyGone";
+        feed.copy = { revision: 2, rows: [{ key: "a", value: "draining" }] };
+        await clock.advance(1_600);
+        feed.failure = undefined;
+        await clock.advance(500);
+        expect(replica.copy().rows).toEqual([{ key: "a", value: "draining" }]);
+    });
+
     it("tells that a copy comes shortly after an outage, and only then", async () => {
         const clock = createVirtualClock();
         const feed = createHandFeed(clock);
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -73,8 +73,8 @@
 const goneAfterMs = 30_000;
 /** A seed or listed entry that never answered is forgotten sooner. */
 const neverHeardMs = 4_000;
-/** A copy is taken from another entry when the store has not confirmed the own one for this long. */
-const copyAfterSilenceMs = 1_900;
+/** A copy is taken from another entry when the store has not confirmed the own one for longer than a feed call takes. */
+const copyAfterSilenceMs = 2_400;
 
 export function createExchange(settings: ExchangeSettings, dependencies: ExchangeDependencies): Exchange {
     const { clock, rpc, log, replicas } = dependencies;
--- a/src/exchange/tableReplica.ts
+++ b/src/exchange/tableReplica.ts
@@ -22,6 +22,7 @@
 
 /** Changes after a revision; a row without a value was removed. */
 export interface TableChanges {
+    /** Of the last change that is listed; where there is none, the revision that was asked for. */
     readonly revision: number;
     readonly changed: readonly { readonly key: string; readonly value: JsonValue | undefined; }[];
 }
@@ -82,7 +83,8 @@
     }
 
     function replaceAll(next: TableCopy): boolean {
-        if (next.revision <= revision) {
+        const isSame = next.revision === revision && JSON.stringify(next.rows) === JSON.stringify(copy().rows);
+        if (next.revision < revision || isSame) {
             return false;
         }
         rows.clear();
@@ -155,7 +157,7 @@
     return {
         copy,
         silenceMs: () => clock.monotonicMs() - confirmedAtMs,
-        offer: replaceAll,
+        offer: next => next.revision > revision && replaceAll(next),
         follow: async signal => {
             let needsAll = true;
             while (!signal.aborted) {
