--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -2,7 +2,6 @@
  * A request's way: route, key, quota, then a plain call or a generation. Guards come first; each refusal says why.
  */
 
-import type { Route } from "../routes/desiredState.js";
 import { pickService } from "../routes/routeTable.js";
 import type { RouteTable } from "../routes/routeTable.js";
 import type { ForwardContext } from "./context.js";
@@ -10,15 +9,7 @@
 import type { ForwardOutcome, ForwardRequest } from "./forwardRequest.js";
 import { generate } from "./generation.js";
 import { callPlain } from "./plainCall.js";
-
-/** A request that passed all guards. */
-export interface RoutedRequest {
-    readonly request: ForwardRequest;
-    readonly route: Route;
-    readonly service: string;
-    /** Monotonic time by which the whole answer is due. */
-    readonly dueAtMs: number;
-}
+import type { RoutedRequest } from "./routedRequest.js";
 
 /** How soon a caller should come back to a process that is starting or cut off. */
 const noConfigurationRetryMs = 500;
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -9,20 +9,14 @@
 import { timeoutSignal } from "../common/clock.js";
 import { provesNotRun } from "../engines/enginePort.js";
 import type { EngineAnswer, EngineError, EngineRecord, PrefilledCache } from "../engines/enginePort.js";
-import type { EngineFigures } from "../routes/desiredState.js";
 import type { DecodePlace } from "../scheduling/decodePlaces.js";
 import { isSoonerByItself, mayReadItself, rankForPrefill } from "../scheduling/placement.js";
 import type { ForwardContext } from "./context.js";
-import type { RoutedRequest } from "./forward.js";
 import { answered, refuse } from "./forwardRequest.js";
-import type { ForwardOutcome, GenerationSize } from "./forwardRequest.js";
+import type { ForwardOutcome } from "./forwardRequest.js";
+import type { GenerationRequest } from "./routedRequest.js";
 import { relayStream } from "./streamRelay.js";
 
-export interface GenerationRequest extends RoutedRequest {
-    readonly size: GenerationSize;
-    readonly figures: EngineFigures;
-}
-
 /** A stream that runs at an engine, with the place that it occupies. */
 export interface RunningStream {
     readonly engine: EngineRecord;
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -13,9 +13,9 @@
 import type { EngineAnswer, EngineError, EngineRecord } from "../engines/enginePort.js";
 import { rankForPlain } from "../scheduling/placement.js";
 import type { ForwardContext } from "./context.js";
-import type { RoutedRequest } from "./forward.js";
 import { answered, refuse } from "./forwardRequest.js";
 import type { ForwardOutcome } from "./forwardRequest.js";
+import type { RoutedRequest } from "./routedRequest.js";
 
 /** Sends of one call, the first included, before the caller is told to come back. */
 const maxSends = 3;
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -10,7 +10,8 @@
 import type { EngineAnswer } from "../engines/enginePort.js";
 import type { ForwardContext } from "./context.js";
 import { startStream } from "./generation.js";
-import type { GenerationRequest, RunningStream } from "./generation.js";
+import type { RunningStream } from "./generation.js";
+import type { GenerationRequest } from "./routedRequest.js";
 
 const eventEnd = Buffer.from("\n\n");
 const idField = "id:";
--- a/src/index.ts
+++ b/src/index.ts
@@ -4,8 +4,13 @@
 
 export { startEntry } from "./daemon/entry.js";
 export type { EntryOptions, RunningEntry } from "./daemon/entry.js";
+export { startForwardingEntry } from "./daemon/forwardingEntry.js";
+export type { ForwardingEntry, ForwardingPorts } from "./daemon/forwardingEntry.js";
+export type { ForwardingSettings } from "./daemon/forwardingSettings.js";
 export { startAgent } from "./endpoint/agent.js";
 export type { AgentSettings, RunningAgent } from "./endpoint/agent.js";
+export type { EngineAnswer, EngineError, EnginePort, EngineRecord } from "./engines/enginePort.js";
+export type { TableFeed } from "./exchange/tableReplica.js";
 export { createHttpPlatform } from "./platform/httpPlatform.js";
 export { createMemoryPlatform } from "./platform/memoryPlatform.js";
 export type {
@@ -17,6 +22,7 @@
     TableService,
     Transaction,
 } from "./platform/ports.js";
+export type { DesiredState } from "./routes/desiredState.js";
 export { defaultPolicies } from "./routing/choose.js";
 export type { ChoicePolicy, RoutingPolicies } from "./routing/choose.js";
 export { describeSettingsError, parseSettings } from "./settings/settings.js";
--- a/src/scheduling/decodePlaces.ts
+++ b/src/scheduling/decodePlaces.ts
@@ -13,7 +13,7 @@
 import type { EngineLoads } from "../engines/engineLoads.js";
 import type { EnginePort, EngineRecord, Reservation } from "../engines/enginePort.js";
 import type { GenerationSize } from "../forwarding/forwardRequest.js";
-import type { GenerationRequest } from "../forwarding/generation.js";
+import type { GenerationRequest } from "../forwarding/routedRequest.js";
 import type { DecisionLog } from "../telemetry/decisionLog.js";
 import type { ServedMetrics } from "../telemetry/servedMetrics.js";
 import { mayReadItself, prefillTokensPerMs, prefillWaitMs, rankForDecode } from "./placement.js";
--- a/src/scheduling/scheduling.test.ts
+++ b/src/scheduling/scheduling.test.ts
@@ -16,7 +16,7 @@
 import type { ForwardingRig } from "../../fakes/forwardingRig.js";
 import type { EngineRecord, Stage } from "../engines/enginePort.js";
 import type { ForwardRequest, GenerationSize } from "../forwarding/forwardRequest.js";
-import type { GenerationRequest } from "../forwarding/generation.js";
+import type { GenerationRequest } from "../forwarding/routedRequest.js";
 import { isSoonerByItself, mayReadItself, rankForDecode, rankForPlain } from "./placement.js";
 import { createWaitingLine } from "./waitingLine.js";
 import type { Waiter } from "./waitingLine.js";
