--- a/src/forwarding/forward.test.ts
+++ b/src/forwarding/forward.test.ts
@@ -186,6 +186,24 @@
     });
 });
 
+describe("an engine that drains while the prompt is read", () => {
+    it("gets no request: the place is given back and another engine is taken", async () => {
+        const drain = (): void =>
+            rig.load(models.map(engine => engine.id === "m-1" ? { ...engine, state: "draining" } : engine));
+        const rig = createForwardingRig(stateOf([routeOf("stream")]), {
+            prefill: async ({ address }) => {
+                drain();
+                return Result.ok({ address, handle: "h", tokens: 1 });
+            },
+        });
+        rig.load(models);
+        const outcome = await forward(rig.context, requestTo("/stream/x", { size: smallSize }));
+        expect(await textOf(outcome)).toBe("200 ok");
+        expect(rig.calls.filter(call => call.startsWith("send"))).toEqual(["send m-2"]);
+        expect(rig.calls).toContain("releaseReservation m-1");
+    });
+});
+
 interface ResumeCase {
     readonly name: string;
     /** Where the caller itself goes on. */
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -119,6 +119,11 @@
         discard(context, place, cache);
         return cancelled();
     }
+    if (context.directory.get(place.engine.id)?.state !== "ready") {
+        endReading();
+        discard(context, place, cache);
+        return Result.err({ kind: "unreachable", cause: "the engine began to leave while the prompt was read" });
+    }
     const sent = await context.engines.send(place.engine, request, {
         remainingMs: Math.max(1, timeLeft(context, generation)),
         signal: AbortSignal.any([request.callerGone, timeoutSignal(timeLeft(context, generation))]),
--- a/src/scheduling/decodePlaces.ts
+++ b/src/scheduling/decodePlaces.ts
@@ -58,6 +58,7 @@
     readonly maxPrefillWaitMs: number;
 }
 
+/** From the trials that docs/POLICY.md lists. */
 export const defaultPlaceSettings: PlaceSettings = {
     reservedOutputPart: 0.5,
     memoryPart: 1,
@@ -94,7 +95,7 @@
 
 /** Engines that are asked in one try of one request. */
 const enginesPerTry = 3;
-/** A full engine is not asked again for this long, unless own work there ends. */
+/** A full engine is not asked again for this long: about the time in which one of its answers ends. */
 const fullPauseMs = 60;
 /** The line is tried again at this interval when nothing else wakes it: work of other entries ends unseen. */
 const retryMs = 30;
