Pass chunks on as they arrive, exchange states once, gather log lines

Streams are passed on by events; an entry that was heard in the last 300 ms is not called; log lines of 50 ms are written together, and the rest before the process ends. An entry that is called now also looks at the caller's revisions, since it may not call back; the test of copies during an outage found that.

--- a/fakes/forwardingRig.ts
+++ b/fakes/forwardingRig.ts
@@ -35,6 +35,7 @@
     info: () => undefined,
     warn: () => undefined,
     decision: () => undefined,
+    flush: async () => undefined,
 };
 
 export function engineRecord(id: string, stage?: Stage, changes: Partial<EngineRecord> = {}): EngineRecord {
--- a/src/exchange/exchange.test.ts
+++ b/src/exchange/exchange.test.ts
@@ -10,6 +10,7 @@
 import type { RpcClient } from "../rpc/rpcClient.js";
 import { createExchange, exchangeIntervalMs } from "./exchange.js";
 import type { Exchange } from "./exchange.js";
+import { exchangeMethods } from "./messages.js";
 import { createTableReplica } from "./tableReplica.js";
 import type { FeedError, TableChanges, TableCopy, TableFeed, TableReplica } from "./tableReplica.js";
 
@@ -138,15 +139,19 @@
     readonly exchanges: readonly Exchange[];
     readonly replicas: readonly TableReplica[];
     readonly cut: Set<number>;
+    /** Calls so far that asked for another entry's state. */
+    readonly calls: { states: number; };
 }
 
 /** Entries whose calls reach each other in memory, except for those that are cut off. */
 function createFleet(entries: number, feeds: readonly TableFeed[], clock: VirtualClock): Fleet {
     const cut = new Set<number>();
+    const calls = { states: 0 };
     const exchanges: Exchange[] = [];
     const urlOf = (index: number): string => `http://entry-${index}`;
     const rpcOf = (from: number): RpcClient => ({
         call: async (url, method, params) => {
+            calls.states += method === exchangeMethods.state ? 1 : 0;
             const to = exchanges.findIndex((exchange, index) => exchange !== undefined && urlOf(index) === url);
             const target = exchanges[to]?.methods[method];
             if (target === undefined || cut.has(to) || cut.has(from)) {
@@ -178,7 +183,7 @@
         exchanges.push(exchange);
         void exchange.run(new AbortController().signal);
     });
-    return { clock, exchanges, replicas, cut };
+    return { clock, exchanges, replicas, cut, calls };
 }
 
 describe("the exchange between entries", () => {
@@ -201,6 +206,16 @@
         expect(fleet.exchanges[3]?.heardShare()).toBe(0.25);
     });
 
+    it.each([2, 4])("calls once an interval between each two of %d entries, since a call tells both", async entries => {
+        const clock = createVirtualClock();
+        const fleet = createFleet(entries, [createHandFeed(clock)], clock);
+        await clock.advance(5 * exchangeIntervalMs);
+        fleet.calls.states = 0;
+        await clock.advance(10 * exchangeIntervalMs);
+        expect(fleet.calls.states).toBe(10 * entries * (entries - 1) / 2);
+        expect(fleet.exchanges.map(exchange => exchange.heardShare())).toEqual(Array(entries).fill(1));
+    });
+
     it("forgets an entry that says that it leaves", async () => {
         const clock = createVirtualClock();
         const fleet = createFleet(3, [createHandFeed(clock)], clock);
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -2,7 +2,7 @@
  * Regular exchange of states between entries, and through it the membership of entries.
  *
  * Every entry calls a bounded number of others in turn at a fixed interval; both sides of a call learn the other's
- * state. Entries are found through the settings' seeds, the store's list and each other. An entry that has not been
+ * state, so an entry that has just called is not called back. Entries are found through the settings' seeds, the store's list and each other. An entry that has not been
  * heard for a while still counts as a member until it says that it leaves or a longer time has passed, because it may
  * be cut off and go on admitting.
  */
@@ -67,6 +67,8 @@
 /** Entries called in one interval, so that cost grows with the number of entries and not with its square. */
 const callsPerInterval = 6;
 const callTimeoutMs = 700;
+/** An entry that was heard this lately is not called: three quarters of the interval, so that its next call is earlier. */
+const skipHeardMs = 300;
 /** An entry heard within this time counts as heard: two intervals and a call's time. */
 const heardForMs = 1_200;
 /** An entry that was not heard for this long is no member any more: longer than a cut may last (platform). */
@@ -119,6 +121,7 @@
         peer.revisions = state.revisions;
         state.entries.forEach(addPeer);
         dependencies.onState(state);
+        void takeNewerCopies(state.url, state.revisions);
     }
 
     function forget(url: string, cause: string): void {
@@ -152,7 +155,6 @@
         const state = answer.isOk ? checkValue(entryStateSchema, answer.value) : undefined;
         if (state?.isOk) {
             hear(state.value);
-            await takeNewerCopies(url, state.value.revisions);
         }
         else if (state?.isErr) {
             log.warn("an entry answered with an invalid state", { entry: url, field: state.error.path });
@@ -181,7 +183,10 @@
     }
 
     function nextPeers(): readonly [string, Peer][] {
-        const idle = [...peers].filter(([, peer]) => !peer.isCalled);
+        const nowMs = clock.monotonicMs();
+        const idle = [...peers].filter(([, { isCalled, heardAtMs }]) =>
+            !isCalled && (heardAtMs === undefined || nowMs - heardAtMs >= skipHeardMs)
+        );
         const first = idle.length <= callsPerInterval ? 0 : turn % idle.length;
         turn += callsPerInterval;
         return [...idle.slice(first), ...idle.slice(0, first)].slice(0, callsPerInterval);
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -6,7 +6,7 @@
  * on after that event's id; the caller sees one answer with the first engine's head.
  */
 
-import { Readable } from "node:stream";
+import { finished, Readable } from "node:stream";
 import type { EngineAnswer } from "../engines/enginePort.js";
 import type { ForwardContext } from "./context.js";
 import { startStream } from "./generation.js";
@@ -17,45 +17,64 @@
 const idField = "id:";
 const lineFeed = "\n";
 const successStatus = 200;
+/** More than this is not read ahead of a slow caller: a few events. */
+const readAheadBytes = 4_096;
+const endOfStream = null;
 
-/** The events of a stream, up to its end; fails where it broke off and could not be continued. */
+/**
+ * The events of a stream, up to its end; fails where it broke off and could not be continued.
+ *
+ * A chunk is passed on in the turn of the event loop in which it arrived: a fleet's processors spend most of their time
+ * here.
+ */
 export function relayStream(context: ForwardContext, generation: GenerationRequest, stream: RunningStream): Readable {
-    const { answer } = stream;
+    const { answer, end } = stream;
     const canResume = generation.route.isResumable && answer.status === successStatus;
-    const events = canResume ? resumingEvents(context, generation, stream) : plainEvents(stream);
-    // One chunk at a time is read ahead, so that a slow caller holds the engine back and not this process's memory.
-    return Readable.from(events, { objectMode: true, highWaterMark: 1 });
-}
-
-async function* plainEvents({ answer, end }: RunningStream): AsyncGenerator<Buffer> {
-    try {
-        yield* answer.body as AsyncIterable<Buffer>;
-    }
-    finally {
-        end();
+    if (!canResume) {
+        finished(answer.body, () => end());
+        return answer.body;
     }
+    const current: { body: Readable; } = { body: answer.body };
+    const relayed = new Readable({
+        // The engine is held back while the caller is slow, instead of this process's memory being filled.
+        highWaterMark: readAheadBytes,
+        read: () => void current.body.resume(),
+        destroy: (error, done) => {
+            current.body.destroy();
+            done(error);
+        },
+    });
+    const onStream = ({ answer: { body } }: RunningStream): void => {
+        current.body = body;
+    };
+    void relayResuming(context, generation, stream, relayed, onStream);
+    return relayed;
 }
 
-async function* resumingEvents(
+async function relayResuming(
     context: ForwardContext,
     generation: GenerationRequest,
     first: RunningStream,
-): AsyncGenerator<Buffer> {
+    relayed: Readable,
+    onStream: (stream: RunningStream) => void,
+): Promise<void> {
     const { request, route } = generation;
-    const progress = { lastEventId: request.lastEventId, isBroken: false };
+    const progress: Progress = { lastEventId: request.lastEventId };
     let stream: RunningStream | undefined = first;
     for (let engines = 1; stream !== undefined; engines++) {
-        yield* wholeEvents(stream, progress);
-        if (!progress.isBroken) {
+        onStream(stream);
+        const isWhole = await passWholeEvents(stream, relayed, progress);
+        stream.end();
+        if (isWhole) {
+            relayed.push(endOfStream);
             return;
         }
-        if (!request.callerGone.aborted) {
+        const isWanted = !relayed.destroyed && !request.callerGone.aborted;
+        if (isWanted) {
             // The continuation must not go back to an engine that has just broken off.
             context.health.note(stream.engine.id, "unresponsive");
         }
-        const mayResume = engines < route.maxEngines && !request.callerGone.aborted
-            && context.retryBudget.take(generation.service);
-        if (!mayResume) {
+        if (!isWanted || engines >= route.maxEngines || !context.retryBudget.take(generation.service)) {
             break;
         }
         context.metrics.count("resumes", generation.service);
@@ -66,7 +85,7 @@
         });
         stream = await continuation(context, generation, progress.lastEventId);
     }
-    throw new Error("the engine broke the stream off and it could not be continued");
+    relayed.destroy(new Error("the engine broke the stream off and it could not be continued"));
 }
 
 async function continuation(
@@ -93,37 +112,37 @@
 
 interface Progress {
     lastEventId: string | undefined;
-    isBroken: boolean;
 }
 
-/** Yields whole events; notes the id of the last one and whether the engine broke off. */
-async function* wholeEvents({ answer, end }: RunningStream, progress: Progress): AsyncGenerator<Buffer> {
+/** Passes whole events on and notes the id of the last one; resolves with whether the engine ended the stream itself. */
+function passWholeEvents({ answer: { body } }: RunningStream, relayed: Readable, progress: Progress): Promise<boolean> {
     let rest: Buffer = Buffer.alloc(0);
-    progress.isBroken = false;
-    try {
-        for await (const chunk of answer.body as AsyncIterable<Buffer>) {
-            const pending = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
-            const endOfEvents = pending.lastIndexOf(eventEnd);
-            if (endOfEvents < 0) {
-                rest = pending;
-                continue;
-            }
-            const events = pending.subarray(0, endOfEvents + eventEnd.length);
-            rest = pending.subarray(endOfEvents + eventEnd.length);
-            progress.lastEventId = lastIdIn(events) ?? progress.lastEventId;
-            yield events;
+    const pass = (events: Buffer): void => {
+        if (!relayed.push(events)) {
+            body.pause();
         }
-    }
-    catch {
-        progress.isBroken = true;
-        return;
-    }
-    finally {
-        end();
-    }
-    if (rest.length > 0) {
-        yield rest;
-    }
+    };
+    body.on("data", (chunk: Buffer) => {
+        const pending = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
+        const endOfEvents = pending.lastIndexOf(eventEnd);
+        if (endOfEvents < 0) {
+            rest = pending;
+            return;
+        }
+        const events = pending.subarray(0, endOfEvents + eventEnd.length);
+        rest = pending.subarray(endOfEvents + eventEnd.length);
+        progress.lastEventId = lastIdIn(events) ?? progress.lastEventId;
+        pass(events);
+    });
+    return new Promise(resolve => {
+        finished(body, error => {
+            const isWhole = error === undefined || error === null;
+            if (isWhole && rest.length > 0) {
+                pass(rest);
+            }
+            resolve(isWhole);
+        });
+    });
 }
 
 /** The last `id` field in a run of whole events. */
--- /dev/null
+++ b/src/telemetry/decisionLog.test.ts
@@ -0,0 +1,97 @@
+/**
+ * Log lines: gathered into few writes, bounded in number, counted where they are left out.
+ */
+
+import { Writable } from "node:stream";
+import { describe, expect, it } from "vitest";
+import { createVirtualClock } from "../../fakes/virtualClock.js";
+import { createDecisionLog } from "./decisionLog.js";
+
+const settings = { linesPerSecond: 5, maxPendingBytes: 10_000, gatherMs: 50 };
+
+/** A stream that keeps what each write brought. */
+function createOutput(): { readonly output: Writable; readonly writes: string[][]; } {
+    const writes: string[][] = [];
+    const output = new Writable({
+        write: (chunk: Buffer, encoding, done) => {
+            writes.push([chunk.toString()]);
+            done();
+        },
+        writev: (chunks, done) => {
+            writes.push(chunks.map(({ chunk }) => (chunk as Buffer).toString()));
+            done();
+        },
+    });
+    return { output, writes };
+}
+
+function linesOf(writes: readonly (readonly string[])[]): readonly Record<string, unknown>[] {
+    return writes.flat().join("").trim().split("\n").map(line => JSON.parse(line) as Record<string, unknown>);
+}
+
+describe("the decision log", () => {
+    it("writes the lines of a moment together", async () => {
+        const clock = createVirtualClock();
+        const { output, writes } = createOutput();
+        const log = createDecisionLog("h", clock, output, settings);
+        log.info("one", { a: 1 });
+        log.decision("two", { b: 2 });
+        expect(writes).toHaveLength(0);
+        await clock.advance(settings.gatherMs);
+        expect(writes).toHaveLength(1);
+        expect(linesOf(writes)).toMatchObject([{ message: "one", a: 1, host: "h" }, { message: "two", b: 2 }]);
+        log.warn("three", {});
+        await clock.advance(settings.gatherMs);
+        expect(writes).toHaveLength(2);
+    });
+
+    it("leaves out decisions above the rate, and tells how many with the next line", async () => {
+        const clock = createVirtualClock();
+        const { output, writes } = createOutput();
+        const log = createDecisionLog("h", clock, output, settings);
+        for (let line = 0; line < 8; line++) {
+            log.decision("decided", { line });
+        }
+        log.info("an event of its own", {});
+        await clock.advance(1_000);
+        const lines = linesOf(writes);
+        expect(lines).toHaveLength(settings.linesPerSecond + 1);
+        expect(lines.at(-1)).toMatchObject({ message: "an event of its own", linesLeftOut: 3 });
+    });
+
+    it("leaves lines out while the reader is too slow", async () => {
+        const clock = createVirtualClock();
+        let release: (() => void) | undefined;
+        const written: string[] = [];
+        const output = new Writable({
+            write: (chunk: Buffer, encoding, done) => {
+                written.push(chunk.toString());
+                release = done;
+            },
+        });
+        const log = createDecisionLog("h", clock, output, { ...settings, maxPendingBytes: 200 });
+        for (let line = 0; line < 20; line++) {
+            log.info("a line", { line });
+        }
+        await clock.advance(settings.gatherMs);
+        while (release !== undefined) {
+            const done = release;
+            release = undefined;
+            done();
+            await clock.settle();
+        }
+        log.info("later", {});
+        await clock.advance(settings.gatherMs);
+        expect(written.length).toBeLessThan(10);
+        expect(JSON.parse(written.at(-1) ?? "{}")).toHaveProperty("linesLeftOut");
+    });
+
+    it("writes what it has gathered when the process ends", async () => {
+        const clock = createVirtualClock();
+        const { output, writes } = createOutput();
+        const log = createDecisionLog("h", clock, output, settings);
+        log.info("the last line", {});
+        await log.flush();
+        expect(linesOf(writes)).toMatchObject([{ message: "the last line" }]);
+    });
+});
--- a/src/telemetry/decisionLog.ts
+++ b/src/telemetry/decisionLog.ts
@@ -1,8 +1,8 @@
 /**
  * Structured log lines for decisions, bounded in number and never blocking.
  *
- * Above a rate, lines are left out and counted; the count goes out with the next line. Lines are written through an
- * asynchronous stream; while that can't keep up, lines are left out as well.
+ * Above a rate, lines are left out and counted; the count goes out with the next line. Lines are gathered for a moment and
+ * written together through an asynchronous stream; while that can't keep up, lines are left out as well.
  */
 
 import { createWriteStream } from "node:fs";
@@ -16,6 +16,8 @@
 export interface DecisionLog extends Log {
     /** A decision that touches one request; left out above the rate limit. */
     readonly decision: (message: string, fields: LogFields) => void;
+    /** Resolves when all lines so far are written; for the end of the process. */
+    readonly flush: () => Promise<void>;
 }
 
 export interface DecisionLogSettings {
@@ -23,9 +25,15 @@
     readonly linesPerSecond: number;
     /** Lines are left out while more than this waits to be written. */
     readonly maxPendingBytes: number;
+    /** Lines are gathered for this long, so that one write serves several. */
+    readonly gatherMs: number;
 }
 
-export const defaultDecisionLogSettings: DecisionLogSettings = { linesPerSecond: 150, maxPendingBytes: 262_144 };
+export const defaultDecisionLogSettings: DecisionLogSettings = {
+    linesPerSecond: 150,
+    maxPendingBytes: 262_144,
+    gatherMs: 50,
+};
 
 const msPerSecond = 1_000;
 const standardOutput = 1;
@@ -50,6 +58,15 @@
     let windowStartMs = clock.monotonicMs();
     let linesInWindow = 0;
     let leftOut = 0;
+    let isGathering = false;
+
+    async function gather(): Promise<void> {
+        isGathering = true;
+        output.cork();
+        await clock.sleep(settings.gatherMs);
+        isGathering = false;
+        output.uncork();
+    }
 
     function write(level: "info" | "warn", message: string, fields: LogFields = {}): void {
         if (output.writableLength > settings.maxPendingBytes) {
@@ -58,6 +75,9 @@
         }
         const counted = leftOut === 0 ? {} : { linesLeftOut: leftOut };
         leftOut = 0;
+        if (!isGathering) {
+            void gather();
+        }
         logger.log({ level, message, timeMs: clock.wallMs(), ...fields, ...counted });
     }
 
@@ -77,5 +97,10 @@
             linesInWindow += 1;
             write("info", message, fields);
         },
+        flush: () =>
+            new Promise(resolve => {
+                output.write("", () => resolve());
+                output.uncork();
+            }),
     };
 }
