Count a generation's arrivals at engines as the fleet's budget does

A rejected prefill counts, and so do the run after it and both calls of a second try, whose prefill is no longer the free one; the entry took one repeat for a second prefill and one for a second try, whatever else followed.

Each request now counts what it has cost engines and pays for each further call before it is made; a generation whose run can't be paid for is refused as not run, its cache and reservation freed.

Ruled out: several entries spending the same slack (all ten knew each other), calls lost on the way (they don't arrive).

--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -4,6 +4,7 @@
 
 import { pickService } from "../routes/routeTable.js";
 import type { RouteTable } from "../routes/routeTable.js";
+import { createArrivals } from "./arrivals.js";
 import type { ForwardContext } from "./context.js";
 import { refuse } from "./forwardRequest.js";
 import type { ForwardOutcome, ForwardRequest } from "./forwardRequest.js";
@@ -68,5 +69,10 @@
     const { size } = routed.request;
     return figures === undefined || size === undefined
         ? callPlain(context, routed)
-        : generate(context, { ...routed, size, figures });
+        : generate(context, {
+            ...routed,
+            size,
+            figures,
+            arrivals: createArrivals(context.retryBudget, routed.service),
+        });
 }
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -11,6 +11,7 @@
 import type { EngineAnswer, EngineError, EngineRecord, PrefilledCache } from "../engines/enginePort.js";
 import type { DecodePlace } from "../scheduling/decodePlaces.js";
 import { isSoonerByItself, mayReadItself, rankForPrefill } from "../scheduling/placement.js";
+import type { Arrivals } from "./arrivals.js";
 import type { ForwardContext } from "./context.js";
 import { answered, refuse } from "./forwardRequest.js";
 import type { ForwardOutcome } from "./forwardRequest.js";
@@ -78,8 +79,7 @@
         if (!provesNotRun(result.error) || request.callerGone.aborted) {
             return { kind: "refused", outcome };
         }
-        // The rejected send itself counts as an arrival, and so will the next one.
-        if (timeLeft(context, generation) <= 0 || !context.retryBudget.take(service)) {
+        if (timeLeft(context, generation) <= 0 || !generation.arrivals.mayCall()) {
             return { kind: "refused", outcome };
         }
         context.metrics.count("repeats", service);
@@ -106,7 +106,7 @@
     place: DecodePlace,
     lastEventId: string | undefined,
 ): Promise<Result<EngineAnswer, EngineError>> {
-    const { request } = generation;
+    const { request, arrivals } = generation;
     const cache = await prefill(context, generation, place.engine);
     // Without a cache, the decode engine reads the prompt before its first token.
     const endReading = context.loads.start(place.engine.id, {
@@ -124,6 +124,11 @@
         discard(context, place, cache);
         return Result.err({ kind: "unreachable", cause: "the engine began to leave while the prompt was read" });
     }
+    if (!arrivals.mayCall()) {
+        endReading();
+        discard(context, place, cache);
+        return Result.err({ kind: "unreachable", cause: "the retry budget is used up" });
+    }
     const sent = await context.engines.send(place.engine, request, {
         remainingMs: Math.max(1, timeLeft(context, generation)),
         signal: AbortSignal.any([request.callerGone, timeoutSignal(timeLeft(context, generation))]),
@@ -132,6 +137,9 @@
         ...lastEventId === undefined ? {} : { lastEventId },
     });
     endReading();
+    if (sent.isOk || sent.error.kind !== "unreachable") {
+        arrivals.noteCall();
+    }
     if (request.callerGone.aborted) {
         return sent;
     }
@@ -163,10 +171,10 @@
     generation: GenerationRequest,
     decodeEngine: EngineRecord,
 ): Promise<PrefilledCache | undefined> {
-    const { request, service, size } = generation;
+    const { request, service, size, arrivals } = generation;
     const engines = context.health.withoutAvoided(context.view.staged(service, "prefill"));
     const ranked = rankForPrefill(context.view, engines);
-    for (const [index, engine] of ranked.slice(0, maxPrefillSends).entries()) {
+    for (const engine of ranked.slice(0, maxPrefillSends)) {
         if (
             mayReadItself(generation.route, generation.figures)
             && isSoonerByItself(context.view, decodeEngine, engine, size.promptTokens)
@@ -174,8 +182,7 @@
             context.metrics.count("ownPrefills", service);
             return undefined;
         }
-        // Only the first accepted prefill is free of the retry budget.
-        if (index > 0 && !context.retryBudget.take(service)) {
+        if (!arrivals.mayCall()) {
             return undefined;
         }
         const expectedMs = (context.view.workAt(engine.id).prefillTokens + size.promptTokens)
@@ -188,6 +195,7 @@
             signal: AbortSignal.any([request.callerGone, timeout]),
         });
         end();
+        notePrefill(arrivals, result);
         if (result.isOk) {
             context.health.note(engine.id, "succeeded");
             const tookMs = context.clock.monotonicMs() - sentAtMs;
@@ -212,6 +220,15 @@
     return undefined;
 }
 
+function notePrefill(arrivals: Arrivals, result: Result<PrefilledCache, EngineError>): void {
+    if (result.isOk || result.error.kind === "notExecuted") {
+        arrivals.notePrefill(result.isOk);
+    }
+    else if (result.error.kind !== "unreachable") {
+        arrivals.noteCall();
+    }
+}
+
 function cancelled(): Result<EngineAnswer, EngineError> {
     return Result.err({ kind: "cancelled", cause: "the caller went away" });
 }
--- a/src/forwarding/routedRequest.ts
+++ b/src/forwarding/routedRequest.ts
@@ -3,6 +3,7 @@
  */
 
 import type { EngineFigures, Route } from "../routes/desiredState.js";
+import type { Arrivals } from "./arrivals.js";
 import type { ForwardRequest, GenerationSize } from "./forwardRequest.js";
 
 /** A request that passed all guards. */
@@ -18,4 +19,5 @@
 export interface GenerationRequest extends RoutedRequest {
     readonly size: GenerationSize;
     readonly figures: EngineFigures;
+    readonly arrivals: Arrivals;
 }
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -74,7 +74,7 @@
             // The continuation must not go back to an engine that has just broken off.
             context.health.note(stream.engine.id, "unresponsive");
         }
-        if (!isWanted || engines >= route.maxEngines || !context.retryBudget.take(generation.service)) {
+        if (!isWanted || engines >= route.maxEngines || !generation.arrivals.mayCall()) {
             break;
         }
         context.metrics.count("resumes", generation.service);
--- a/src/scheduling/scheduling.test.ts
+++ b/src/scheduling/scheduling.test.ts
@@ -38,6 +38,7 @@
         dueAtMs: 2_000,
         size,
         figures,
+        arrivals: { mayCall: () => true, noteCall: () => undefined, notePrefill: () => undefined },
     };
 }
 
