Refuse streams that would be cut by the end of the process or of the caller's patience

A stream is refused while the process ends if 1.8 times that doesn't fit, and at once if not even half of it fits into the time that its caller waits.

Ruled out: a longer grace (the platform's), refusing everything at the signal (short answers end in time).

--- a/fakes/forwardingRig.ts
+++ b/fakes/forwardingRig.ts
@@ -192,7 +192,7 @@
         ),
         quota: createFleetQuota(clock, { leniency: 0 }),
         retryBudget: createFleetRetryBudget(clock, budget),
-        closingCause: () => undefined,
+        endsAtMs: () => undefined,
     };
     return { context, clock, calls, load: records => directory.load(records, false) };
 }
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -59,8 +59,8 @@
     readonly limits: () => CallerLimits;
     readonly desiredStateVersion: () => number | undefined;
     readonly isReady: () => boolean;
-    /** Generations are refused from now on, so that none is cut when the process ends. */
-    readonly refuseGenerations: () => void;
+    /** Tells when the process ends: streams that would not be whole by then are refused from now on. */
+    readonly announceEnd: (atMs: number) => void;
     /** Tells the other entries and the store that this one leaves. */
     readonly leave: () => Promise<void>;
     readonly close: () => Promise<void>;
@@ -104,7 +104,7 @@
     const quota = createFleetQuota(clock, { leniency: settings.quotaSlack * quotaLeniencyPart });
     const retryBudget = createFleetRetryBudget(clock, settings.retryBudget);
     let routes: RouteTable | undefined;
-    let closingCause: string | undefined;
+    let endsAtMs: number | undefined;
 
     const duty = createOrderDuty(ports.tables, clock, log, settings.host);
     const stages = createStageKeeper(
@@ -244,7 +244,7 @@
         places,
         quota,
         retryBudget,
-        closingCause: () => closingCause,
+        endsAtMs: () => endsAtMs,
     };
 
     return {
@@ -252,8 +252,8 @@
         limits: () => routes?.state.limits ?? initialLimits,
         desiredStateVersion: () => routes?.state.version,
         isReady: () => routes !== undefined && registryReplica.copy().revision >= 0,
-        refuseGenerations: () => {
-            closingCause = "this entry is shutting down";
+        announceEnd: atMs => {
+            endsAtMs = atMs;
         },
         leave: async () => {
             stopping.abort();
--- a/src/daemon/shutDown.test.ts
+++ b/src/daemon/shutDown.test.ts
@@ -42,7 +42,7 @@
                 clock,
                 log: silentDecisionLog,
                 graceMs,
-                entry: { refuseGenerations: () => void steps.push("refuseGenerations"), leave, close },
+                entry: { announceEnd: atMs => void steps.push(`announceEnd ${atMs}`), leave, close },
                 ingress: {
                     announceClose: () => void steps.push("announceClose"),
                     closeIdle: () => void steps.push("closeIdle"),
@@ -56,7 +56,7 @@
             }
             expect(endedAtMs ?? Number.POSITIVE_INFINITY).toBeGreaterThanOrEqual(from);
             expect(endedAtMs ?? Number.POSITIVE_INFINITY).toBeLessThanOrEqual(to);
-            expect(steps.slice(0, 2)).toEqual(["announceClose", "refuseGenerations"]);
+            expect(steps.slice(0, 2)).toEqual(["announceClose", `announceEnd ${graceMs - 500}`]);
             await ended;
         },
     );
--- a/src/daemon/shutDown.ts
+++ b/src/daemon/shutDown.ts
@@ -21,14 +21,12 @@
     readonly log: DecisionLog;
     /** Time from the signal until the process is killed. */
     readonly graceMs: number;
-    readonly entry: Pick<ForwardingEntry, "refuseGenerations" | "leave" | "close">;
+    readonly entry: Pick<ForwardingEntry, "announceEnd" | "leave" | "close">;
     readonly ingress: ClosingListener;
 }
 
 /** The balancer asks every second and needs two misses; then callers come to other entries. */
 const balancerNoticeMs = 2_500;
-/** Generations that begin later than this after the signal could not end before the process does. */
-const generationsEndAfterMs = 3_000;
 /** Requests are waited for until this long before the process would be killed. */
 const endMarginMs = 500;
 /** Saying goodbye to other entries and the store may take this long: one of them may be dead or cut off. */
@@ -42,9 +40,8 @@
     const elapsedMs = (): number => clock.monotonicMs() - startedAtMs;
     log.info("stopping: no longer ready, serving on", { requestsRunning: ingress.requestsRunning() });
     ingress.announceClose();
-    await clock.sleep(generationsEndAfterMs);
-    entry.refuseGenerations();
     const lastMs = graceMs - endMarginMs;
+    entry.announceEnd(startedAtMs + lastMs);
     while (elapsedMs() < lastMs && (elapsedMs() < balancerNoticeMs || ingress.requestsRunning() > 0)) {
         await clock.sleep(pollMs);
         if (elapsedMs() > lastMs - idleCloseMarginMs) {
--- a/src/forwarding/context.ts
+++ b/src/forwarding/context.ts
@@ -31,6 +31,6 @@
     readonly places: DecodePlaces;
     readonly quota: FleetQuota;
     readonly retryBudget: FleetRetryBudget;
-    /** Why no new generations are taken; `undefined` in normal service. */
-    readonly closingCause: () => string | undefined;
+    /** Monotonic time at which this process ends; `undefined` in normal service. */
+    readonly endsAtMs: () => number | undefined;
 }
--- a/src/forwarding/forward.test.ts
+++ b/src/forwarding/forward.test.ts
@@ -276,3 +276,74 @@
         expect(seen).toEqual(lastEventIds);
     });
 });
+
+interface TimeCase {
+    readonly name: string;
+    readonly outputTokens: number;
+    readonly request: Partial<ForwardRequest>;
+    /** When the entry's process ends, in milliseconds from now. */
+    readonly endsAtMs: number | undefined;
+    readonly outcome: string;
+}
+
+// The usual place lasts 4 s for 700 tokens; one answer in twenty takes 1.8 times as long as expected, or half.
+const timeCases: readonly TimeCase[] = [
+    {
+        name: "in normal service",
+        outputTokens: 1_400,
+        request: { callerPatienceMs: 14_000 },
+        endsAtMs: undefined,
+        outcome: "200 ok",
+    },
+    {
+        name: "a short answer, the entry ends later",
+        outputTokens: 100,
+        request: {},
+        endsAtMs: 7_500,
+        outcome: "200 ok",
+    },
+    { name: "a short answer, the entry ends soon", outputTokens: 100, request: {}, endsAtMs: 1_500, outcome: "503" },
+    {
+        name: "a long answer, the entry ends later",
+        outputTokens: 1_400,
+        request: { callerPatienceMs: 14_000 },
+        endsAtMs: 7_500,
+        outcome: "503",
+    },
+    {
+        name: "the caller waits for no more than a part",
+        outputTokens: 1_400,
+        request: { callerPatienceMs: 1_000 },
+        endsAtMs: undefined,
+        outcome: "503",
+    },
+    {
+        name: "the caller has already waited long",
+        outputTokens: 1_400,
+        request: { callerPatienceMs: 9_000, receivedAtMs: -8_000 },
+        endsAtMs: undefined,
+        outcome: "503",
+    },
+    {
+        name: "the caller may wait long enough",
+        outputTokens: 1_400,
+        request: { callerPatienceMs: 5_000 },
+        endsAtMs: undefined,
+        outcome: "200 ok",
+    },
+];
+
+describe("answers that would be cut", () => {
+    it.each(timeCases)(
+        "$name, $outputTokens tokens: $outcome",
+        async ({ outputTokens, request, endsAtMs, outcome }) => {
+            const rig = createForwardingRig(stateOf([routeOf("stream", { timeoutMs: 14_000 })]));
+            rig.load(models);
+            const size = { promptTokens: 1_000, maxOutputTokens: outputTokens, outputHintTokens: outputTokens };
+            const context = { ...rig.context, endsAtMs: () => endsAtMs };
+            const result = await forward(context, requestTo("/stream/x", { size, ...request }));
+            expect(await textOf(result)).toBe(outcome);
+            expect(rig.calls.length > 0).toBe(outcome === "200 ok");
+        },
+    );
+});
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -16,6 +16,10 @@
 const noConfigurationRetryMs = 500;
 /** How soon a caller should come back to find another entry behind the balancer. */
 const closingRetryMs = 0;
+/** A stream whose caller doesn't tell its size is taken for an average one (platform's sheets). */
+const usualStreamMs = 3_600;
+/** One answer in twenty takes longer than this many times its expected time (bench, both sites). */
+const slowAnswerFactor = 1.8;
 
 export async function forward(context: ForwardContext, request: ForwardRequest): Promise<ForwardOutcome> {
     const table = context.routes();
@@ -34,9 +38,9 @@
     if (service === undefined) {
         return refuse(503, `route ${route.name} names no service`, noConfigurationRetryMs);
     }
-    const closing = route.kind === "stream" ? context.closingCause() : undefined;
-    if (closing !== undefined) {
-        return refuse(503, closing, closingRetryMs);
+    const endsAtMs = context.endsAtMs();
+    if (route.kind === "stream" && endsAtMs !== undefined && wouldBeCut(context, request, endsAtMs)) {
+        return refuse(503, "this entry is shutting down", closingRetryMs);
     }
     const units = account?.unit === "tokens" ? tokensOf(request, account.plainTokens) : 1;
     const admission = account === undefined
@@ -60,6 +64,12 @@
     return outcome;
 }
 
+/** Whether a stream would hardly be whole when the process ends. */
+function wouldBeCut(context: ForwardContext, { size }: ForwardRequest, endsAtMs: number): boolean {
+    const expectedMs = size === undefined ? usualStreamMs : context.places.expectedAnswerMs(size);
+    return context.clock.monotonicMs() + expectedMs * slowAnswerFactor > endsAtMs;
+}
+
 function tokensOf({ size }: ForwardRequest, plainTokens: number): number {
     return size === undefined ? plainTokens : size.promptTokens + size.maxOutputTokens;
 }
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -40,11 +40,18 @@
 const prefillPatienceMs = 700;
 /** A prompt is read at this rate at least by an engine that is well. */
 const slowestPrefillTokensPerMs = 25;
+/** One answer in twenty takes less than this part of its expected time (bench, both sites). */
+const fastAnswerPart = 0.5;
 const serverError = 500;
 const firstTry = 0;
 
 export async function generate(context: ForwardContext, generation: GenerationRequest): Promise<ForwardOutcome> {
-    const started = await startStream(context, generation, generation.request.lastEventId);
+    const { lastEventId } = generation.request;
+    // A continued stream is shorter than its size says.
+    if (lastEventId === undefined && !mayEndInTime(context, generation)) {
+        return refuse(503, "its caller would not wait for the whole answer", retryAfterMs(context, generation));
+    }
+    const started = await startStream(context, generation, lastEventId);
     if (started.kind === "refused") {
         return started.outcome;
     }
@@ -92,6 +99,10 @@
     return { kind: "refused", outcome };
 }
 
+function mayEndInTime(context: ForwardContext, generation: GenerationRequest): boolean {
+    return context.places.expectedAnswerMs(generation.size) * fastAnswerPart <= timeLeft(context, generation);
+}
+
 function timeLeft(context: ForwardContext, generation: GenerationRequest): number {
     return generation.dueAtMs - context.clock.monotonicMs();
 }
--- a/src/scheduling/decodePlaces.ts
+++ b/src/scheduling/decodePlaces.ts
@@ -36,6 +36,8 @@
 
 export interface DecodePlaces {
     readonly obtain: (generation: GenerationRequest) => Promise<Result<DecodePlace, NoPlace>>;
+    /** How long an answer is expected to take, from its place to its end. */
+    readonly expectedAnswerMs: (size: GenerationSize) => number;
     /** When a refused caller should come back. */
     readonly retryAfterMs: (service: string) => number;
     readonly waiting: () => number;
@@ -112,8 +114,12 @@
 const grantWindowMs = 2_000;
 /** Time that a place is held until answers have told: some hundred tokens at a few milliseconds each. */
 const initialPlaceMs = 4_000;
-/** Weight of the newest answer in the mean time of a place. */
+/** Output tokens of an average answer until answers have told (platform's sheets). */
+const initialOutputTokens = 700;
+/** Weight of the newest answer in the means of places. */
 const placeWeight = 0.05;
+/** Part of a place's time that doesn't grow with the output: waiting for a prefill engine, reading, transfer. */
+const answerStartMs = 900;
 
 /** Output tokens that a generation is expected to make. */
 export function expectedOutputTokens(size: GenerationSize): number {
@@ -125,6 +131,7 @@
     const queues = new Map<string, PlaceQueue>();
     const fullUntilMs = new Map<string, number>();
     let meanPlaceMs = initialPlaceMs;
+    let meanOutputTokens = initialOutputTokens;
     let grants: readonly { readonly atMs: number; readonly tokens: number; readonly service: string; }[] = [];
 
     function queueOf(service: string): PlaceQueue {
@@ -179,8 +186,14 @@
         return Math.min(maximumRetryAfterMs, minimumRetryAfterMs + lineMs(service));
     }
 
-    function notePlaceEnd(startedAtMs: number): void {
+    function expectedAnswerMs(size: GenerationSize): number {
+        return answerStartMs
+            + Math.max(0, meanPlaceMs - answerStartMs) * expectedOutputTokens(size) / meanOutputTokens;
+    }
+
+    function notePlaceEnd(startedAtMs: number, size: GenerationSize): void {
         meanPlaceMs += placeWeight * (clock.monotonicMs() - startedAtMs - meanPlaceMs);
+        meanOutputTokens += placeWeight * (expectedOutputTokens(size) - meanOutputTokens);
     }
 
     function noteGrant(item: Waiting, nowMs: number): void {
@@ -197,7 +210,7 @@
         const endWork = loads.start(engine.id, { requests: 1, kvTokens: item.tokens, prefillTokens: 0 });
         const end = (): void => {
             endWork();
-            notePlaceEnd(startedAtMs);
+            notePlaceEnd(startedAtMs, size);
         };
         if (figures.maxReservationMs === 0) {
             return { engine, reservation: undefined, end };
@@ -305,6 +318,7 @@
     }
 
     return {
+        expectedAnswerMs,
         retryAfterMs,
         waiting: () => [...queues.values()].reduce((sum, queue) => sum + queue.line.size(), 0),
         obtain: async generation => {
