Take time limits of calls to engines from the clock that is passed in

Cause: limits of prefills and calls ran on the machine's own timers, so no test could play them and an experiment in virtual time would depend on the speed of the machine. The clock now makes such signals; the virtual one aborts them in its own time, and removes the listeners of sleeps that ended (tests printed MaxListenersExceededWarning).

Tests: a silent prefill engine is given up for another one, a call that must not run twice ends as unknown.

--- a/fakes/forwardingRig.ts
+++ b/fakes/forwardingRig.ts
@@ -4,6 +4,7 @@
 
 import { Readable } from "node:stream";
 import { Result } from "true-myth";
+import type { Random } from "../src/common/random.js";
 import { createEngineDirectory } from "../src/engines/engineDirectory.js";
 import { createEngineHealth } from "../src/engines/engineHealth.js";
 import { createEngineLoads } from "../src/engines/engineLoads.js";
@@ -21,10 +22,11 @@
 import type { ForwardRequest, GenerationSize } from "../src/forwarding/forwardRequest.js";
 import { createFleetQuota } from "../src/limits/fleetQuota.js";
 import { createFleetRetryBudget } from "../src/limits/fleetRetryBudget.js";
+import type { RetryBudgetSettings } from "../src/limits/fleetRetryBudget.js";
 import type { DesiredState, Route, RouteKind } from "../src/routes/desiredState.js";
 import { createRouteTable } from "../src/routes/routeTable.js";
 import { createDecodePlaces, defaultPlaceSettings } from "../src/scheduling/decodePlaces.js";
-import type { PlaceSettings } from "../src/scheduling/decodePlaces.js";
+import type { DecodePlaces, PlaceDependencies, PlaceSettings } from "../src/scheduling/decodePlaces.js";
 import type { PlacementView } from "../src/scheduling/placement.js";
 import type { DecisionLog } from "../src/telemetry/decisionLog.js";
 import { createServedMetrics } from "../src/telemetry/servedMetrics.js";
@@ -57,7 +59,7 @@
 /** What engines do with one call; by default all of it succeeds. */
 export interface EngineScript {
     readonly send?: (engine: EngineRecord, options: SendOptions) => Promise<Result<EngineAnswer, EngineError>>;
-    readonly prefill?: (engine: EngineRecord) => Promise<Result<PrefilledCache, EngineError>>;
+    readonly prefill?: (engine: EngineRecord, options: SendOptions) => Promise<Result<PrefilledCache, EngineError>>;
     readonly reserve?: (engine: EngineRecord, tokens: number) => Promise<Result<Reservation, EngineError>>;
 }
 
@@ -82,9 +84,9 @@
             calls.push(`send ${engine.id}`);
             return script.send?.(engine, options) ?? answerOf(200);
         },
-        prefill: async engine => {
+        prefill: async (engine, request, options) => {
             calls.push(`prefill ${engine.id}`);
-            return script.prefill?.(engine) ?? Result.ok({ address: engine.address, handle: "h", tokens: 10 });
+            return script.prefill?.(engine, options) ?? Result.ok({ address: engine.address, handle: "h", tokens: 10 });
         },
         reserve: async (engine, tokens) => {
             calls.push(`reserve ${engine.id}`);
@@ -154,15 +156,23 @@
     };
 }
 
-export function createForwardingRig(
-    state: DesiredState,
-    script: EngineScript = {},
-    places: Partial<PlaceSettings> = {},
-    budget = { ratio: 1, slack: 100, windowMs: 10_000 },
-): ForwardingRig {
-    const clock = createVirtualClock();
-    const calls: string[] = [];
-    const engines = scriptedEngines(script, calls);
+/** The parts of a context that a test or an experiment may want to choose. */
+export interface RigParts {
+    readonly clock: VirtualClock;
+    readonly engines: EnginePort;
+    readonly state: DesiredState;
+    readonly random?: Random;
+    readonly budget?: RetryBudgetSettings;
+    readonly entries?: () => number;
+    readonly createPlaces?: (dependencies: PlaceDependencies) => DecodePlaces;
+}
+
+const ampleBudget: RetryBudgetSettings = { ratio: 1, slack: 100, windowMs: 10_000 };
+
+/** A context whose engines are in one data centre and keep their stages. */
+export function createRigContext(parts: RigParts): ForwardContext {
+    const { clock, engines, state, random = () => 0, budget = ampleBudget, entries = () => 1 } = parts;
+    const createPlaces = parts.createPlaces ?? (places => createDecodePlaces(places, defaultPlaceSettings));
     const directory = createEngineDirectory(clock, silentDecisionLog);
     const health = createEngineHealth(clock);
     const loads = createEngineLoads();
@@ -172,12 +182,12 @@
         dataCentre: "a",
         workAt: loads.total,
         staged: (service, stage) => directory.usable(service).filter(engine => engine.stage === stage),
-        random: () => 0,
+        random,
     };
     const routes = createRouteTable(state);
-    const context: ForwardContext = {
+    return {
         clock,
-        random: () => 0,
+        random,
         log,
         metrics,
         view,
@@ -186,15 +196,29 @@
         health,
         loads,
         engines,
-        places: createDecodePlaces(
-            { clock, view, directory, health, loads, engines, log, metrics, entries: () => 1 },
-            { ...defaultPlaceSettings, ...places },
-        ),
+        places: createPlaces({ clock, view, directory, health, loads, engines, log, metrics, entries }),
         quota: createFleetQuota(clock, { leniency: 0 }),
         retryBudget: createFleetRetryBudget(clock, budget),
         endsAtMs: () => undefined,
     };
-    return { context, clock, calls, load: records => directory.load(records, false) };
+}
+
+export function createForwardingRig(
+    state: DesiredState,
+    script: EngineScript = {},
+    places: Partial<PlaceSettings> = {},
+    budget: RetryBudgetSettings = ampleBudget,
+): ForwardingRig {
+    const clock = createVirtualClock();
+    const calls: string[] = [];
+    const context = createRigContext({
+        clock,
+        engines: scriptedEngines(script, calls),
+        state,
+        budget,
+        createPlaces: dependencies => createDecodePlaces(dependencies, { ...defaultPlaceSettings, ...places }),
+    });
+    return { context, clock, calls, load: records => context.directory.load(records, false) };
 }
 
 export const smallSize: GenerationSize = { promptTokens: 1_000, maxOutputTokens: 200, outputHintTokens: 100 };
--- a/fakes/virtualClock.ts
+++ b/fakes/virtualClock.ts
@@ -49,13 +49,27 @@
         wallMs: () => startWallMs + nowMs,
         sleep: (durationMs, signal) =>
             new Promise(resolve => {
-                const sleeper: Sleeper = { dueMs: nowMs + durationMs, wake: resolve };
-                sleepers = [...sleepers, sleeper];
-                signal?.addEventListener("abort", () => {
+                const onAbort = (): void => {
                     removeSleeper(sleeper);
                     resolve();
-                });
+                };
+                const sleeper: Sleeper = {
+                    dueMs: nowMs + durationMs,
+                    wake: () => {
+                        signal?.removeEventListener("abort", onAbort);
+                        resolve();
+                    },
+                };
+                sleepers = [...sleepers, sleeper];
+                signal?.addEventListener("abort", onAbort, { once: true });
             }),
+        timeout: durationMs => {
+            const controller = new AbortController();
+            const dueMs = nowMs + Math.max(1, durationMs);
+            const wake = (): void => controller.abort(new DOMException("the time is over", "TimeoutError"));
+            sleepers = [...sleepers, { dueMs, wake }];
+            return controller.signal;
+        },
         settle,
         advance: async durationMs => {
             const untilMs = nowMs + durationMs;
@@ -98,6 +112,7 @@
                 await base.sleep(durationMs, signal);
                 await pass();
             },
+            timeout: base.timeout,
         },
         pass,
         pause: () => {
--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -16,6 +16,8 @@
     readonly wallMs: () => number;
     /** Resolves after `durationMs`, or at once when `signal` aborts. Never rejects. */
     readonly sleep: (durationMs: number, signal?: AbortSignal) => Promise<void>;
+    /** A signal that aborts with a `TimeoutError` after `durationMs`, which may be a fraction or already over. */
+    readonly timeout: (durationMs: number) => AbortSignal;
 }
 
 /** The clocks of this machine. */
@@ -30,9 +32,5 @@
             // An aborted sleep ends early; the caller looks at its own signal.
         }
     },
+    timeout: durationMs => AbortSignal.timeout(Math.max(1, Math.ceil(durationMs))),
 };
-
-/** A signal that aborts after `durationMs`, which may be a fraction or already over. */
-export function timeoutSignal(durationMs: number): AbortSignal {
-    return AbortSignal.timeout(Math.max(1, Math.ceil(durationMs)));
-}
--- a/src/forwarding/forward.test.ts
+++ b/src/forwarding/forward.test.ts
@@ -277,6 +277,36 @@
     });
 });
 
+describe("engines that stay silent", () => {
+    it("has the prompt read at another engine when the first takes far longer than expected", async () => {
+        const silent = (signal: AbortSignal): Promise<Result<never, EngineError>> =>
+            new Promise(resolve => signal.addEventListener("abort", () => resolve(errorOf("timeout"))));
+        const taken = Result.ok({ address: "p-2:1", handle: "h", tokens: 10 });
+        const rig = createForwardingRig(stateOf([routeOf("stream")]), {
+            prefill: async (engine, { signal }) => engine.id === "p-1" ? silent(signal) : taken,
+        });
+        rig.load([engineRecord("p-1", "prefill"), engineRecord("p-2", "prefill"), engineRecord("m-1", "decode")]);
+        const outcome = forward(rig.context, requestTo("/stream/x", { size: smallSize }));
+        await rig.clock.advance(500);
+        expect(rig.calls).toEqual(["reserve m-1", "prefill p-1"]);
+        await rig.clock.advance(500);
+        expect(rig.calls.slice(2)).toEqual(["prefill p-2", "send m-1"]);
+        expect(await textOf(await outcome)).toBe("200 ok");
+    });
+
+    it("tells the caller that the outcome is unknown when a call that must not run twice times out", async () => {
+        const rig = createForwardingRig(stateOf([routeOf("nonIdempotent")]), {
+            send: (engine, { signal }) =>
+                new Promise(resolve => signal.addEventListener("abort", () => resolve(errorOf("cancelled")))),
+        });
+        rig.load(desk);
+        const outcome = forward(rig.context, requestTo("/nonIdempotent/x"));
+        await rig.clock.advance(2_000);
+        expect(await textOf(await outcome)).toBe("504");
+        expect(rig.calls).toHaveLength(1);
+    });
+});
+
 interface TimeCase {
     readonly name: string;
     readonly outputTokens: number;
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -6,7 +6,6 @@
  */
 
 import { Result } from "true-myth";
-import { timeoutSignal } from "../common/clock.js";
 import { provesNotRun } from "../engines/enginePort.js";
 import type { EngineAnswer, EngineError, EngineRecord, PrefilledCache } from "../engines/enginePort.js";
 import type { DecodePlace } from "../scheduling/decodePlaces.js";
@@ -142,7 +141,7 @@
     }
     const sent = await context.engines.send(place.engine, request, {
         remainingMs: Math.max(1, timeLeft(context, generation)),
-        signal: AbortSignal.any([request.callerGone, timeoutSignal(timeLeft(context, generation))]),
+        signal: AbortSignal.any([request.callerGone, context.clock.timeout(timeLeft(context, generation))]),
         ...place.reservation === undefined ? {} : { reservation: place.reservation },
         ...cache === undefined ? {} : { cache },
         ...lastEventId === undefined ? {} : { lastEventId },
@@ -198,7 +197,7 @@
         }
         const expectedMs = (context.view.workAt(engine.id).prefillTokens + size.promptTokens)
             / slowestPrefillTokensPerMs;
-        const timeout = timeoutSignal(expectedMs + prefillPatienceMs);
+        const timeout = context.clock.timeout(expectedMs + prefillPatienceMs);
         const end = context.loads.start(engine.id, { requests: 1, kvTokens: 0, prefillTokens: size.promptTokens });
         const sentAtMs = context.clock.monotonicMs();
         const result = await context.engines.prefill(engine, request, {
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -8,7 +8,6 @@
 
 import { Readable } from "node:stream";
 import { Result } from "true-myth";
-import { timeoutSignal } from "../common/clock.js";
 import { provesNotRun } from "../engines/enginePort.js";
 import type { EngineAnswer, EngineError, EngineRecord } from "../engines/enginePort.js";
 import { rankForPlain } from "../scheduling/placement.js";
@@ -79,7 +78,7 @@
     const { request } = routed;
     const remainingMs = Math.max(1, timeLeft(context, routed));
     const tryMs = mayFollow ? Math.min(remainingMs, Math.max(minimumTryMs, remainingMs * tryPart)) : remainingMs;
-    const timeout = timeoutSignal(tryMs);
+    const timeout = context.clock.timeout(tryMs);
     const end = context.loads.start(engine.id, { requests: 1, kvTokens: 0, prefillTokens: 0 });
     const sent = await context.engines.send(engine, request, {
         remainingMs,
