Keep the order of bytes in the soak's proxy when a delay ends

The proxy held chunks back by a timer each and passed on at once what came after the delay had ended, the end of the connection as well. No network does that. Ruled out: the entry (it passes bytes on as they come; its own log counts one whole answer).

--- a/fakes/tcpProxy.ts
+++ b/fakes/tcpProxy.ts
@@ -22,18 +22,43 @@
     let fault: ProxyFault = "none";
 
     function pass(from: Socket, to: Socket, isAnswer: boolean): void {
-        from.on("data", (chunk: Buffer) => {
-            if (fault === "silence" || (fault === "cutAnswers" && isAnswer)) {
+        const delayed: { readonly dueMs: number; readonly act: () => void; }[] = [];
+
+        function actOnDue(): void {
+            const [next] = delayed;
+            if (next === undefined) {
+                return;
+            }
+            const leftMs = next.dueMs - performance.now();
+            if (leftMs > 0) {
+                setTimeout(actOnDue, Math.ceil(leftMs));
+                return;
+            }
+            delayed.shift();
+            next.act();
+            actOnDue();
+        }
+
+        /** Acts now, or after the delay and everything that came before. */
+        function inOrder(act: () => void): void {
+            if (fault !== "delay" && delayed.length === 0) {
+                act();
                 return;
             }
-            if (fault === "delay") {
-                setTimeout(() => to.writable && to.write(chunk), delayMs);
+            delayed.push({ dueMs: performance.now() + (fault === "delay" ? delayMs : 0), act });
+            if (delayed.length === 1) {
+                actOnDue();
+            }
+        }
+
+        from.on("data", (chunk: Buffer) => {
+            if (fault === "silence" || (fault === "cutAnswers" && isAnswer)) {
                 return;
             }
-            to.write(chunk);
+            inOrder(() => to.writable && to.write(chunk));
         });
         // A reset must stay a reset, and a regular end a regular end.
-        from.on("end", () => to.end());
+        from.on("end", () => inOrder(() => to.end()));
         from.on("error", () => to.resetAndDestroy());
         from.on("close", () => to.destroy());
     }
