--- a/src/scheduling/decodePlaces.ts
+++ b/src/scheduling/decodePlaces.ts
@@ -52,8 +52,11 @@
      * that runs out stops its newest request in the middle and reads it anew later.
      */
     readonly memoryPart: number;
-    /** How long after its objective a request is still kept waiting. */
-    readonly lateWaitMs: number;
+    /**
+     * Part of its objective for which a request waits. One that is placed later hardly meets its objective any more, and
+     * takes the place of one that could.
+     */
+    readonly waitPart: number;
     /** A request is refused at once if the line is longer than this. */
     readonly maxWaitMs: number;
     /** Where decode engines must not read prompts, no place is taken while all prefill engines have more to read. */
@@ -64,7 +67,7 @@
 export const defaultPlaceSettings: PlaceSettings = {
     reservedOutputPart: 0.5,
     memoryPart: 1,
-    lateWaitMs: 600,
+    waitPart: 0.55,
     maxWaitMs: 1_400,
     maxPrefillWaitMs: 250,
 };
@@ -313,7 +316,7 @@
             tokens: size.promptTokens + expectedOutputTokens(size),
             arrivedAtMs: clock.monotonicMs(),
             onTimeUntilMs: objectiveAtMs - readMs,
-            givenUpAtMs: Math.min(dueAtMs - readMs, Math.max(objectiveAtMs, clock.monotonicMs()) + settings.lateWaitMs),
+            givenUpAtMs: Math.min(dueAtMs - readMs, request.receivedAtMs + route.objectiveMs * settings.waitPart),
         };
     }
 
