--- a/fakes/modelEngine.ts
+++ b/fakes/modelEngine.ts
@@ -124,6 +124,13 @@
         return used;
     }
 
+    /** Whether a new request or reservation finds no room besides what runs and waits. */
+    function hasNoRoom(tokens: number): boolean {
+        const waitingTokens = waiting.reduce((sum, run) => sum + memoryOf(run), 0);
+        return running.length + waiting.length + reservations.size >= shape.slots
+            || usedTokens() + waitingTokens + tokens > shape.kvTokens;
+    }
+
     function full(): Result<never, EngineError> {
         return Result.err({ kind: "notExecuted", status: statusFull, cause: "the engine is full" });
     }
@@ -200,8 +207,7 @@
             if (reservation !== undefined) {
                 reservations.delete(reservation.id);
             }
-            const isFull = running.length + reservations.size >= shape.slots
-                || usedTokens() + size.promptTokens > shape.kvTokens;
+            const isFull = hasNoRoom(size.promptTokens);
             if (held === undefined && isFull) {
                 return Promise.resolve(full());
             }
@@ -248,9 +254,7 @@
             return Result.ok({ address: id, handle, tokens: promptTokens });
         },
         reserve: (tokens, lifeMs) => {
-            const isFull = running.length + reservations.size >= shape.slots
-                || usedTokens() + tokens > shape.kvTokens;
-            if (isFull) {
+            if (hasNoRoom(tokens)) {
                 return full();
             }
             names += 1;
