--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -23,7 +23,7 @@
 import type { TableCopy, TableFeed } from "../exchange/tableReplica.js";
 import type { ForwardContext } from "../forwarding/context.js";
 import { forward } from "../forwarding/forward.js";
-import type { ForwardOutcome, ForwardRequest } from "../forwarding/forwardRequest.js";
+import type { ForwardRequest, ForwardResult } from "../forwarding/forwardRequest.js";
 import { createFleetQuota } from "../limits/fleetQuota.js";
 import { createFleetRetryBudget } from "../limits/fleetRetryBudget.js";
 import type { TableService } from "../platform/ports.js";
@@ -55,7 +55,7 @@
 }
 
 export interface ForwardingEntry {
-    readonly forward: (request: ForwardRequest) => Promise<ForwardOutcome>;
+    readonly forward: (request: ForwardRequest) => Promise<ForwardResult>;
     readonly limits: () => CallerLimits;
     readonly desiredStateVersion: () => number | undefined;
     readonly isReady: () => boolean;
--- a/src/forwarding/forward.test.ts
+++ b/src/forwarding/forward.test.ts
@@ -122,6 +122,15 @@
         expect(rig.calls.length > 0).toBe(outcome === "200 ok");
     });
 
+    it("tells what it found out about a request, for the log", async () => {
+        const rig = createForwardingRig(stateOf([routeOf("idempotent")]));
+        rig.load(desk);
+        const known = await forward(rig.context, requestTo("/idempotent/x", { key: "key" }));
+        expect(known.facts).toEqual({ clientAccount: "account", route: "idempotent", objectiveMs: 900 });
+        const unknown = await forward(rig.context, requestTo("/other/x"));
+        expect(unknown.facts).toEqual({ clientAccount: undefined, route: undefined, objectiveMs: undefined });
+    });
+
     it("refuses what is over the account's rate before any engine is asked, and tells when to come back", async () => {
         const rig = createForwardingRig(stateOf([routeOf("stream", { isPublic: false })]));
         rig.load(models);
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -2,12 +2,13 @@
  * A request's way: route, key, quota, then a plain call or a generation. Guards come first; each refusal says why.
  */
 
+import type { ClientAccount, Route } from "../routes/desiredState.js";
 import { pickService } from "../routes/routeTable.js";
 import type { RouteTable } from "../routes/routeTable.js";
 import { createArrivals } from "./arrivals.js";
 import type { ForwardContext } from "./context.js";
 import { refuse } from "./forwardRequest.js";
-import type { ForwardOutcome, ForwardRequest } from "./forwardRequest.js";
+import type { ForwardOutcome, ForwardRequest, ForwardResult } from "./forwardRequest.js";
 import { generate } from "./generation.js";
 import { callPlain } from "./plainCall.js";
 import type { RoutedRequest } from "./routedRequest.js";
@@ -21,16 +22,30 @@
 /** One answer in twenty takes longer than this many times its expected time (bench, both sites). */
 const slowAnswerFactor = 1.8;
 
-export async function forward(context: ForwardContext, request: ForwardRequest): Promise<ForwardOutcome> {
+export async function forward(context: ForwardContext, request: ForwardRequest): Promise<ForwardResult> {
     const table = context.routes();
+    const route = table?.find(request.host, request.path);
+    const account = request.key === undefined ? undefined : table?.accountOf(request.key);
+    const outcome = await admit(context, request, table, route, account);
+    return {
+        ...outcome,
+        facts: { clientAccount: account?.name, route: route?.name, objectiveMs: route?.objectiveMs },
+    };
+}
+
+async function admit(
+    context: ForwardContext,
+    request: ForwardRequest,
+    table: RouteTable | undefined,
+    route: Route | undefined,
+    account: ClientAccount | undefined,
+): Promise<ForwardOutcome> {
     if (table === undefined) {
         return refuse(503, "no desired state is known yet", noConfigurationRetryMs);
     }
-    const route = table.find(request.host, request.path);
     if (route === undefined) {
         return refuse(404, `no route for host ${request.host} and path ${request.path}`);
     }
-    const account = request.key === undefined ? undefined : table.accountOf(request.key);
     if (account === undefined && table.state.clientAccounts !== undefined && !route.isPublic) {
         return refuse(401, request.key === undefined ? "no key was sent" : "the key belongs to no client account");
     }
--- a/src/forwarding/forwardRequest.ts
+++ b/src/forwarding/forwardRequest.ts
@@ -39,6 +39,17 @@
     | { readonly kind: "answered"; readonly answer: EngineAnswer; }
     | { readonly kind: "refused"; readonly refusal: Refusal; };
 
+/** What was found out about a request, for logs and reports; fields are `undefined` where a guard stopped it before. */
+export interface RequestFacts {
+    readonly clientAccount: string | undefined;
+    /** Name of the route. */
+    readonly route: string | undefined;
+    /** The route's objective: time until the answer begins. */
+    readonly objectiveMs: number | undefined;
+}
+
+export type ForwardResult = ForwardOutcome & { readonly facts: RequestFacts; };
+
 export function refuse(status: Refusal["status"], cause: string, retryAfterMs?: number): ForwardOutcome {
     return {
         kind: "refused",
