gooseberrywell report: service-level burn from entries' logs

An HTML page without scripts: burn, latency, refusals, failures by window as plots, client accounts and routes worst served first, and what the log left out. Good means a success that began within its route's objective; what is not owed is left out, what is over its rate counted apart.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -17,6 +17,8 @@
 import { differences, parseConfigurationFile } from "./configurationFile.js";
 import { formatFleetStatus, readFleetStatus } from "./fleetStatus.js";
 import { applyChanges, callEntry, describeRefusal } from "./operatorClient.js";
+import { writeReport } from "./report.js";
+import type { ReportFlags } from "./report.js";
 import { formatTable } from "./table.js";
 
 interface CommonFlags {
@@ -231,6 +233,17 @@
     .example("gooseberrywell status --json")
     .action(showStatus);
 
+program
+    .command("report [...logs]", "Service-level burn, latency, refusals and fairness from entries' logs, as HTML")
+    .option("--out <file>", "Where the page is written; default: report.html")
+    .option("--target <percent>", "Part of the requests that is to be good; default: 95")
+    .option("--window <seconds>", "Length of a window in the plots; default: 2")
+    .example("gooseberrywell report entry-1.log entry-2.log --out report.html --target 99")
+    .action((logs: readonly string[], flags: ReportFlags) => {
+        const written = writeReport(logs, flags);
+        print(written.isOk ? written.value : fail(written.error, exitBadUse));
+    });
+
 program.help();
 program.version(version);
 
