--- /dev/null
+++ b/test/outcomes.test.ts
@@ -0,0 +1,11 @@
+/**
+ * docs/OUTCOMES.md says what the code does.
+ */
+
+import { readFileSync } from "node:fs";
+import { expect, it } from "vitest";
+import { outcomesPage } from "../scripts/outcomesPage.js";
+
+it("docs/OUTCOMES.md is what `npm run outcomes` prints", async () => {
+    expect(readFileSync("docs/OUTCOMES.md", "utf8")).toBe(await outcomesPage());
+});
