Soak: harm one entry's connections to the store

Until now the store failed for all entries alike or for none. Each entry now reaches it through a proxy of its own that is delayed, reset, silenced or cut one way; withdrawn keys must still be refused in time, learned from the other entries.

--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -46,6 +46,8 @@
     readonly eventMs?: number;
     /** Turns an engine's address into one through which entries reach it. */
     readonly reachThrough?: (address: string) => Promise<string>;
+    /** Turns the store's address into one through which one entry reaches it. */
+    readonly reachStoreThrough?: (address: string) => Promise<string>;
     /** Whether a desired state and the engines are written at once. */
     readonly empty?: boolean;
 }
@@ -150,7 +152,8 @@
         engineOf("d-1", undefined),
         engineOf("d-2", undefined),
     ]);
-    const reachThrough = shape.reachThrough ?? (async (address: string) => address);
+    const directly = async (address: string): Promise<string> => address;
+    const { reachThrough = directly, reachStoreThrough = directly } = shape;
     const addresses = new Map<string, string>();
     for (const engine of engines) {
         addresses.set(engine.id, await reachThrough(engine.address));
@@ -215,8 +218,10 @@
     const entries = await Promise.all(
         Array.from(
             { length: shape.entries },
-            (unused, index) =>
-                startEntryProcess(index, directory, store.address, ports.slice(index * 4, index * 4 + 4), seed),
+            async (unused, index) => {
+                const storeAddress = await reachStoreThrough(store.address);
+                return startEntryProcess(index, directory, storeAddress, ports.slice(index * 4, index * 4 + 4), seed);
+            },
         ),
     );
     return {
--- a/fakes/soakRun.ts
+++ b/fakes/soakRun.ts
@@ -58,16 +58,19 @@
 const mayRunTwice = (path: string): boolean => path === "/look/x" || path === "/long/x";
 
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
-    const proxies: TcpProxy[] = [];
+    const engineProxies: TcpProxy[] = [];
+    const storeProxies: TcpProxy[] = [];
+    const through = (proxies: TcpProxy[]) => async (address: string): Promise<string> => {
+        const proxy = await startTcpProxy(address);
+        proxies.push(proxy);
+        return proxy.address;
+    };
     const site = await startPlatformSite({
         entries: options.entries,
         events,
         eventMs,
-        reachThrough: async address => {
-            const proxy = await startTcpProxy(address);
-            proxies.push(proxy);
-            return proxy.address;
-        },
+        reachThrough: through(engineProxies),
+        reachStoreThrough: through(storeProxies),
     });
     const sent: Sent[] = [];
     const timeline: string[] = [];
@@ -96,7 +99,7 @@
         }
     }
 
-    const faults = createFaults(site, proxies, createRandom(options.seed), {
+    const faults = createFaults(site, { engines: engineProxies, store: storeProxies }, createRandom(options.seed), {
         withdrawKey: () => {
             withdrawnAtMs.set(state.key, Date.now());
             state.generation += 1;
@@ -136,7 +139,7 @@
     }
     finally {
         await site.close();
-        await Promise.all(proxies.map(proxy => proxy.close()));
+        await Promise.all([...engineProxies, ...storeProxies].map(proxy => proxy.close()));
     }
 }
 
@@ -167,10 +170,16 @@
     readonly storeIll: (untilMs: number) => void;
 }
 
+interface SoakProxies {
+    readonly engines: readonly TcpProxy[];
+    /** One for each entry. */
+    readonly store: readonly TcpProxy[];
+}
+
 /** Faults overlap, but one process or connection has only one at a time. */
 function createFaults(
     site: PlatformSite,
-    proxies: readonly TcpProxy[],
+    proxies: SoakProxies,
     lengths: Random,
     hooks: FaultHooks,
 ): (random: Random) => Fault | undefined {
@@ -213,6 +222,15 @@
         hooks.storeIll(Date.now());
     }
 
+    function harmConnections(random: Random, name: string, of: readonly TcpProxy[]): Fault | undefined {
+        const fault = pickOne<ProxyFault>(random, ["delay", "reset", "silence", "cutAnswers"]) ?? "reset";
+        return on(pickOne(random, of), `${name} ${fault}`, async proxy => {
+            proxy.setFault(fault);
+            await delay(200 + lengths() * 1_000);
+            proxy.setFault("none");
+        });
+    }
+
     const kinds: readonly ((random: Random) => Fault | undefined)[] = [
         random => on(pickOne(random, site.entries), "SIGTERM", entry => replace(entry, "SIGTERM")),
         random => on(pickOne(random, site.entries), "SIGKILL", entry => replace(entry, "SIGKILL")),
@@ -231,14 +249,8 @@
                 engine.setFault("none");
             });
         },
-        random => {
-            const fault = pickOne<ProxyFault>(random, ["delay", "reset", "silence", "cutAnswers"]) ?? "reset";
-            return on(pickOne(random, proxies), `connections ${fault}`, async proxy => {
-                proxy.setFault(fault);
-                await delay(200 + lengths() * 1_000);
-                proxy.setFault("none");
-            });
-        },
+        random => harmConnections(random, "connections", proxies.engines),
+        random => harmConnections(random, "one entry's connections to the store", proxies.store),
         () => on(hooks, "key withdrawn", async () => hooks.withdrawKey()),
         () => on(hooks.storeIll, "history dropped", async () => site.store.compact()),
         random => {
