--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -2,9 +2,9 @@
  * Regular exchange of states between entries, and through it the membership of entries.
  *
  * Every entry calls a bounded number of others in turn at a fixed interval; both sides of a call learn the other's
- * state, so an entry that has just called is not called back. Entries are found through the settings' seeds, the store's list and each other. An entry that has not been
- * heard for a while still counts as a member until it says that it leaves or a longer time has passed, because it may
- * be cut off and go on admitting.
+ * state, so an entry that has just called is not called back. Entries are found through the settings' seeds, the store's
+ * list and each other. An entry that has not been heard for a while still counts as a member until it says that it leaves
+ * or a longer time has passed, because it may be cut off and go on admitting.
  */
 
 import type { Clock } from "../common/clock.js";
