--- a/fakes/limitsFleet.ts
+++ b/fakes/limitsFleet.ts
@@ -6,8 +6,10 @@
 import { Result } from "true-myth";
 import { createRandom } from "../src/common/random.js";
 import type { BucketLimits } from "../src/limits/bucket.js";
-import { createEscrow, defaultEscrowSettings, noLoan } from "../src/limits/escrow.js";
-import type { AdmissionDecision, Escrow, Loan } from "../src/limits/escrow.js";
+import { createEscrow } from "../src/limits/escrow.js";
+import type { AdmissionDecision, Escrow } from "../src/limits/escrow.js";
+import { defaultEscrowSettings, noLoan } from "../src/limits/escrowContext.js";
+import type { Loan } from "../src/limits/escrowContext.js";
 import { createLease } from "../src/limits/lease.js";
 import type { HolderLease } from "../src/limits/lease.js";
 import { createMemoryPlatform } from "../src/platform/memoryPlatform.js";
