--- a/fakes/loadPolicies.ts
+++ b/fakes/loadPolicies.ts
@@ -13,9 +13,11 @@
     readonly shapeOf: (shape: FleetShape) => FleetShape;
 }
 
+// For the baselines without a line: what the first entry on the platform did.
 const retryAfterMs = 1_000;
 const reservationMs = 1_800;
 const reserveTimeoutMs = 300;
+/** Mean time of an answer (bench, both sites). */
 const answerMs = 3_600;
 
 function withSettings(settings: Partial<PlaceSettings>): PlacesFactory {
