Look for a recorded outcome before the rate limit is applied to a keyed call

Cause: a call with an idempotency key was admitted under its account's rate before its key was looked up. A repeat at an entry without a share of the account therefore got 429 with notRun true although the call had run.

Change: runOnce admits a call only after the store has shown that its key is unused. A repeat runs nothing and takes nothing from the rate.

Shown by: 'when the account is over its rate, a repeat gets the recorded outcome' fails with the admission first (notAdmitted instead of unknown).

Ruled out: a wait for the share of the killed entry; it would only delay the same refusal.

--- a/src/callers/serviceRoutes.ts
+++ b/src/callers/serviceRoutes.ts
@@ -8,7 +8,7 @@
 import type { AccountLimits, Route } from "../configuration/objects.js";
 import { callService } from "../requests/callService.js";
 import type { ServiceOutcome } from "../requests/callService.js";
-import type { IdempotencyError } from "../requests/idempotency.js";
+import type { IdempotencyError, NotAdmitted } from "../requests/idempotency.js";
 import { queryOf } from "../rpc/httpServer.js";
 import { bearerKey, createRequestAttributes, readCallerBody, unavailableError } from "./accessControl.js";
 import type { AccessControl, Caller } from "./accessControl.js";
@@ -44,18 +44,12 @@
             sendError(response, body.error);
             return;
         }
-        await accessControl.runWhileKeyValid(request, response, caller.value, async signal => {
-            let confirmAdmission = async (): Promise<boolean> => true;
-            if (!route.open) {
-                const admitted = await accessControl.admit(caller.value);
-                if (admitted.isErr) {
-                    sendError(response, admitted.error);
-                    return;
-                }
-                confirmAdmission = admitted.value;
-            }
-            await forwardToService(request, response, route, caller.value, body.value, confirmAdmission, signal);
-        });
+        await accessControl.runWhileKeyValid(
+            request,
+            response,
+            caller.value,
+            signal => forwardToService(request, response, route, caller.value, body.value, signal),
+        );
     }
 
     async function forwardToService(
@@ -64,11 +58,18 @@
         route: Route,
         caller: Caller,
         body: Buffer,
-        confirmAdmission: () => Promise<boolean>,
         signal: AbortSignal,
     ): Promise<void> {
         const query = queryOf(request).toString();
         const path = query === "" ? route.path : `${route.path}?${query}`;
+        let confirmAdmission = async (): Promise<boolean> => true;
+        const admit = async (): Promise<Result<undefined, CallerError>> => {
+            const admitted = route.open ? Result.ok(confirmAdmission) : await accessControl.admit(caller);
+            return admitted.map(confirm => {
+                confirmAdmission = confirm;
+                return undefined;
+            });
+        };
         const run = (): Promise<ServiceOutcome> =>
             callService(dependencies.createRequestContext(confirmAdmission), {
                 ...createRequestAttributes(caller, ""),
@@ -83,14 +84,17 @@
         const key = request.headers["idempotency-key"];
         // Callers of an open route are not authenticated, so unrelated callers could send the same idempotency key.
         if (route.idempotent || caller.owner === undefined || typeof key !== "string" || key === "") {
+            const admitted = await admit();
+            if (admitted.isErr) {
+                sendError(response, admitted.error);
+                return;
+            }
             sendOutcome(response, await run());
             return;
         }
         const fingerprint = sha256Hex(`${route.method} ${path}\n${body.toString("base64")}`);
-        const outcome = await dependencies.idempotentCalls.runOnce(
-            { clientAccount: caller.clientAccount, key, fingerprint },
-            run,
-        );
+        const call = { clientAccount: caller.clientAccount, key, fingerprint };
+        const outcome = await dependencies.idempotentCalls.runOnce(call, admit, run);
         if (outcome.isErr) {
             sendError(response, idempotencyError(outcome.error));
             return;
@@ -127,7 +131,10 @@
     return Object.fromEntries(entries);
 }
 
-function idempotencyError(error: IdempotencyError): CallerError {
+function idempotencyError(error: IdempotencyError | NotAdmitted<CallerError>): CallerError {
+    if (error.kind === "notAdmitted") {
+        return error.refusal;
+    }
     if (error.kind === "keyReused") {
         const message = "this idempotency key was used for another request";
         return { code: "idempotency_key_reused", message, param: "Idempotency-Key", notRun: true };
--- a/src/requests/idempotency.test.ts
+++ b/src/requests/idempotency.test.ts
@@ -17,6 +17,8 @@
 const seed = 20_261_204;
 const paid: ServiceOutcome = { kind: "answered", status: 201, headers: {}, body: Buffer.from("paid") };
 const call = { clientAccount: "desk", key: "k1", fingerprint: "f1" };
+const admitted = async (): Promise<Result<undefined, string>> => Result.ok(undefined);
+const overRate = async (): Promise<Result<undefined, string>> => Result.err("over the rate");
 const dayMs = 86_400_000;
 
 let entryCount = 0;
@@ -61,7 +63,7 @@
     };
 }
 
-function kindOf(outcome: Awaited<ReturnType<IdempotentCalls["runOnce"]>>): string {
+function kindOf(outcome: Result<ServiceOutcome, { readonly kind: string; }>): string {
     return outcome.isOk ? outcome.value.kind : outcome.error.kind;
 }
 
@@ -166,9 +168,9 @@
         runCount += 1;
         return outcome;
     };
-    expect(kindOf(await createTestEntry(tables, faults).calls.runOnce(call, run))).toBe(first);
+    expect(kindOf(await createTestEntry(tables, faults).calls.runOnce(call, admitted, run))).toBe(first);
     expect(runCount).toBe(runs);
-    expect(kindOf(await createTestEntry(tables, []).calls.runOnce(call, run))).toBe(repeat);
+    expect(kindOf(await createTestEntry(tables, []).calls.runOnce(call, admitted, run))).toBe(repeat);
     expect(runCount).toBe(runsAfterRepeat);
 });
 
@@ -180,7 +182,9 @@
         return paid;
     };
     const outcomes = await Promise.all(
-        [createTestEntry(tables, []), createTestEntry(tables, [])].map(entry => entry.calls.runOnce(call, run)),
+        [createTestEntry(tables, []), createTestEntry(tables, [])].map(entry =>
+            entry.calls.runOnce(call, admitted, run)
+        ),
     );
     expect(runCount).toBe(1);
     expect(outcomes.map(kindOf).every(kind => kind === "answered" || kind === "unknown")).toBe(true);
@@ -190,21 +194,54 @@
     const { tables } = createMemoryPlatform();
     const entry = createTestEntry(tables, []);
     const run = async (): Promise<ServiceOutcome> => paid;
-    await entry.calls.runOnce(call, run);
-    expect(kindOf(await entry.calls.runOnce({ ...call, fingerprint: "f2" }, run))).toBe("keyReused");
-    expect(kindOf(await entry.calls.runOnce({ ...call, clientAccount: "walkers", fingerprint: "f2" }, run))).toBe(
-        "answered",
-    );
+    await entry.calls.runOnce(call, admitted, run);
+    expect(kindOf(await entry.calls.runOnce({ ...call, fingerprint: "f2" }, admitted, run))).toBe("keyReused");
+    expect(kindOf(await entry.calls.runOnce({ ...call, clientAccount: "walkers", fingerprint: "f2" }, admitted, run)))
+        .toBe(
+            "answered",
+        );
     entry.advance(dayMs + 1);
-    expect(kindOf(await entry.calls.runOnce({ ...call, fingerprint: "f2" }, run))).toBe("answered");
+    expect(kindOf(await entry.calls.runOnce({ ...call, fingerprint: "f2" }, admitted, run))).toBe("answered");
+});
+
+interface AdmissionCase {
+    readonly name: string;
+    readonly isRepeat: boolean;
+    readonly expected: string;
+}
+
+const admissionCases: readonly AdmissionCase[] = [
+    { name: "a first call is refused and its key stays unused", isRepeat: false, expected: "notAdmitted" },
+    {
+        name: "a repeat gets the recorded outcome, not a refusal that says it has not run",
+        isRepeat: true,
+        expected: "unknown",
+    },
+];
+
+test.each(admissionCases)("when the account is over its rate, $name", async ({ isRepeat, expected }) => {
+    const { tables } = createMemoryPlatform();
+    let runCount = 0;
+    const run = async (): Promise<ServiceOutcome> => {
+        runCount += 1;
+        return isRepeat ? unknown : paid;
+    };
+    if (isRepeat) {
+        await createTestEntry(tables, []).calls.runOnce(call, admitted, run);
+    }
+    expect(kindOf(await createTestEntry(tables, []).calls.runOnce(call, overRate, run))).toBe(expected);
+    expect(runCount).toBe(isRepeat ? 1 : 0);
+    expect(kindOf(await createTestEntry(tables, []).calls.runOnce(call, admitted, run))).toBe(
+        isRepeat ? "unknown" : "answered",
+    );
 });
 
 test("a call with a key is not run again after its entry crashed during the call", async () => {
     const { tables } = createMemoryPlatform();
-    void createTestEntry(tables, []).calls.runOnce(call, () => new Promise<never>(() => undefined));
+    void createTestEntry(tables, []).calls.runOnce(call, admitted, () => new Promise<never>(() => undefined));
     await new Promise(resolve => setTimeout(resolve, 5));
     let runCount = 0;
-    const repeat = await createTestEntry(tables, []).calls.runOnce(call, async () => {
+    const repeat = await createTestEntry(tables, []).calls.runOnce(call, admitted, async () => {
         runCount += 1;
         return paid;
     });
@@ -225,11 +262,15 @@
                     { faults, reads }: { readonly faults: readonly Fault[]; readonly reads: readonly Fault[]; },
                 ) => {
                     let ran = false;
-                    const outcome = await createTestEntry(tables, faults, reads).calls.runOnce(call, async () => {
-                        runCount += 1;
-                        ran = true;
-                        return paid;
-                    });
+                    const outcome = await createTestEntry(tables, faults, reads).calls.runOnce(
+                        call,
+                        admitted,
+                        async () => {
+                            runCount += 1;
+                            ran = true;
+                            return paid;
+                        },
+                    );
                     expect(outcome.isErr && ran).toBe(false);
                     return outcome;
                 };
--- a/src/requests/idempotency.ts
+++ b/src/requests/idempotency.ts
@@ -30,6 +30,12 @@
     /** The intent record could not be written, so the call was not run. */
     | { readonly kind: "storeUnavailable"; readonly cause: string; };
 
+/** The call was not admitted and has not run; `refusal` says why. */
+export interface NotAdmitted<Refusal> {
+    readonly kind: "notAdmitted";
+    readonly refusal: Refusal;
+}
+
 export interface IdempotencyDependencies {
     readonly tables: TableService;
     readonly clock: Clock;
@@ -40,11 +46,15 @@
 }
 
 export interface IdempotentCalls {
-    /** Runs `run` if the key is unused; otherwise resolves to the recorded outcome. */
-    readonly runOnce: (
+    /**
+     * Runs `run` if the key is unused and `admit` succeeds; otherwise resolves to the recorded outcome. A repeat runs
+     * nothing, so it is not subject to admission: a refusal would state that the call has not run, although it may have.
+     */
+    readonly runOnce: <Refusal>(
         call: IdempotentCall,
+        admit: () => Promise<Result<undefined, Refusal>>,
         run: () => Promise<ServiceOutcome>,
-    ) => Promise<Result<ServiceOutcome, IdempotencyError>>;
+    ) => Promise<Result<ServiceOutcome, IdempotencyError | NotAdmitted<Refusal>>>;
     /** Deletes expired and invalid records in one batch of rows from a random key on; called periodically. */
     readonly deleteExpired: () => Promise<void>;
 }
@@ -95,10 +105,14 @@
         });
     }
 
-    /** Inserts the intent record, or returns the existing record of the key. */
-    async function claim(call: IdempotentCall): Promise<Result<Claim, IdempotencyError>> {
+    /** Admits the call and inserts the intent record, or returns the existing record of the key. */
+    async function claim<Refusal>(
+        call: IdempotentCall,
+        admit: () => Promise<Result<undefined, Refusal>>,
+    ): Promise<Result<Claim, IdempotencyError | NotAdmitted<Refusal>>> {
         const key = rowKey(call);
         const nonce = newId();
+        let isAdmitted = false;
         let cause = "the intent could not be recorded";
         for (let attempt = 0; attempt < maxClaimAttempts; attempt++) {
             const rows = await tables.read([key]);
@@ -114,6 +128,13 @@
                 const isOwn = record.state === "started" && record.nonce === nonce;
                 return Result.ok(isOwn ? { kind: "claimed", version: row.version } : { kind: "found", record });
             }
+            if (!isAdmitted) {
+                const admitted = await admit();
+                if (admitted.isErr) {
+                    return Result.err({ kind: "notAdmitted", refusal: admitted.error });
+                }
+                isAdmitted = true;
+            }
             const version = row?.version ?? 0;
             const { fingerprint } = call;
             const expiresAtMs = clock.wallMs() + recordTtlMs;
@@ -159,8 +180,8 @@
     }
 
     return {
-        runOnce: async (call, run) => {
-            const claimed = await claim(call);
+        runOnce: async (call, admit, run) => {
+            const claimed = await claim(call, admit);
             if (claimed.isErr) {
                 return Result.err(claimed.error);
             }
