--- /dev/null
+++ b/src/common/readText.ts
@@ -0,0 +1,31 @@
+/**
+ * Reads bodies of bounded size from other processes. A faulty sender may send bytes until its connection is closed.
+ */
+
+import type { Readable } from "node:stream";
+
+/** The body is larger than its kind of message can be. */
+export class BodyTooLargeError extends Error {
+    constructor(readonly maxBytes: number) {
+        super(`the body is larger than ${maxBytes} bytes`);
+        this.name = "BodyTooLargeError";
+    }
+}
+
+/**
+ * Reads a whole body as UTF-8 text. Rejects with `BodyTooLargeError` and destroys the body, which closes its connection,
+ * if it is larger than `maxBytes`; rejects with the body's own error if it breaks off.
+ */
+export async function readText(body: Readable, maxBytes: number): Promise<string> {
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    // Leaving the loop by an error destroys the body.
+    for await (const chunk of body as AsyncIterable<Buffer>) {
+        sizeBytes += chunk.length;
+        if (sizeBytes > maxBytes) {
+            throw new BodyTooLargeError(maxBytes);
+        }
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks).toString("utf8");
+}
--- a/src/rpc/rpcClient.ts
+++ b/src/rpc/rpcClient.ts
@@ -7,9 +7,10 @@
 import { Result } from "true-myth";
 import { Agent } from "undici";
 import type { Dispatcher } from "undici";
+import { readText } from "../common/readText.js";
 import { toRpcError } from "./errors.js";
 import type { RpcError } from "./errors.js";
-import { rpcPath } from "./rpcServer.js";
+import { maxRpcBodyBytes, rpcPath } from "./rpcServer.js";
 
 export interface CallOptions {
     /** For a call, the limit on the whole response; for a stream, on the response's headers. */
@@ -98,7 +99,7 @@
 
 async function readResponse(response: StreamResponse, timeout: AbortSignal): Promise<Result<unknown, RpcError>> {
     try {
-        const rpcResponse = await response.body.json() as JSONRPCResponse;
+        const rpcResponse = JSON.parse(await readText(response.body, maxRpcBodyBytes)) as JSONRPCResponse;
         if (rpcResponse.error !== undefined && rpcResponse.error !== null) {
             const { code, message } = rpcResponse.error;
             return Result.err({ kind: "rejected", delivered: "yes", code, cause: message });
--- a/src/rpc/rpcServer.ts
+++ b/src/rpc/rpcServer.ts
@@ -25,7 +25,8 @@
 export type RpcMethods = Readonly<Record<string, RpcMethod>>;
 
 export const rpcPath = "/rpc";
-const maxRpcBodyBytes = 16 * 1024 * 1024;
+/** Limit on the body of a call and on that of its response. */
+export const maxRpcBodyBytes = 16 * 1024 * 1024;
 const invalidParamsCode = -32602;
 const parseErrorCode = -32700;
 
