--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -8,6 +8,8 @@
 import { createEngineDirectory } from "../src/engines/engineDirectory.js";
 import { createEngineHealth } from "../src/engines/engineHealth.js";
 import { createEngineLoads } from "../src/engines/engineLoads.js";
+import { createEngineNotices } from "../src/engines/engineNotices.js";
+import type { EngineNotices } from "../src/engines/engineNotices.js";
 import type {
     EngineError,
     EnginePort,
@@ -110,6 +112,7 @@
 export interface ForwardingHarness extends EngineCalls {
     readonly context: ForwardContext;
     readonly clock: VirtualClock;
+    readonly notices: EngineNotices;
     readonly load: (engines: readonly EngineRecord[]) => void;
 }
 
@@ -168,6 +171,7 @@
     readonly random?: Random;
     readonly budget?: RetryBudgetSettings;
     readonly entries?: () => number;
+    readonly notices?: EngineNotices;
     readonly createScheduler?: (dependencies: DecodeSchedulerDependencies) => DecodeScheduler;
 }
 
@@ -178,7 +182,8 @@
     const { clock, engines, state, random = () => 0, budget = ampleBudget, entries = () => 1 } = options;
     const createScheduler = options.createScheduler
         ?? (dependencies => createDecodeScheduler(dependencies, defaultDecodeSchedulerSettings));
-    const directory = createEngineDirectory(clock, silentDecisionLog);
+    const { notices = createEngineNotices(clock, silentDecisionLog) } = options;
+    const directory = createEngineDirectory(clock, silentDecisionLog, notices);
     const health = createEngineHealth(clock);
     const loads = createEngineLoads();
     const metrics = createPrometheusMetrics();
@@ -216,15 +221,17 @@
 ): ForwardingHarness {
     const clock = createVirtualClock();
     const calls: string[] = [];
+    const notices = createEngineNotices(clock, silentDecisionLog);
     const context = createTestForwardContext({
         clock,
+        notices,
         engines: scriptedEngines(script, calls),
         state,
         budget,
         createScheduler: dependencies =>
             createDecodeScheduler(dependencies, { ...defaultDecodeSchedulerSettings, ...schedulerSettings }),
     });
-    return { context, clock, calls, load: records => context.directory.load(records, false) };
+    return { context, clock, calls, notices, load: records => context.directory.load(records, "current") };
 }
 
 export const smallSize: GenerationSize = { promptTokens: 1_000, maxOutputTokens: 200, outputHintTokens: 100 };
--- a/fakes/limitsFleet.ts
+++ b/fakes/limitsFleet.ts
@@ -104,6 +104,8 @@
             read: keys => callStore(gate, () => tables.read(keys)),
             scan: (table, fromKey, limit) => callStore(gate, () => tables.scan(table, fromKey, limit)),
             commit: transaction => callStore(gate, () => tables.commit(transaction)),
+            era: tables.era,
+            wasRestored: tables.wasRestored,
         };
     }
 
--- a/fakes/platformEngine.ts
+++ b/fakes/platformEngine.ts
@@ -10,10 +10,22 @@
 /**
  * Fault applied to requests until the next one is set. `shed` rejects requests as not executed, `reset` resets the
  * connection, `silent` never responds, `cut` resets in the middle of a stream, `cutFirst` does so only in streams that are
- * not resumed, `lost` executes the request and resets without a response, and `error` responds to plain calls with status
- * 500.
+ * not resumed, `lost` executes the request and resets without a response, `error` responds to plain calls with status 500,
+ * `rest` rejects requests and asks for a pause, `leaving` announces in all responses that the engine is leaving, and
+ * `endless` sends bytes that are no response until the connection is closed.
  */
-export type EngineFault = "none" | "shed" | "reset" | "silent" | "cut" | "cutFirst" | "lost" | "error";
+export type EngineFault =
+    | "none"
+    | "shed"
+    | "reset"
+    | "silent"
+    | "cut"
+    | "cutFirst"
+    | "lost"
+    | "error"
+    | "rest"
+    | "leaving"
+    | "endless";
 
 export interface FakePlatformEngineOptions {
     readonly id: string;
@@ -49,6 +61,8 @@
 
 const headerPrefix = "x-gooseberrywell-";
 const cacheLifetimeMs = 500;
+const restS = 0.8;
+const endlessBlock = Buffer.alloc(65_536, "z");
 
 export async function startFakePlatformEngine(options: FakePlatformEngineOptions): Promise<FakePlatformEngine> {
     const runs: EngineRun[] = [];
@@ -66,10 +80,25 @@
         body: string,
         headers: Record<string, string> = {},
     ): void {
-        response.writeHead(status, { "content-length": Buffer.byteLength(body), ...headers });
+        response.writeHead(status, {
+            "content-length": Buffer.byteLength(body),
+            ...fault === "leaving" ? { "server-leaving": "1" } : {},
+            ...fault === "rest" && status === 503 ? { "retry-after": String(restS) } : {},
+            ...headers,
+        });
         response.end(body);
     }
 
+    function sendWithoutEnd(response: ServerResponse): void {
+        const writeMore = (): void => {
+            while (!response.destroyed && response.write(endlessBlock)) {
+                // Written until the socket's buffer is full.
+            }
+        };
+        response.on("drain", writeMore);
+        writeMore();
+    }
+
     function rejectAsNotExecuted(response: ServerResponse, status: number, requestId: string): void {
         respond(response, status, "", {
             [`${headerPrefix}not-executed`]: "1",
@@ -78,7 +107,7 @@
     }
 
     function reserve(response: ServerResponse, body: string): void {
-        if (fault === "shed" || reservations.size + streams >= options.capacity) {
+        if (fault === "shed" || fault === "rest" || reservations.size + streams >= options.capacity) {
             respond(response, 503, "");
             return;
         }
@@ -133,7 +162,7 @@
             respond(response, 421, "");
             return;
         }
-        if (fault === "shed") {
+        if (fault === "shed" || fault === "rest") {
             rejectAsNotExecuted(response, 503, requestId);
             return;
         }
@@ -172,6 +201,10 @@
         if (fault === "silent") {
             return;
         }
+        if (fault === "endless") {
+            sendWithoutEnd(response);
+            return;
+        }
         if (fault === "reset") {
             request.socket.resetAndDestroy();
             return;
--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -38,6 +38,8 @@
     readonly publish: (keys: readonly string[]) => void;
     /** Writes the registry record of an engine. */
     readonly register: (engine: FakePlatformEngine, state: "ready" | "draining") => void;
+    /** Writes the newest desired state and records again, as the operator and the engines do after a restoration. */
+    readonly writeAgain: () => void;
     readonly close: () => Promise<void>;
 }
 
@@ -169,11 +171,17 @@
     const startVersions = new Map<string, number>();
     let version = 0;
 
+    const written = new Map<string, readonly [table: string, key: string, text: string]>();
+    function write(table: string, key: string, text: string): void {
+        written.set(`${table} ${key}`, [table, key, text]);
+        store.put(table, key, text);
+    }
+
     function publish(keys: readonly string[]): void {
         version += 3;
         const route = { host, timeout_ms: 5_000, target_latency_ms: 900, priority: 1, attempts: 2, public: false };
         const engineSpec = { slots: 50, kv_tokens: 100_000, hold_ms: 2_000, stride: 1 };
-        store.put(
+        write(
             "op",
             "config",
             JSON.stringify({
@@ -200,7 +208,7 @@
         if (state === "ready") {
             startVersions.set(engine.id, version);
         }
-        store.put(
+        write(
             "servers",
             engine.id,
             JSON.stringify({
@@ -243,6 +251,7 @@
         engines,
         publish,
         register,
+        writeAgain: () => written.forEach(row => store.put(...row)),
         close: async () => {
             entries.forEach(entry => entry.signal("SIGKILL"));
             await Promise.all(entries.map(entry => entry.exited));
--- a/fakes/platformStore.ts
+++ b/fakes/platformStore.ts
@@ -1,6 +1,6 @@
 /**
  * Fake platform store that implements the platform's published store protocol: rows, transactions and change feeds.
- * Faults: outages, lost responses and compacted history.
+ * Faults: outages, lost responses, compacted history and restoration from an older copy.
  */
 
 import { createServer } from "node:http";
@@ -32,6 +32,12 @@
     readonly remove: (table: string, key: string) => void;
     /** Deletes the change history, so that feeds that start at an earlier revision get status 410. */
     readonly compact: () => void;
+    /** Newest revision. */
+    readonly revision: () => number;
+    /** Returns to the state at an earlier revision, as a store that is restored from an older copy, in a new era. */
+    readonly restore: (revision: number) => void;
+    /** Whether responses report the era. */
+    readonly setReportsEra: (reports: boolean) => void;
     readonly close: () => Promise<void>;
 }
 
@@ -45,6 +51,10 @@
 export async function startFakeStore(maxPageRows = 500): Promise<FakeStore> {
     const rows = new Map<string, WireRow>();
     let history: WireRow[] = [];
+    /** All changes of the current era's past, also compacted ones. */
+    let allChanges: readonly WireRow[] = [];
+    let era = 1;
+    let reportsEra = true;
     let revision = 0;
     let oldestRevision = 0;
     let fault: StoreFault = "none";
@@ -54,6 +64,7 @@
 
     function applyChange(row: WireRow): void {
         history.push(row);
+        allChanges = [...allChanges, row];
         if (row.deleted === true) {
             rows.delete(idOf(row.table, row.key));
         }
@@ -69,7 +80,10 @@
     }
 
     function send(response: ServerResponse, status: number, body?: unknown): void {
-        response.writeHead(status, { "content-type": "application/json" });
+        response.writeHead(status, {
+            "content-type": "application/json",
+            ...reportsEra ? { "store-era": String(era) } : {},
+        });
         response.end(body === undefined ? undefined : JSON.stringify(body));
     }
 
@@ -89,11 +103,15 @@
     function rowsFeed(query: URLSearchParams, response: ServerResponse): void {
         const after = Number(query.get("after"));
         const table = query.get("table") ?? "";
-        if (after < oldestRevision) {
+        if (after < oldestRevision || after > revision) {
             send(response, 410);
             return;
         }
         const respond = (): void => {
+            if (after > revision) {
+                send(response, 410);
+                return;
+            }
             const changed = history.filter(row => row.table === table && row.row_version > after);
             send(response, 200, { rows: changed, row_version: revision, now_ms: 1 });
         };
@@ -192,6 +210,21 @@
             oldestRevision = revision + 1;
             revision += 1;
         },
+        revision: () => revision,
+        restore: restored => {
+            const kept = allChanges.filter(row => row.row_version <= restored);
+            rows.clear();
+            history = [];
+            allChanges = [];
+            kept.forEach(applyChange);
+            revision = restored;
+            oldestRevision = 0;
+            era += 1;
+            notifyFeeds();
+        },
+        setReportsEra: reports => {
+            reportsEra = reports;
+        },
         close: async () => {
             server.closeAllConnections();
             await new Promise<void>(resolve => server.close(() => resolve()));
--- a/fakes/simulatedFleet.ts
+++ b/fakes/simulatedFleet.ts
@@ -188,7 +188,7 @@
             entries,
             createScheduler: createSeededScheduler,
         });
-        context.directory.load(records, false);
+        context.directory.load(records, "current");
         return context;
     });
 
--- a/fakes/soakRun.ts
+++ b/fakes/soakRun.ts
@@ -60,6 +60,19 @@
 /** Longer than any fault and any request, so engines must have released all resources after this time. */
 const releaseTimeoutMs = 6_000;
 const msPerSecond = 1_000;
+const engineFaults: readonly EngineFault[] = [
+    "shed",
+    "reset",
+    "silent",
+    "cut",
+    "lost",
+    "error",
+    "rest",
+    "leaving",
+    "endless",
+];
+/** Revisions that a restoration of the store loses at most. */
+const maxLostRevisions = 8;
 const mayRunTwice = (path: string): boolean => path === "/look/x" || path === "/long/x";
 
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
@@ -227,6 +240,17 @@
         hooks.onStoreFaultEnd(Date.now());
     }
 
+    /** The store is away for a moment and comes back from an older copy; the operator and the engines write again. */
+    async function restoreStore(): Promise<void> {
+        site.store.setFault("reset");
+        await delay(100 + durations() * 500);
+        site.store.restore(Math.max(1, site.store.revision() - Math.ceil(durations() * maxLostRevisions)));
+        site.store.setFault("none");
+        await delay(durations() * 500);
+        site.writeAgain();
+        hooks.onStoreFaultEnd(Date.now());
+    }
+
     function connectionFault(random: Random, name: string, targets: readonly TcpProxy[]): Fault | undefined {
         const fault = pickOne<ProxyFault>(random, ["delay", "reset", "silence", "dropResponses"]) ?? "reset";
         return exclusiveFault(pickOne(random, targets), `${name} ${fault}`, async proxy => {
@@ -249,15 +273,20 @@
             return exclusiveFault(site.store, `store ${fault}`, () => injectStoreFault(fault));
         },
         random => {
-            const fault = pickOne<EngineFault>(random, ["shed", "reset", "silent", "cut", "lost", "error"]) ?? "shed";
+            const fault = pickOne(random, engineFaults) ?? "shed";
             return exclusiveFault(pickOne(random, site.engines), `engine ${fault}`, async engine => {
                 engine.setFault(fault);
                 await delay(200 + durations() * 1_000);
                 engine.setFault("none");
+                if (fault === "leaving") {
+                    // An engine that has announced that it is leaving is used again only after a new start.
+                    site.register(engine, "ready");
+                }
             });
         },
         random => connectionFault(random, "connections", proxies.engines),
         random => connectionFault(random, "one entry's connections to the store", proxies.store),
+        () => exclusiveFault(site.store, "store restored from an older copy", restoreStore),
         // Withdrawals and compactions have no target; an object that no other fault uses makes each of them exclusive.
         () => exclusiveFault(hooks, "key withdrawn", async () => hooks.withdrawKey()),
         () => exclusiveFault(hooks.onStoreFaultEnd, "store history compacted", async () => site.store.compact()),
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -13,21 +13,21 @@
 import { createEngineDirectory } from "../engines/engineDirectory.js";
 import { createEngineHealth } from "../engines/engineHealth.js";
 import { createEngineLoads } from "../engines/engineLoads.js";
+import type { EngineNotices } from "../engines/engineNotices.js";
 import type { EnginePort, EngineRecord, EngineRecordDecoder } from "../engines/enginePort.js";
 import type { ForwardContext } from "../forwarding/context.js";
 import { forward } from "../forwarding/forward.js";
 import type { ForwardRequest, ForwardResult } from "../forwarding/forwardRequest.js";
 import { createFleetQuota } from "../limits/fleetQuota.js";
 import { createFleetRetryBudget } from "../limits/fleetRetryBudget.js";
+import { createDesiredStateSync } from "../peerSync/desiredStateSync.js";
 import { createEntryList } from "../peerSync/entryList.js";
 import type { EntryState } from "../peerSync/messages.js";
 import { createPeerSync } from "../peerSync/peerSync.js";
 import { createTableReplica } from "../peerSync/tableReplica.js";
-import type { TableCopy, TableFeed } from "../peerSync/tableReplica.js";
+import type { CopyOrigin, TableCopy, TableFeed } from "../peerSync/tableReplica.js";
 import type { TableService } from "../platform/ports.js";
 import type { CallerLimits, DesiredState } from "../routes/desiredState.js";
-import { createRouteTable } from "../routes/routeTable.js";
-import type { RouteTable } from "../routes/routeTable.js";
 import { listen } from "../rpc/httpServer.js";
 import { createRpcClient } from "../rpc/rpcClient.js";
 import { createRpcHandler, rpcPath } from "../rpc/rpcServer.js";
@@ -52,6 +52,8 @@
     /** The table of registered engines, and its decoder. */
     readonly registry: { readonly table: string; readonly feed: TableFeed; readonly decode: EngineRecordDecoder; };
     readonly engines: EnginePort;
+    /** What engines announce in their responses; the adapter records it. */
+    readonly notices: EngineNotices;
 }
 
 /** A started entry. */
@@ -106,18 +108,29 @@
     const random = createRandom(Math.trunc(clock.wallMs()) ^ Number.parseInt(startId.slice(0, 8), 16));
     const stopping = new AbortController();
     const rpc = createRpcClient();
-    const { engines } = ports;
-    const directory = createEngineDirectory(clock, log);
+    const { engines, notices } = ports;
+    const directory = createEngineDirectory(clock, log, notices);
     const health = createEngineHealth(clock);
     const loads = createEngineLoads();
     const quota = createFleetQuota(clock, { burstTolerance: settings.quotaSlack * quotaSlackFraction });
     const retryBudget = createFleetRetryBudget(clock, settings.retryBudget);
-    let routes: RouteTable | undefined;
     let shutdownDeadlineMs: number | undefined;
 
-    const leadership = createOrderLeadership(ports.tables, clock, log, settings.host);
+    const desiredState = createDesiredStateSync({
+        clock,
+        rpc,
+        log,
+        key: ports.desiredState.key,
+        decode: ports.desiredState.decode,
+        onChange: ({ services }) =>
+            services.forEach(({ name, maxConnections }) => engines.setMaxConnections(name, maxConnections)),
+    });
+    const leadership = createOrderLeadership(ports.tables, clock, log, {
+        holder: settings.host,
+        isFirstStart: settings.isFirstStart,
+    });
     const stages = createStageController(
-        { clock, directory, loads, engines, leadership, log, metrics, routes: () => routes },
+        { clock, directory, loads, engines, leadership, log, metrics, routes: desiredState.routes },
         { prefillFraction },
     );
     const view: PlacementView = {
@@ -132,28 +145,7 @@
         defaultDecodeSchedulerSettings,
     );
 
-    function applyDesiredState({ rows, revision }: TableCopy): void {
-        const row = rows.find(({ key }) => key === ports.desiredState.key);
-        if (row === undefined) {
-            return;
-        }
-        const decoded = ports.desiredState.decode(row.value);
-        if (decoded.isErr) {
-            log.warn("the desired state can't be read; the last one stays in force", { cause: decoded.error });
-            return;
-        }
-        const before = routes?.state.version;
-        if (before !== undefined && decoded.value.version <= before) {
-            return;
-        }
-        routes = createRouteTable(decoded.value);
-        for (const { name, maxConnections } of decoded.value.services) {
-            engines.setMaxConnections(name, maxConnections);
-        }
-        log.info("a desired state is in force", { version: decoded.value.version, before, revision });
-    }
-
-    function applyRegistry({ rows, revision }: TableCopy, afterOutage: boolean): void {
+    function applyRegistry({ rows, position }: TableCopy, origin: CopyOrigin): void {
         const records: EngineRecord[] = [];
         for (const { key, value } of rows) {
             const decoded = ports.registry.decode(key, value);
@@ -161,10 +153,10 @@
                 records.push(decoded.value);
             }
             else {
-                log.decision("a record of the registry names no engine", { key, cause: decoded.error, revision });
+                log.decision("a record of the registry names no engine", { key, cause: decoded.error, position });
             }
         }
-        directory.load(records, afterOutage);
+        directory.load(records, origin);
     }
 
     const desiredStateReplica = createTableReplica(ports.desiredState.feed, clock, log, {
@@ -172,7 +164,7 @@
         waitMs: feedWaitMs,
         pauseMs: desiredStatePauseMs,
         retryMs: feedRetryMs,
-    }, applyDesiredState);
+    }, desiredState.applyCopy);
     const registryReplica = createTableReplica(ports.registry.feed, clock, log, {
         table: ports.registry.table,
         waitMs: feedWaitMs,
@@ -189,6 +181,9 @@
         quota.applyReportedUsage(state.start, state.usage);
         loads.setPeer(state.url, state.work);
         stages.recordPeerReconfiguring(state.reconfiguring);
+        leadership.recordPeerToken(state.fencingToken);
+        state.leaving.forEach(notices.recordLeaving);
+        void desiredState.applyPeerState(state);
     }
 
     const peerSync = createPeerSync({ url, start: startId, seeds: settings.seeds.filter(seed => seed !== url) }, {
@@ -199,12 +194,19 @@
             [ports.desiredState.table]: desiredStateReplica,
             [ports.registry.table]: registryReplica,
         },
-        localState: () => ({ usage: quota.usage(), work: loads.own(), reconfiguring: stages.reconfiguring() }),
+        localState: () => ({
+            usage: quota.usage(),
+            work: loads.own(),
+            reconfiguring: stages.reconfiguring(),
+            fencingToken: leadership.highestToken(),
+            desiredStateVersion: desiredState.version(),
+            leaving: [...notices.leaving()],
+        }),
         onState: applyPeerState,
         onPeerRemoved: loads.forgetPeer,
     });
     const entryList = createEntryList(ports.tables, clock, log, { url, start: startId }, peerSync.addPeers);
-    const handler = createRpcHandler(peerSync.methods);
+    const handler = createRpcHandler({ ...peerSync.methods, ...desiredState.methods });
     const server = await listen(
         settings.exchange.ip,
         settings.exchange.port,
@@ -213,7 +215,7 @@
 
     /** Requests table copies from other entries until a desired state is known. */
     async function fetchCopies(): Promise<void> {
-        while (!stopping.signal.aborted && routes === undefined) {
+        while (!stopping.signal.aborted && desiredState.routes() === undefined) {
             await clock.sleep(peerRefreshMs, stopping.signal);
             await peerSync.fetchMissingCopies();
         }
@@ -234,7 +236,7 @@
         "requests that wait for a place at a decode engine",
         decodeScheduler.queuedRequests,
     );
-    metrics.gauge("desiredStateVersion", "version in force", () => routes?.state.version ?? 0);
+    metrics.gauge("desiredStateVersion", "version in force", desiredState.version);
     metrics.gauge(
         "storeSilenceMs",
         "time since the store confirmed the desired state",
@@ -255,7 +257,7 @@
         log,
         metrics,
         view,
-        routes: () => routes,
+        routes: desiredState.routes,
         directory,
         health,
         loads,
@@ -268,9 +270,9 @@
 
     return {
         forward: request => forward(context, request),
-        limits: () => routes?.state.limits ?? initialLimits,
-        desiredStateVersion: () => routes?.state.version,
-        isReady: () => routes !== undefined && registryReplica.copy().revision >= 0,
+        limits: () => desiredState.routes()?.state.limits ?? initialLimits,
+        desiredStateVersion: () => desiredState.routes()?.state.version,
+        isReady: () => desiredState.routes() !== undefined && registryReplica.position().revision >= 0,
         setShutdownDeadline: deadlineMs => {
             shutdownDeadlineMs = deadlineMs;
         },
--- a/src/daemon/forwardingSettings.ts
+++ b/src/daemon/forwardingSettings.ts
@@ -25,6 +25,8 @@
     readonly seeds: readonly string[];
     /** IP address and port of the store. */
     readonly storeAddress: string;
+    /** Whether all entries start for the first time, so that the store contains nothing of theirs yet. */
+    readonly isFirstStart: boolean;
     /** Time from SIGTERM until the process is killed. */
     readonly graceMs: number;
     readonly retryBudget: RetryBudgetSettings;
--- a/src/engines/engineDirectory.ts
+++ b/src/engines/engineDirectory.ts
@@ -1,27 +1,42 @@
 /**
- * Engines that are known from the registry.
+ * Engines that are known from the registry and from their own announcements.
  *
  * An engine that has started to drain stays draining until it restarts, and a record of an earlier start never replaces
- * one of a later start. A record that disappeared while the registry was unavailable is kept for a short time, since
- * live engines are listed again within seconds.
+ * one of a later start. A record that disappeared while the registry was unavailable, or because the registry was
+ * restored from an older copy, is kept for a short time, since live engines are listed again within seconds. A record
+ * that had been removed and is listed again only because of such a restoration is not used until its engine has written
+ * it again or the platform has had the time to remove it again.
  */
 
 import type { Clock } from "../common/clock.js";
+import type { CopyOrigin } from "../peerSync/tableReplica.js";
 import type { Log } from "../telemetry/telemetry.js";
-import type { EngineRecord } from "./enginePort.js";
+import type { EngineNotices } from "./engineNotices.js";
+import type { EngineRecord, Stage } from "./enginePort.js";
 
 /** Within two seconds of the end of a registry outage, live engines are listed again (platform); others have ended. */
 export const missingRecordGraceMs = 2_000;
 
+/** The platform removes the record of an engine that has ended within three heartbeats; this is longer. */
+const restoredRecordDoubtMs = 6_000;
+/** How long removed records are remembered: longer than a restoration of the registry may go back. */
+const removedRecordRetentionMs = 60_000;
+
 export interface EngineDirectory {
-    /** Engines of a service that are ready for work. */
+    /** Engines of a service that accept work now. */
     readonly usable: (service: string) => readonly EngineRecord[];
+    readonly isUsable: (id: string) => boolean;
+    /**
+     * Time until the first resting engine of a service and stage accepts work; `undefined` if none of them rests, or if
+     * another one is usable.
+     */
+    readonly allRestingMs: (service: string, stage: Stage | undefined) => number | undefined;
     /** All engines that may still run requests, including draining ones. */
     readonly known: () => readonly EngineRecord[];
     /** Record of an engine, also if it is draining or missing from the list. */
     readonly get: (id: string) => EngineRecord | undefined;
-    /** Replaces the list. With `afterOutage`, missing engines are kept for `missingRecordGraceMs`. */
-    readonly load: (records: readonly EngineRecord[], afterOutage: boolean) => void;
+    /** Replaces the list. Unless `origin` is `current`, missing engines are kept for `missingRecordGraceMs`. */
+    readonly load: (records: readonly EngineRecord[], origin: CopyOrigin) => void;
     /** Calls `listener` after each change. */
     readonly onChange: (listener: () => void) => void;
 }
@@ -30,12 +45,20 @@
     readonly record: EngineRecord;
     /** Monotonic time at which a record that is missing from the list is removed; `undefined` while it is listed. */
     readonly expiresAtMs: number | undefined;
+    /** Monotonic time until which a record is not used that only a restoration has listed again. */
+    readonly doubtfulUntilMs: number | undefined;
+}
+
+interface RemovedRecord {
+    readonly bornMs: number;
+    readonly removedAtMs: number;
 }
 
-export function createEngineDirectory(clock: Clock, log: Log): EngineDirectory {
+export function createEngineDirectory(clock: Clock, log: Log, notices: EngineNotices): EngineDirectory {
     let enginesById = new Map<string, KnownEngine>();
     let usableByService = new Map<string, readonly EngineRecord[]>();
     let nextExpiryMs = Number.POSITIVE_INFINITY;
+    const removedById = new Map<string, RemovedRecord>();
     const listeners: (() => void)[] = [];
 
     /** The newer of two records of an engine, by start and sequence; it stays draining within one start. */
@@ -49,12 +72,26 @@
         return previous.state === "draining" ? { ...next, state: "draining" } : next;
     }
 
+    function isUsable({ record, doubtfulUntilMs }: KnownEngine): boolean {
+        return record.state === "ready" && !notices.isClosed(record)
+            && (doubtfulUntilMs === undefined || doubtfulUntilMs <= clock.monotonicMs());
+    }
+
+    /** Monotonic time of the next change of an engine that no new record or announcement causes. */
+    function nextChangeMs({ record, expiresAtMs, doubtfulUntilMs }: KnownEngine): number {
+        const nowMs = clock.monotonicMs();
+        const restMs = notices.restRemainingMs(record);
+        const times = [expiresAtMs, doubtfulUntilMs, restMs > 0 ? nowMs + restMs : undefined];
+        return Math.min(...times.map(timeMs => timeMs !== undefined && timeMs > nowMs ? timeMs : Infinity));
+    }
+
     function rebuildIndex(): void {
         usableByService = new Map();
         nextExpiryMs = Number.POSITIVE_INFINITY;
-        for (const { record, expiresAtMs } of enginesById.values()) {
-            nextExpiryMs = Math.min(nextExpiryMs, expiresAtMs ?? Number.POSITIVE_INFINITY);
-            if (record.state === "ready") {
+        for (const engine of enginesById.values()) {
+            nextExpiryMs = Math.min(nextExpiryMs, nextChangeMs(engine));
+            const { record } = engine;
+            if (isUsable(engine)) {
                 usableByService.set(record.service, [...usableByService.get(record.service) ?? [], record]);
             }
         }
@@ -66,15 +103,41 @@
         if (nowMs < nextExpiryMs) {
             return;
         }
-        for (const [id, { expiresAtMs }] of enginesById) {
+        for (const [id, { record, expiresAtMs }] of enginesById) {
             if (expiresAtMs !== undefined && expiresAtMs <= nowMs) {
                 enginesById.delete(id);
-                log.info("engine is gone: its record did not come back after the store's outage", { engine: id });
+                recordRemoval(record, "its record did not come back after the store's outage");
             }
         }
         rebuildIndex();
     }
 
+    function recordRemoval({ id, bornMs }: EngineRecord, cause: string): void {
+        const nowMs = clock.monotonicMs();
+        for (const [removedId, { removedAtMs }] of removedById) {
+            if (nowMs - removedAtMs > removedRecordRetentionMs) {
+                removedById.delete(removedId);
+            }
+        }
+        removedById.set(id, { bornMs, removedAtMs: nowMs });
+        log.info("engine is gone", { engine: id, bornMs, cause });
+    }
+
+    /** Until when a listed record is not used, see `KnownEngine`. */
+    function doubtOf(record: EngineRecord, origin: CopyOrigin): number | undefined {
+        const known = enginesById.get(record.id);
+        const hasNewRecord = known !== undefined
+            && (record.bornMs !== known.record.bornMs || record.recordSequence > known.record.recordSequence);
+        if (known !== undefined) {
+            return hasNewRecord ? undefined : known.doubtfulUntilMs;
+        }
+        const isRestored = origin === "afterRestoration" && removedById.get(record.id)?.bornMs === record.bornMs;
+        if (isRestored) {
+            log.info("an engine that was gone is listed again by a restored registry", { engine: record.id });
+        }
+        return isRestored ? clock.monotonicMs() + restoredRecordDoubtMs : undefined;
+    }
+
     function logChange(previous: EngineRecord | undefined, next: EngineRecord): void {
         if (previous?.state !== next.state || previous.bornMs !== next.bornMs || previous.stage !== next.stage) {
             const { id, service, address, state, stage, bornMs } = next;
@@ -82,35 +145,57 @@
         }
     }
 
+    notices.onChange(rebuildIndex);
+
     return {
         usable: service => {
             removeExpired();
             return usableByService.get(service) ?? [];
         },
+        isUsable: id => {
+            const engine = enginesById.get(id);
+            return engine !== undefined && isUsable(engine);
+        },
+        allRestingMs: (service, stage) => {
+            removeExpired();
+            if ((usableByService.get(service) ?? []).some(engine => engine.stage === stage)) {
+                return undefined;
+            }
+            const restsMs = [...enginesById.values()]
+                .filter(({ record }) => record.service === service && record.stage === stage)
+                .filter(({ record }) => record.state === "ready" && !notices.isLeaving(record))
+                .map(({ record }) => notices.restRemainingMs(record))
+                .filter(restMs => restMs > 0);
+            return restsMs.length === 0 ? undefined : Math.min(...restsMs);
+        },
         known: () => {
             removeExpired();
             return [...enginesById.values()].map(knownEngine => knownEngine.record);
         },
         get: id => enginesById.get(id)?.record,
-        load: (records, afterOutage) => {
+        load: (records, origin) => {
             const next = new Map<string, KnownEngine>();
             for (const record of records) {
                 const previous = enginesById.get(record.id)?.record;
                 const merged = merge(previous, record);
                 logChange(previous, merged);
-                next.set(record.id, { record: merged, expiresAtMs: undefined });
+                next.set(record.id, {
+                    record: merged,
+                    expiresAtMs: undefined,
+                    doubtfulUntilMs: doubtOf(record, origin),
+                });
             }
             for (const [id, knownEngine] of enginesById) {
                 if (next.has(id)) {
                     continue;
                 }
                 const expiresAtMs = knownEngine.expiresAtMs
-                    ?? (afterOutage ? clock.monotonicMs() + missingRecordGraceMs : undefined);
+                    ?? (origin === "current" ? undefined : clock.monotonicMs() + missingRecordGraceMs);
                 if (expiresAtMs !== undefined && expiresAtMs > clock.monotonicMs()) {
-                    next.set(id, { record: knownEngine.record, expiresAtMs });
+                    next.set(id, { ...knownEngine, expiresAtMs });
                 }
                 else {
-                    log.info("engine is gone: its record was removed", { engine: id });
+                    recordRemoval(knownEngine.record, "its record was removed");
                 }
             }
             enginesById = next;
--- a/src/engines/engines.test.ts
+++ b/src/engines/engines.test.ts
@@ -5,13 +5,27 @@
 import { describe, expect, it } from "vitest";
 import { engineRecord, silentDecisionLog } from "../../fakes/forwardingHarness.js";
 import { createVirtualClock } from "../../fakes/virtualClock.js";
+import type { VirtualClock } from "../../fakes/virtualClock.js";
 import { createEngineDirectory, missingRecordGraceMs } from "./engineDirectory.js";
+import type { EngineDirectory } from "./engineDirectory.js";
 import { createEngineHealth } from "./engineHealth.js";
 import type { AttemptOutcome } from "./engineHealth.js";
+import { createEngineNotices, parseRestMs } from "./engineNotices.js";
+import type { EngineNotices } from "./engineNotices.js";
 import type { EngineRecord } from "./enginePort.js";
 
 const first = engineRecord("i-1", undefined, { recordSequence: 5 });
 
+function createTestDirectory(): {
+    readonly clock: VirtualClock;
+    readonly directory: EngineDirectory;
+    readonly notices: EngineNotices;
+} {
+    const clock = createVirtualClock();
+    const notices = createEngineNotices(clock, silentDecisionLog);
+    return { clock, directory: createEngineDirectory(clock, silentDecisionLog, notices), notices };
+}
+
 interface RecordCase {
     readonly name: string;
     readonly lists: readonly (readonly EngineRecord[])[];
@@ -50,24 +64,140 @@
 
 describe("engine directory", () => {
     it.each(recordCases)("$name is usable: $usable", ({ lists, usable }) => {
-        const directory = createEngineDirectory(createVirtualClock(), silentDecisionLog);
-        lists.forEach(list => directory.load(list, false));
+        const directory = createTestDirectory().directory;
+        lists.forEach(list => directory.load(list, "current"));
         expect(directory.usable("desk").length > 0).toBe(usable);
     });
 
     it("keeps a record that disappeared during an outage until its grace period ends", async () => {
-        const clock = createVirtualClock();
-        const directory = createEngineDirectory(clock, silentDecisionLog);
-        directory.load([first, engineRecord("i-2")], false);
-        directory.load([], true);
+        const { clock, directory } = createTestDirectory();
+        directory.load([first, engineRecord("i-2")], "current");
+        directory.load([], "afterOutage");
         await clock.advance(missingRecordGraceMs - 1);
         expect(directory.usable("desk")).toHaveLength(2);
-        directory.load([first], false);
+        directory.load([first], "current");
         await clock.advance(1);
         expect(directory.usable("desk").map(engine => engine.id)).toEqual(["i-1"]);
     });
 });
 
+interface RestorationCase {
+    readonly name: string;
+    readonly before: readonly (readonly EngineRecord[])[];
+    /** The first list of the restored registry, and the lists after it. */
+    readonly restored: readonly EngineRecord[];
+    readonly after?: readonly (readonly EngineRecord[])[];
+    readonly waitMs?: number;
+    readonly usable: boolean;
+}
+
+const restorationCases: readonly RestorationCase[] = [
+    { name: "a new engine whose record is lost is still used", before: [[first]], restored: [], usable: true },
+    {
+        name: "a new engine whose record is lost and not written again is removed",
+        before: [[first]],
+        restored: [],
+        waitMs: missingRecordGraceMs,
+        usable: false,
+    },
+    { name: "an engine that had gone is not used", before: [[first], []], restored: [first], usable: false },
+    {
+        name: "an engine that had gone is used once it has written its record again",
+        before: [[first], []],
+        restored: [first],
+        after: [[{ ...first, recordSequence: 6 }]],
+        usable: true,
+    },
+    {
+        name: "an engine that had gone is used once its record would have been removed again",
+        before: [[first], []],
+        restored: [first],
+        waitMs: 6_000,
+        usable: true,
+    },
+    {
+        name: "an engine that had started to drain stays draining",
+        before: [[first], [{ ...first, state: "draining", recordSequence: 6 }]],
+        restored: [first],
+        waitMs: 60_000,
+        usable: false,
+    },
+    {
+        name: "a new start of an engine that had gone is used",
+        before: [[first], []],
+        restored: [{ ...first, bornMs: 2 }],
+        usable: true,
+    },
+];
+
+describe("engine directory after a restoration of the registry from an older copy", () => {
+    it.each(restorationCases)("$name", async ({ before, restored, after = [], waitMs = 0, usable }) => {
+        const { clock, directory } = createTestDirectory();
+        before.forEach(list => directory.load(list, "current"));
+        directory.load(restored, "afterRestoration");
+        after.forEach(list => directory.load(list, "current"));
+        await clock.advance(waitMs);
+        expect(directory.usable("desk").length > 0).toBe(usable);
+    });
+});
+
+interface RestCase {
+    readonly retryAfter: string | undefined;
+    readonly restMs: number | undefined;
+}
+
+const restCases: readonly RestCase[] = [
+    { retryAfter: "2", restMs: 2_000 },
+    { retryAfter: "0.25", restMs: 250 },
+    { retryAfter: " 1 ", restMs: 1_000 },
+    { retryAfter: "0", restMs: undefined },
+    { retryAfter: "-1", restMs: undefined },
+    { retryAfter: "", restMs: undefined },
+    { retryAfter: "soon", restMs: undefined },
+    { retryAfter: "Wed, 21 Oct 2026 07:28:00 GMT", restMs: undefined },
+    { retryAfter: undefined, restMs: undefined },
+    { retryAfter: "1e300", restMs: 300_000 },
+    { retryAfter: "Infinity", restMs: 300_000 },
+];
+
+describe("announcements of engines", () => {
+    it.each(restCases)("a Retry-After of $retryAfter means a rest of $restMs ms", ({ retryAfter, restMs }) => {
+        expect(parseRestMs(retryAfter)).toBe(restMs);
+    });
+
+    it("a leaving engine is not used until it restarts, whatever its records say", () => {
+        const { directory, notices } = createTestDirectory();
+        directory.load([first], "current");
+        notices.recordLeaving(first);
+        directory.load([{ ...first, recordSequence: 9 }], "current");
+        expect([directory.usable("desk").length, directory.isUsable("i-1")]).toEqual([0, false]);
+        directory.load([{ ...first, bornMs: 2 }], "current");
+        expect([directory.usable("desk").length, directory.isUsable("i-1")]).toEqual([1, true]);
+    });
+
+    it("a resting engine is used again when its rest ends; a shorter rest does not end a longer one", async () => {
+        const { clock, directory, notices } = createTestDirectory();
+        directory.load([first], "current");
+        notices.recordRest(first, 2_000);
+        notices.recordRest(first, 500);
+        expect(directory.allRestingMs("desk", undefined)).toBe(2_000);
+        await clock.advance(1_999);
+        expect(directory.usable("desk")).toHaveLength(0);
+        await clock.advance(1);
+        expect(directory.usable("desk")).toHaveLength(1);
+        expect(directory.allRestingMs("desk", undefined)).toBeUndefined();
+    });
+
+    it("the shortest rest counts if all engines of a stage rest, and none if one of them is usable", () => {
+        const { directory, notices } = createTestDirectory();
+        const engines = ["d-1", "d-2"].map(id => engineRecord(id, "decode"));
+        directory.load([...engines, engineRecord("p-1", "prefill")], "current");
+        engines.forEach((engine, index) => notices.recordRest(engine, 1_000 * (index + 1)));
+        expect(directory.allRestingMs("models", "decode")).toBe(1_000);
+        expect(directory.allRestingMs("models", "prefill")).toBeUndefined();
+    });
+});
+
 interface HealthCase {
     readonly name: string;
     /** Outcomes of the engines `a`, `b` and `c`, in order. */
--- a/src/forwarding/forward.test.ts
+++ b/src/forwarding/forward.test.ts
@@ -408,3 +408,127 @@
         },
     );
 });
+
+interface RestingCase {
+    readonly kind: "nonIdempotent" | "stream";
+    readonly resting: readonly string[];
+    readonly outcome: string;
+    /** Engines that are asked for anything. */
+    readonly called: readonly string[];
+}
+
+const restingCases: readonly RestingCase[] = [
+    { kind: "nonIdempotent", resting: ["i-1", "i-2"], outcome: "200 ok", called: ["i-3"] },
+    { kind: "nonIdempotent", resting: ["i-1", "i-2", "i-3"], outcome: "503", called: [] },
+    { kind: "stream", resting: ["d-1"], outcome: "200 ok", called: ["d-2", "p-1"] },
+    { kind: "stream", resting: ["d-1", "d-2"], outcome: "503", called: [] },
+];
+
+describe("engines that accept nothing for some time", () => {
+    const engines = [
+        ...["i-1", "i-2", "i-3"].map(id => engineRecord(id)),
+        engineRecord("p-1", "prefill"),
+        engineRecord("d-1", "decode"),
+        engineRecord("d-2", "decode"),
+    ];
+
+    it.each(restingCases)("$kind while $resting rest: $outcome", async ({ kind, resting, outcome, called }) => {
+        const harness = createForwardingHarness(desiredStateOf([routeOf(kind)]));
+        harness.load(engines);
+        resting.forEach((id, index) => harness.notices.recordRest({ id, bornMs: 1 }, 3_000 + 1_000 * index));
+        const result = await forward(
+            harness.context,
+            requestTo(`/${kind}/x`, kind === "stream" ? { size: smallSize } : {}),
+        );
+        expect(await describeOutcome(result)).toBe(outcome);
+        expect([...new Set(harness.calls.map(call => call.split(" ")[1]))].sort()).toEqual([...called]);
+        if (result.kind === "refused") {
+            expect(result.refusal.retryAfterMs).toBe(3_000);
+        }
+    });
+
+    it("refuses queued requests at once when the last engine begins to rest for longer than they can wait", async () => {
+        const harness = createForwardingHarness(desiredStateOf([routeOf("stream")]), {
+            reserve: async engine => {
+                harness.notices.recordRest(engine, 20_000);
+                return errorOf("notExecuted");
+            },
+        });
+        harness.load([engineRecord("p-1", "prefill"), engineRecord("d-1", "decode")]);
+        const waiting = forward(harness.context, requestTo("/stream/x", { size: smallSize }));
+        await harness.clock.advance(40);
+        const result = await waiting;
+        expect(await describeOutcome(result)).toBe("503");
+        expect(harness.calls).toEqual(["reserve d-1"]);
+    });
+
+    it("releases a reservation that a leaving engine granted, and sends the request elsewhere", async () => {
+        const harness = createForwardingHarness(desiredStateOf([routeOf("stream")]), {
+            reserve: async (engine, tokens) => {
+                if (engine.id === "d-1") {
+                    harness.notices.recordLeaving(engine);
+                }
+                return Result.ok({ id: `hold at ${engine.id}`, tokens });
+            },
+        });
+        harness.load(["d-1", "d-2"].map(id => engineRecord(id, "decode")));
+        const result = await forward(harness.context, requestTo("/stream/x", { size: smallSize }));
+        expect(await describeOutcome(result)).toBe("200 ok");
+        expect(harness.calls).toEqual(["reserve d-1", "releaseReservation d-1", "reserve d-2", "send d-2"]);
+    });
+});
+
+describe("bodies without end", () => {
+    it("passes a large body of a plain service on, and ends it with the attempt", async () => {
+        const chunk = Buffer.alloc(65_536, "x");
+        let produced = 0;
+        let aborted = false;
+        const body = new Readable({
+            read() {
+                produced += chunk.length;
+                this.push(chunk);
+            },
+            destroy(error, done) {
+                aborted = true;
+                done(error);
+            },
+        });
+        const harness = createForwardingHarness(desiredStateOf([routeOf("idempotent")]), {
+            send: async () => Result.ok({ engine: "i-1", status: 200, headers: [], body }),
+        });
+        harness.load([engineRecord("i-1")]);
+        const result = await forward(harness.context, requestTo("/idempotent/x"));
+        if (result.kind !== "answered") {
+            throw new Error("no answer");
+        }
+        let read = 0;
+        for await (const part of result.answer.body as AsyncIterable<Buffer>) {
+            read += part.length;
+            if (read > 16 * 1_048_576) {
+                break;
+            }
+        }
+        // Read ahead only by what is buffered for retries.
+        expect(produced - read).toBeLessThan(1_048_576);
+        expect(aborted).toBe(true);
+    });
+
+    it("breaks off a resumable stream whose event has no end", async () => {
+        const harness = createForwardingHarness(
+            desiredStateOf([routeOf("stream", { isResumable: true, maxEngines: 1 })]),
+            {
+                send: async () => {
+                    const body = new Readable({
+                        read() {
+                            this.push("data: and so on ".repeat(1_000));
+                        },
+                    });
+                    return Result.ok({ engine: "d-1", status: 200, headers: [], body });
+                },
+            },
+        );
+        harness.load([engineRecord("d-1", "decode")]);
+        const result = await forward(harness.context, requestTo("/stream/x", { size: smallSize }));
+        expect(await describeOutcome(result)).toBe("200 , broken");
+    });
+});
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -131,10 +131,10 @@
         releaseResources(context, allocation, cache);
         return cancelled();
     }
-    if (context.directory.get(allocation.engine.id)?.state !== "ready") {
+    if (!context.directory.isUsable(allocation.engine.id)) {
         endPrefillLoad();
         releaseResources(context, allocation, cache);
-        return Result.err({ kind: "unreachable", cause: "the engine began to leave while the prompt was read" });
+        return Result.err({ kind: "unreachable", cause: "the engine stopped accepting work during the prefill" });
     }
     if (!callBudget.tryAcquireCall()) {
         endPrefillLoad();
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -26,6 +26,8 @@
 /** Retry delay for callers when no instance has run the call, for example because all instances are full. */
 const unavailableRetryMs = 250;
 const serverError = 500;
+/** Many times a usual response of a plain service; limits the memory that one response takes. */
+const maxBufferedBytes = 262_144;
 
 interface Attempt {
     readonly engine: EngineRecord;
@@ -118,12 +120,21 @@
     context.health.recordOutcome(engine.id, isUnresponsive ? "unresponsive" : "failed");
 }
 
-/** Reads the whole body into memory; fails if the engine breaks off the response. */
+/**
+ * Reads the whole body into memory; fails if the engine breaks off the response. Of a body larger than
+ * `maxBufferedBytes` the rest is passed on as it arrives, and ends at the attempt's timeout at the latest.
+ */
 async function bufferBody(response: EngineResponse): Promise<Result<EngineResponse, EngineError>> {
+    const { body } = response;
     const chunks: Buffer[] = [];
+    let sizeBytes = 0;
     try {
-        for await (const chunk of response.body as AsyncIterable<Buffer>) {
+        for await (const chunk of body.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
             chunks.push(chunk);
+            sizeBytes += chunk.length;
+            if (sizeBytes > maxBufferedBytes) {
+                return Result.ok({ ...response, body: Readable.from(concatenate(chunks, body)) });
+            }
         }
     }
     catch (error) {
@@ -132,6 +143,12 @@
     return Result.ok({ ...response, body: Readable.from(chunks.length === 0 ? [] : [Buffer.concat(chunks)]) });
 }
 
+/** The chunks that were read, then the rest of the body. */
+async function* concatenate(chunks: readonly Buffer[], rest: Readable): AsyncGenerator<Buffer> {
+    yield* chunks;
+    yield* rest as AsyncIterable<Buffer>;
+}
+
 function logRetry(context: ForwardContext, routed: RoutedRequest, { engine, result }: Attempt): void {
     context.metrics.count("repeats", routed.service);
     context.log.decision("sending the call to another engine", {
@@ -155,5 +172,6 @@
         const isPastDeadline = timeLeftMs(context, routed) <= 0;
         return refuse(isPastDeadline ? 504 : 502, `the outcome is unknown: ${cause}`);
     }
-    return refuse(503, cause, unavailableRetryMs);
+    const restMs = context.directory.allRestingMs(routed.service, undefined);
+    return refuse(503, cause, restMs ?? unavailableRetryMs);
 }
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -17,6 +17,8 @@
 const idField = "id:";
 const lineFeed = "\n";
 const successStatus = 200;
+/** Limit on an incomplete event, which is kept in memory: a faulty engine may send bytes that never end an event. */
+const maxEventBytes = 1_048_576;
 /** Limit on what is buffered for a slow caller: a few events. */
 const readAheadBytes = 4_096;
 const endOfStream = null;
@@ -132,6 +134,9 @@
         const lastDelimiter = pending.lastIndexOf(eventDelimiter);
         if (lastDelimiter < 0) {
             partialEvent = pending;
+            if (partialEvent.length > maxEventBytes) {
+                body.destroy(new Error(`an event is larger than ${maxEventBytes} bytes`));
+            }
             return;
         }
         const events = pending.subarray(0, lastDelimiter + eventDelimiter.length);
--- a/src/peerSync/entryList.ts
+++ b/src/peerSync/entryList.ts
@@ -1,6 +1,6 @@
 /**
  * The list of entries in the store, through which entries find each other when no seed responds. Each entry writes a row
- * for itself at its start and removes it when it shuts down.
+ * for itself at its start, writes it again if a restoration of the store has lost it, and removes it when it shuts down.
  */
 
 import type { Clock } from "../common/clock.js";
@@ -34,8 +34,14 @@
 
     async function read(): Promise<void> {
         const rows = await tables.scan(table, "", scanLimit);
-        if (rows.isOk) {
-            onEntries(rows.value.map(row => row.key));
+        if (rows.isErr) {
+            return;
+        }
+        const urls = rows.value.map(row => row.key);
+        onEntries(urls);
+        if (!urls.includes(own.url) && rows.value.length < scanLimit) {
+            log.info("the row of this entry is missing from the store and is written again", { entry: own.url });
+            await write();
         }
     }
 
--- a/src/peerSync/messages.ts
+++ b/src/peerSync/messages.ts
@@ -5,11 +5,15 @@
 
 import { z } from "zod";
 import type { JsonValue } from "../common/json.js";
+import { unknownPosition } from "./storePosition.js";
+import type { StorePosition } from "./storePosition.js";
+import type { TableCopy } from "./tableReplica.js";
 
 export const peerSyncMethods = {
     state: "exchange.state",
     leave: "exchange.leave",
     copy: "exchange.copy",
+    desiredState: "exchange.desiredState",
 } as const;
 
 const workSchema = z.object({ requests: z.number(), kvTokens: z.number(), prefillTokens: z.number() });
@@ -26,6 +30,14 @@
     work: z.record(z.string(), workSchema),
     /** Revisions of its copies of the store's tables, by table name. */
     revisions: z.record(z.string(), z.number()),
+    /** Eras of these revisions, by table name; entries of earlier versions send none. */
+    eras: z.record(z.string(), z.number()).default({}),
+    /** Highest fencing token of an order to an engine that it has seen. */
+    fencingToken: z.number().default(0),
+    /** Version of the desired state that it has in force; 0 for none. */
+    desiredStateVersion: z.number().default(0),
+    /** Engines that announced in a response that they are leaving, with the Unix milliseconds of their starts. */
+    leaving: z.array(z.object({ id: z.string(), bornMs: z.number() })).default([]),
     /** Remaining time in ms of each engine's change to another stage, by engine. */
     reconfiguring: z.record(z.string(), z.number()),
     /** Base URLs of the peers that it has seen. */
@@ -34,11 +46,26 @@
 
 export type EntryState = z.output<typeof entryStateSchema>;
 
+/** Position of an entry's copy of a table. */
+export function positionOf({ revisions, eras }: Pick<EntryState, "revisions" | "eras">, table: string): StorePosition {
+    const revision = revisions[table];
+    return revision === undefined ? unknownPosition : { era: eras[table] ?? unknownPosition.era, revision };
+}
+
 export const leaveSchema = z.object({ url: z.string(), start: z.string() });
 
 export const copyRequestSchema = z.object({ table: z.string() });
 
 export const tableCopySchema = z.object({
+    era: z.number().default(unknownPosition.era),
     revision: z.number(),
     rows: z.array(z.object({ key: z.string(), value: z.custom<JsonValue>(value => value !== undefined) })),
-});
+}).transform(({ era, revision, rows }): TableCopy => ({ position: { era, revision }, rows }));
+
+/** A copy of a table as it is sent to other entries. */
+export function encodeTableCopy({ position, rows }: TableCopy): z.input<typeof tableCopySchema> {
+    return { ...position, rows: [...rows] };
+}
+
+/** The row with the desired state that an entry has in force; `value` is absent if it has none. */
+export const desiredStateResponseSchema = z.object({ value: z.custom<JsonValue>().optional() });
--- a/src/peerSync/peerSync.test.ts
+++ b/src/peerSync/peerSync.test.ts
@@ -10,34 +10,56 @@
 import type { RpcClient } from "../rpc/rpcClient.js";
 import { peerSyncMethods } from "./messages.js";
 import { createPeerSync, peerSyncIntervalMs } from "./peerSync.js";
-import type { PeerSync } from "./peerSync.js";
+import type { LocalState, PeerSync } from "./peerSync.js";
+import { isLater } from "./storePosition.js";
+import type { StorePosition } from "./storePosition.js";
 import { createTableReplica } from "./tableReplica.js";
-import type { FeedError, TableChanges, TableCopy, TableFeed, TableReplica } from "./tableReplica.js";
+import type { CopyOrigin, FeedError, TableChanges, TableCopy, TableFeed, TableReplica } from "./tableReplica.js";
+
+const at = (revision: number, era = 1): StorePosition => ({ era, revision });
+const noLocalState: LocalState = {
+    usage: {},
+    work: {},
+    reconfiguring: {},
+    fencingToken: 0,
+    desiredStateVersion: 0,
+    leaving: [],
+};
 
 /** A change feed whose content and failures the test sets. */
 interface ManualFeed extends TableFeed {
     copy: TableCopy;
+    /** Number of calls of the feed and of whole reads so far. */
+    calls: number;
     failure: FeedError["kind"] | undefined;
 }
 
 function createManualFeed(clock: VirtualClock): ManualFeed {
     const feed: ManualFeed = {
-        copy: { revision: 1, rows: [{ key: "a", value: 1 }] },
+        copy: { position: at(1), rows: [{ key: "a", value: 1 }] },
         failure: undefined,
-        readAll: async () =>
-            feed.failure === "unknown" || feed.failure === "unavailable"
+        calls: 0,
+        readAll: async () => {
+            feed.calls += 1;
+            return feed.failure === "unknown" || feed.failure === "unavailable"
                 ? Result.err({ kind: feed.failure, cause: "test" })
-                : Result.ok(feed.copy),
-        changesAfter: async (revision, waitMs) => {
-            if (feed.copy.revision <= revision && feed.failure === undefined) {
+                : Result.ok(feed.copy);
+        },
+        changesAfter: async (position, waitMs) => {
+            feed.calls += 1;
+            const isUnknown = (): boolean => feed.copy.position.revision < position.revision;
+            if (!isUnknown() && !isLater(feed.copy.position, position) && feed.failure === undefined) {
                 await clock.sleep(waitMs);
             }
+            if (feed.failure === undefined && isUnknown()) {
+                return Result.err<TableChanges, FeedError>({ kind: "historyGone", cause: "unknown revision" });
+            }
             if (feed.failure !== undefined) {
                 return Result.err<TableChanges, FeedError>({ kind: feed.failure, cause: "test" });
             }
             return Result.ok<TableChanges, FeedError>({
-                revision: feed.copy.revision,
-                changed: feed.copy.revision > revision ? [...feed.copy.rows] : [],
+                position: feed.copy.position,
+                changed: feed.copy.position.revision > position.revision ? [...feed.copy.rows] : [],
             });
         },
     };
@@ -45,8 +67,8 @@
 }
 
 interface ReceivedCopy {
-    readonly revision: number;
-    readonly afterOutage: boolean;
+    readonly position: StorePosition;
+    readonly origin: CopyOrigin;
 }
 
 function startReplica(clock: VirtualClock, feed: TableFeed, received: ReceivedCopy[]): TableReplica {
@@ -56,7 +78,7 @@
         clock,
         silentDecisionLog,
         settings,
-        ({ revision }, afterOutage) => void received.push({ revision, afterOutage }),
+        ({ position }, origin) => void received.push({ position, origin }),
     );
     void replica.follow(new AbortController().signal);
     return replica;
@@ -69,16 +91,16 @@
         const received: ReceivedCopy[] = [];
         const replica = startReplica(clock, feed, received);
         await clock.advance(100);
-        feed.copy = { revision: 2, rows: [{ key: "b", value: 2 }] };
+        feed.copy = { position: at(2), rows: [{ key: "b", value: 2 }] };
         await clock.advance(2_000);
         expect(replica.copy().rows).toHaveLength(2);
         feed.failure = "historyGone";
-        feed.copy = { revision: 3, rows: [{ key: "c", value: 3 }] };
+        feed.copy = { position: at(3), rows: [{ key: "c", value: 3 }] };
         await clock.advance(1_600);
         feed.failure = undefined;
         await clock.advance(1_000);
-        expect(replica.copy()).toEqual({ revision: 3, rows: [{ key: "c", value: 3 }] });
-        expect(received.map(({ revision }) => revision)).toEqual([1, 2, 3]);
+        expect(replica.copy()).toEqual({ position: at(3), rows: [{ key: "c", value: 3 }] });
+        expect(received.map(({ position }) => position.revision)).toEqual([1, 2, 3]);
     });
 
     it("takes a whole table of the same revision, since the feed may have omitted a change", async () => {
@@ -87,11 +109,11 @@
         const replica = startReplica(clock, feed, []);
         await clock.advance(100);
         // The feed advances to the newest revision without listing the change made in it.
-        feed.copy = { revision: 2, rows: [] };
+        feed.copy = { position: at(2), rows: [] };
         await clock.advance(2_000);
-        expect(replica.copy()).toEqual({ revision: 2, rows: [{ key: "a", value: 1 }] });
+        expect(replica.copy()).toEqual({ position: at(2), rows: [{ key: "a", value: 1 }] });
         feed.failure = "historyGone";
-        feed.copy = { revision: 2, rows: [{ key: "a", value: "draining" }] };
+        feed.copy = { position: at(2), rows: [{ key: "a", value: "draining" }] };
         await clock.advance(1_600);
         feed.failure = undefined;
         await clock.advance(500);
@@ -108,18 +130,18 @@
         await clock.advance(5_000);
         expect(replica.stalenessMs()).toBeGreaterThan(3_000);
         feed.failure = undefined;
-        feed.copy = { revision: 9, rows: [] };
+        feed.copy = { position: at(9), rows: [] };
         await clock.advance(400);
-        expect(received.at(-1)).toEqual({ revision: 9, afterOutage: true });
+        expect(received.at(-1)).toEqual({ position: at(9), origin: "afterOutage" });
         // Changes that the feed lists from then on were made after the outage, however soon they arrive.
-        feed.copy = { revision: 10, rows: [{ key: "y", value: 1 }] };
+        feed.copy = { position: at(10), rows: [{ key: "y", value: 1 }] };
         await clock.advance(1_700);
-        expect(received.at(-1)).toEqual({ revision: 10, afterOutage: false });
-        feed.copy = { revision: 11, rows: [{ key: "z", value: 1 }] };
+        expect(received.at(-1)).toEqual({ position: at(10), origin: "current" });
+        feed.copy = { position: at(11), rows: [{ key: "z", value: 1 }] };
         await clock.advance(10_000);
-        feed.copy = { revision: 12, rows: [{ key: "z", value: 2 }] };
+        feed.copy = { position: at(12), rows: [{ key: "z", value: 2 }] };
         await clock.advance(2_000);
-        expect(received.at(-1)).toEqual({ revision: 12, afterOutage: false });
+        expect(received.at(-1)).toEqual({ position: at(12), origin: "current" });
     });
 
     it("never returns to an older revision", async () => {
@@ -127,10 +149,62 @@
         const feed = createManualFeed(clock);
         const replica = startReplica(clock, feed, []);
         await clock.advance(100);
-        expect(replica.adoptIfNewer({ revision: 5, rows: [] })).toBe(true);
-        expect(replica.adoptIfNewer({ revision: 4, rows: [{ key: "old", value: 1 }] })).toBe(false);
+        expect(replica.adoptIfNewer({ position: at(5), rows: [] })).toBe(true);
+        expect(replica.adoptIfNewer({ position: at(4), rows: [{ key: "old", value: 1 }] })).toBe(false);
+        await clock.advance(5_000);
+        expect(replica.position()).toEqual(at(5));
+    });
+});
+
+interface RestorationCase {
+    readonly name: string;
+    /** Revision of the store after its restoration; it was 10 before. */
+    readonly restoredTo: number;
+    readonly eraAfter: number;
+}
+
+const restorationCases: readonly RestorationCase[] = [
+    { name: "to a lower revision", restoredTo: 4, eraAfter: 2 },
+    { name: "and has assigned the same revision again", restoredTo: 10, eraAfter: 2 },
+    { name: "and has assigned higher revisions again", restoredTo: 14, eraAfter: 2 },
+    { name: "twice", restoredTo: 4, eraAfter: 3 },
+];
+
+describe("a replica of a store that is restored from an older copy", () => {
+    it.each(restorationCases)("$name takes the restored table once", async ({ restoredTo, eraAfter }) => {
+        const clock = createVirtualClock();
+        const feed = createManualFeed(clock);
+        const received: ReceivedCopy[] = [];
+        feed.copy = { position: at(10), rows: [{ key: "lost", value: 1 }] };
+        const replica = startReplica(clock, feed, received);
+        await clock.advance(100);
+        feed.copy = { position: at(restoredTo, eraAfter), rows: [{ key: "kept", value: 1 }] };
+        feed.calls = 0;
+        await clock.advance(3_000);
+        expect(replica.copy()).toEqual({ position: at(restoredTo, eraAfter), rows: [{ key: "kept", value: 1 }] });
+        expect(received.slice(1)).toEqual([{ position: at(restoredTo, eraAfter), origin: "afterRestoration" }]);
+        expect(feed.calls).toBeLessThan(10);
+    });
+
+    it("calls a store that has no history with a delay", async () => {
+        const clock = createVirtualClock();
+        const feed = createManualFeed(clock);
+        startReplica(clock, feed, []);
+        feed.failure = "historyGone";
         await clock.advance(5_000);
-        expect(replica.copy().revision).toBe(5);
+        // A whole read and a failed feed call in each retry delay.
+        expect(feed.calls).toBeLessThan(50);
+    });
+
+    it("prefers a copy of a newer era from another entry, and rejects one of an older era", async () => {
+        const clock = createVirtualClock();
+        const feed = createManualFeed(clock);
+        feed.copy = { position: at(10), rows: [] };
+        const replica = startReplica(clock, feed, []);
+        await clock.advance(100);
+        expect(replica.adoptIfNewer({ position: at(3, 2), rows: [] })).toBe(true);
+        expect(replica.adoptIfNewer({ position: at(99, 1), rows: [] })).toBe(false);
+        expect(replica.position()).toEqual(at(3, 2));
     });
 });
 
@@ -176,7 +250,7 @@
             rpc: rpcOf(index),
             log: silentDecisionLog,
             replicas: { t: replica },
-            localState: () => ({ usage: {}, work: {}, reconfiguring: {} }),
+            localState: () => noLocalState,
             onState: () => undefined,
             onPeerRemoved: () => undefined,
         });
@@ -227,6 +301,21 @@
         expect(fleet.peerSyncs[0]?.members()).toBe(2);
     });
 
+    it("passes a restored copy with a lower revision to an entry that gets no response from the store", async () => {
+        const clock = createVirtualClock();
+        const good = createManualFeed(clock);
+        const bad = createManualFeed(clock);
+        [good, bad].forEach(feed => {
+            feed.copy = { position: at(10), rows: [] };
+        });
+        const fleet = createFleet(2, [good, bad], clock);
+        await clock.advance(1_000);
+        bad.failure = "unavailable";
+        good.copy = { position: at(4, 2), rows: [{ key: "a", value: "restored" }] };
+        await clock.advance(5_000);
+        expect(fleet.replicas[1]?.copy()).toEqual({ position: at(4, 2), rows: [{ key: "a", value: "restored" }] });
+    });
+
     it("passes newer copies to an entry that gets no response from the store", async () => {
         const clock = createVirtualClock();
         const good = createManualFeed(clock);
@@ -234,8 +323,8 @@
         const fleet = createFleet(2, [good, bad], clock);
         await clock.advance(1_000);
         bad.failure = "unavailable";
-        good.copy = { revision: 8, rows: [{ key: "a", value: "new" }] };
+        good.copy = { position: at(8), rows: [{ key: "a", value: "new" }] };
         await clock.advance(5_000);
-        expect(fleet.replicas[1]?.copy()).toEqual({ revision: 8, rows: [{ key: "a", value: "new" }] });
+        expect(fleet.replicas[1]?.copy()).toEqual({ position: at(8), rows: [{ key: "a", value: "new" }] });
     });
 });
--- a/src/peerSync/peerSync.ts
+++ b/src/peerSync/peerSync.ts
@@ -15,8 +15,17 @@
 import { rpcMethod } from "../rpc/rpcServer.js";
 import type { RpcMethods } from "../rpc/rpcServer.js";
 import type { Log } from "../telemetry/telemetry.js";
-import { copyRequestSchema, entryStateSchema, leaveSchema, peerSyncMethods, tableCopySchema } from "./messages.js";
+import {
+    copyRequestSchema,
+    encodeTableCopy,
+    entryStateSchema,
+    leaveSchema,
+    peerSyncMethods,
+    positionOf,
+    tableCopySchema,
+} from "./messages.js";
 import type { EntryState } from "./messages.js";
+import { isLater, unknownPosition } from "./storePosition.js";
 import type { TableReplica } from "./tableReplica.js";
 
 export interface PeerSyncSettings {
@@ -29,7 +38,10 @@
 }
 
 /** The part of an entry's state that other modules supply. */
-export type LocalState = Pick<EntryState, "usage" | "work" | "reconfiguring">;
+export type LocalState = Pick<
+    EntryState,
+    "usage" | "work" | "reconfiguring" | "fencingToken" | "desiredStateVersion" | "leaving"
+>;
 
 export interface PeerSyncDependencies {
     readonly clock: Clock;
@@ -65,8 +77,6 @@
     lastSeenAtMs: number | undefined;
     readonly addedAtMs: number;
     isCallPending: boolean;
-    /** Revisions of its table copies, by table name. */
-    revisions: Readonly<Record<string, number>>;
 }
 
 /** Interval between rounds; the possible overshoot of rate limits grows with it. */
@@ -103,18 +113,18 @@
                 lastSeenAtMs: undefined,
                 addedAtMs: clock.monotonicMs(),
                 isCallPending: false,
-                revisions: {},
             });
         }
     }
 
     function ownState(): EntryState {
-        const revisions = Object.entries(replicas).map(([table, replica]) => [table, replica.copy().revision] as const);
+        const positions = Object.entries(replicas).map(([table, replica]) => [table, replica.position()] as const);
         const seenUrls = [...peers].filter(([, peer]) => peer.lastSeenAtMs !== undefined).map(([url]) => url);
         return {
             url: settings.url,
             start: settings.start,
-            revisions: Object.fromEntries(revisions),
+            revisions: Object.fromEntries(positions.map(([table, { revision }]) => [table, revision])),
+            eras: Object.fromEntries(positions.map(([table, { era }]) => [table, era])),
             entries: seenUrls,
             ...dependencies.localState(),
         };
@@ -131,10 +141,9 @@
         }
         peer.start = state.start;
         peer.lastSeenAtMs = clock.monotonicMs();
-        peer.revisions = state.revisions;
         state.entries.forEach(addPeer);
         dependencies.onState(state);
-        void fetchNewerCopies(state.url, state.revisions);
+        void fetchNewerCopies(state);
     }
 
     function removePeer(url: string, cause: string): void {
@@ -174,11 +183,11 @@
         }
     }
 
-    async function fetchNewerCopies(url: string, revisions: Readonly<Record<string, number>>): Promise<void> {
+    async function fetchNewerCopies(state: EntryState): Promise<void> {
         for (const [table, replica] of Object.entries(replicas)) {
-            const isNewer = (revisions[table] ?? -1) > replica.copy().revision;
+            const isNewer = isLater(positionOf(state, table), replica.position());
             if (isNewer && replica.stalenessMs() > copyFromPeerAfterMs) {
-                await fetchCopy(url, table, replica);
+                await fetchCopy(state.url, table, replica);
             }
         }
     }
@@ -190,7 +199,7 @@
             log.info("took a newer copy of a table from another entry", {
                 entry: url,
                 table,
-                revision: copy.value.revision,
+                position: copy.value.position,
             });
         }
     }
@@ -219,7 +228,8 @@
             }),
             [peerSyncMethods.copy]: rpcMethod(
                 copyRequestSchema,
-                async ({ table }) => replicas[table]?.copy() ?? { revision: -1, rows: [] },
+                async ({ table }) =>
+                    encodeTableCopy(replicas[table]?.copy() ?? { position: unknownPosition, rows: [] }),
             ),
         },
         members,
@@ -236,7 +246,7 @@
         fetchMissingCopies: async () => {
             settings.seeds.forEach(addPeer);
             for (const [table, replica] of Object.entries(replicas)) {
-                if (replica.copy().revision < 0) {
+                if (replica.position().revision < 0) {
                     await Promise.all([...peers.keys()].map(url => fetchCopy(url, table, replica)));
                 }
             }
--- a/src/peerSync/tableReplica.ts
+++ b/src/peerSync/tableReplica.ts
@@ -1,6 +1,7 @@
 /**
  * A local replica of one table of the store. It follows the table's change feed and, while the store cannot be
- * reached, takes newer copies from other entries. Its revision never decreases.
+ * reached, takes newer copies from other entries. Its position never goes back: after the store was restored from an
+ * older copy, the restored table is at a later position although its revision may be lower.
  */
 
 import { Result } from "true-myth";
@@ -8,22 +9,27 @@
 import type { JsonValue } from "../common/json.js";
 import type { PlatformError } from "../platform/ports.js";
 import type { Log } from "../telemetry/telemetry.js";
+import { comparePositions, isLater, unknownPosition } from "./storePosition.js";
+import type { StorePosition } from "./storePosition.js";
 
 export interface TableRow {
     readonly key: string;
     readonly value: JsonValue;
 }
 
-/** All rows of a table at one revision of the store. */
+/** All rows of a table at one position in the history of the store. */
 export interface TableCopy {
-    readonly revision: number;
+    readonly position: StorePosition;
     readonly rows: readonly TableRow[];
 }
 
-/** Changes after a revision; a row whose value is `undefined` was deleted. */
+/** Changes after a position; a row whose value is `undefined` was deleted. */
 export interface TableChanges {
-    /** Revision of the last listed change; if there are no changes, the revision in the request. */
-    readonly revision: number;
+    /**
+     * Era of the response, and the revision of the last listed change; if there are no changes, the revision in the
+     * request.
+     */
+    readonly position: StorePosition;
     readonly changed: readonly { readonly key: string; readonly value: JsonValue | undefined; }[];
 }
 
@@ -32,12 +38,14 @@
 /** The change feed of one table. */
 export interface TableFeed {
     readonly readAll: () => Promise<Result<TableCopy, PlatformError>>;
-    /** Long poll: resolves as soon as there are changes after `revision`, or without changes after `waitMs`. */
-    readonly changesAfter: (revision: number, waitMs: number) => Promise<Result<TableChanges, FeedError>>;
+    /** Long poll: resolves as soon as there are changes after `position`, or without changes after `waitMs`. */
+    readonly changesAfter: (position: StorePosition, waitMs: number) => Promise<Result<TableChanges, FeedError>>;
 }
 
 export interface TableReplica {
     readonly copy: () => TableCopy;
+    /** Position of the copy; its revision is -1 before the first copy. */
+    readonly position: () => StorePosition;
     /** Time since the store last confirmed the copy; infinite until the first confirmation. */
     readonly stalenessMs: () => number;
     /** Replaces the copy by that of another entry if it is newer; returns whether it did. */
@@ -57,11 +65,15 @@
 }
 
 /**
- * Called with each new copy. `afterOutage` is true for the first copy after calls to the store had failed, and for
- * copies from other entries while they fail: rows may be missing from these only because their writers could not reach
- * the store either.
+ * Why rows may be missing from a copy, or be older than rows seen before. `afterOutage`: the first copy after calls to
+ * the store had failed, or a copy from another entry while they fail; writers may not have reached the store either.
+ * `afterRestoration`: the first copy of a new era; the writes of the last seconds are lost, and the operator and the
+ * engines write theirs again.
  */
-export type CopyListener = (copy: TableCopy, afterOutage: boolean) => void;
+export type CopyOrigin = "current" | "afterOutage" | "afterRestoration";
+
+/** Called with each new copy. */
+export type CopyListener = (copy: TableCopy, origin: CopyOrigin) => void;
 
 export function createTableReplica(
     feed: TableFeed,
@@ -71,31 +83,38 @@
     onCopy: CopyListener,
 ): TableReplica {
     const rows = new Map<string, JsonValue>();
-    let revision = -1;
+    let position = unknownPosition;
     let confirmedAtMs = Number.NEGATIVE_INFINITY;
     let isStoreUnreachable = false;
 
     function copy(): TableCopy {
-        return { revision, rows: [...rows].map(([key, value]) => ({ key, value })) };
+        return { position, rows: [...rows].map(([key, value]) => ({ key, value })) };
+    }
+
+    function originOf(next: StorePosition, afterOutage: boolean): CopyOrigin {
+        const isFirst = position.revision === unknownPosition.revision;
+        if (!isFirst && next.era > position.era) {
+            log.warn("the store was restored from an older copy", { table: settings.table, before: position, next });
+            return "afterRestoration";
+        }
+        return afterOutage ? "afterOutage" : "current";
     }
 
     function replaceAll(next: TableCopy, afterOutage: boolean): boolean {
-        const isSame = next.revision === revision && JSON.stringify(next.rows) === JSON.stringify(copy().rows);
-        if (next.revision < revision || isSame) {
+        const order = comparePositions(next.position, position);
+        const isSame = order === 0 && JSON.stringify(next.rows) === JSON.stringify(copy().rows);
+        if (order < 0 || isSame) {
             return false;
         }
+        const origin = originOf(next.position, afterOutage);
         rows.clear();
         next.rows.forEach(row => rows.set(row.key, row.value));
-        revision = next.revision;
-        onCopy(copy(), afterOutage);
+        position = next.position;
+        onCopy(copy(), origin);
         return true;
     }
 
     function apply(changes: TableChanges): void {
-        // A newer copy from another entry may have been taken while the call was pending.
-        if (changes.revision <= revision) {
-            return;
-        }
         for (const { key, value } of changes.changed) {
             if (value === undefined) {
                 rows.delete(key);
@@ -104,9 +123,9 @@
                 rows.set(key, value);
             }
         }
-        revision = changes.revision;
+        position = changes.position;
         if (changes.changed.length > 0) {
-            onCopy(copy(), false);
+            onCopy(copy(), "current");
         }
     }
 
@@ -114,14 +133,14 @@
         confirmedAtMs = askedAtMs;
         if (isStoreUnreachable) {
             isStoreUnreachable = false;
-            log.info("the store answers again", { table: settings.table, revision });
+            log.info("the store answers again", { table: settings.table, position });
         }
     }
 
     function recordFailure(cause: string): void {
         if (!isStoreUnreachable) {
             isStoreUnreachable = true;
-            log.warn("the store does not answer", { table: settings.table, revision, cause });
+            log.warn("the store does not answer", { table: settings.table, position, cause });
         }
     }
 
@@ -139,13 +158,18 @@
 
     async function readChanges(): Promise<Result<undefined, FeedError>> {
         const askedAtMs = clock.monotonicMs();
-        const before = revision;
+        const before = position;
         const changes = await feed.changesAfter(before, settings.waitMs);
         if (changes.isErr) {
             return Result.err(changes.error);
         }
+        if (changes.value.position.era !== before.era) {
+            // Changes of another era do not apply to this copy, even if their revisions continue it.
+            return Result.err({ kind: "historyGone", cause: "the changes belong to another era of the store" });
+        }
         recordConfirmation(askedAtMs);
-        if (revision === before) {
+        // A newer copy from another entry may have been taken while the call was pending.
+        if (comparePositions(position, before) === 0 && isLater(changes.value.position, before)) {
             apply(changes.value);
         }
         return Result.ok(undefined);
@@ -153,14 +177,18 @@
 
     return {
         copy,
+        position: () => position,
         stalenessMs: () => clock.monotonicMs() - confirmedAtMs,
-        adoptIfNewer: next => next.revision > revision && replaceAll(next, isStoreUnreachable),
+        adoptIfNewer: next => isLater(next.position, position) && replaceAll(next, isStoreUnreachable),
         follow: async signal => {
             let needsFullRead = true;
+            let isHistoryUsable = false;
             while (!signal.aborted) {
-                const read = needsFullRead || revision < 0 ? await readAll() : await readChanges();
+                const isFullRead = needsFullRead || position.revision < 0;
+                const read = isFullRead ? await readAll() : await readChanges();
                 if (read.isOk) {
                     needsFullRead = false;
+                    isHistoryUsable ||= !isFullRead;
                     await clock.sleep(settings.pauseMs, signal);
                     continue;
                 }
@@ -169,7 +197,12 @@
                 if (read.error.kind === "historyGone") {
                     log.info("the store no longer has the change history; reading the whole table", {
                         table: settings.table,
+                        position,
+                        cause: read.error.cause,
                     });
+                    // A second loss right after a whole read is retried with a delay, to limit the load on the store.
+                    await clock.sleep(isHistoryUsable ? 0 : settings.retryMs, signal);
+                    isHistoryUsable = false;
                     continue;
                 }
                 recordFailure(read.error.cause);
--- a/src/platform/httpPlatform.ts
+++ b/src/platform/httpPlatform.ts
@@ -8,6 +8,7 @@
 import { z } from "zod";
 import { checkValue, describeInvalidInput } from "../common/json.js";
 import type { JsonValue } from "../common/json.js";
+import { readText } from "../common/readText.js";
 import type { CommitOutcome, HostRecord, Platform, PlatformError, Row } from "./ports.js";
 
 export interface HttpPlatformSettings {
@@ -43,6 +44,8 @@
 });
 
 const maxConnections = 8;
+/** The largest objects are snapshots of the configuration. */
+const maxResponseBytes = 64 * 1_024 * 1_024;
 const statusOk = 200;
 
 export function createHttpPlatform(settings: HttpPlatformSettings): Platform {
@@ -62,7 +65,7 @@
                 body: JSON.stringify(body),
                 signal: AbortSignal.timeout(settings.timeoutMs),
             });
-            const responseBody = await response.body.json();
+            const responseBody: unknown = JSON.parse(await readText(response.body, maxResponseBytes));
             if (response.statusCode !== statusOk) {
                 return Result.err({ kind: "unavailable", cause: `${path}: status ${response.statusCode}` });
             }
@@ -91,6 +94,9 @@
                 const response = await request("/table/commit", { ...transaction, writes }, commitSchema);
                 return response.map((outcome): CommitOutcome => outcome);
             },
+            // This protocol reports no restorations.
+            era: () => 0,
+            wasRestored: () => false,
         },
         objects: {
             put: async (name, body) => {
--- a/src/platform/memoryPlatform.ts
+++ b/src/platform/memoryPlatform.ts
@@ -11,6 +11,8 @@
 export interface MemoryPlatform extends Platform {
     readonly setHosts: (hosts: readonly HostRecord[]) => void;
     readonly rowCount: () => number;
+    /** Copies all rows. The returned function restores that copy and increments the era, as a restored store does. */
+    readonly snapshot: () => () => void;
 }
 
 interface StoredRow {
@@ -20,7 +22,8 @@
 
 export function createMemoryPlatform(): MemoryPlatform {
     // A deleted row keeps its version, so that a delayed transaction cannot match a row that was inserted again.
-    const tables = new Map<string, Map<string, StoredRow>>();
+    let tables = new Map<string, Map<string, StoredRow>>();
+    let era = 0;
     const objects = new Map<string, string>();
     let hosts: readonly HostRecord[] = [];
 
@@ -67,6 +70,8 @@
             read: async keys => Result.ok(keys.map(readRow)),
             scan: async (table, fromKey, limit) => Result.ok(scan(table, fromKey, limit)),
             commit: async transaction => Result.ok(commit(transaction)),
+            era: () => era,
+            wasRestored: () => era > 0,
         },
         objects: {
             put: async (name, body) => {
@@ -79,6 +84,13 @@
         setHosts: next => {
             hosts = next;
         },
+        snapshot: () => {
+            const saved = [...tables].map(([name, rows]) => [name, new Map(rows)] as const);
+            return () => {
+                tables = new Map(saved.map(([name, rows]) => [name, new Map(rows)]));
+                era += 1;
+            };
+        },
         rowCount: () => [...tables.values()].reduce((count, table) => count + table.size, 0),
     };
 }
--- a/src/platform/ports.ts
+++ b/src/platform/ports.ts
@@ -52,6 +52,13 @@
     readonly scan: (table: string, fromKey: string, limit: number) => Promise<Result<readonly Row[], PlatformError>>;
     /** Applies all writes if all conditions hold, otherwise none. */
     readonly commit: (transaction: Transaction) => Promise<Result<CommitOutcome, PlatformError>>;
+    /**
+     * Highest era that a response has reported so far: how often the service was restored from an older copy. Row
+     * versions are assigned again after that, so a version is valid only in the era in which it was read.
+     */
+    readonly era: () => number;
+    /** Whether the era has increased since the first response that this process received. */
+    readonly wasRestored: () => boolean;
 }
 
 export interface ObjectStore {
--- a/src/scheduling/decodeScheduler.ts
+++ b/src/scheduling/decodeScheduler.ts
@@ -119,6 +119,7 @@
 const maximumRetryAfterMs = 4_000;
 /** Window over which allocations are counted to estimate how fast the queue moves. */
 const allocationWindowMs = 2_000;
+const allRestingCause = "all decode engines accept no requests for some time";
 /** Initial mean duration of an allocation: several hundred tokens at a few milliseconds each. */
 const initialAllocationMs = 4_000;
 /** Initial mean of the output tokens of a response, from the platform's data sheets. */
@@ -245,10 +246,15 @@
             size.promptTokens / prefillTokensPerMs + reservationMarginMs,
         );
         const reserved = await engines.reserve(engine, requestedTokens, Math.ceil(reservationTtlMs), reserveTimeoutMs);
-        if (reserved.isOk) {
+        if (reserved.isOk && directory.isUsable(engine.id)) {
             return { engine, reservation: reserved.value, end };
         }
         endWork();
+        if (reserved.isOk) {
+            // The engine has announced meanwhile that it accepts no more requests.
+            engines.releaseReservation(engine, reserved.value);
+            return undefined;
+        }
         backoffUntilMs.set(engine.id, clock.monotonicMs() + reservationBackoffMs);
         if (reserved.error.kind !== "notExecuted") {
             health.recordOutcome(engine.id, "unresponsive");
@@ -301,10 +307,16 @@
         return false;
     }
 
+    /** Refuses the requests that can get no allocation before their queue deadline. */
     function refuseExpired(queue: ServiceQueue, service: string): void {
-        for (const item of queue.pending.takeExpired(clock.monotonicMs())) {
+        const restMs = directory.allRestingMs(service, "decode");
+        const nextAllocationMs = clock.monotonicMs() + (restMs ?? 0);
+        for (const item of queue.pending.takeExpired(nextAllocationMs)) {
             item.resolve(
-                Result.err({ cause: "no decode engine had room in time", retryAfterMs: retryAfterMs(service) }),
+                Result.err({
+                    cause: restMs === undefined ? "no decode engine had room in time" : allRestingCause,
+                    retryAfterMs: restMs ?? retryAfterMs(service),
+                }),
             );
         }
     }
@@ -361,7 +373,8 @@
                     retryAfterMs: maximumRetryAfterMs,
                 });
             }
-            if (decodeEngines(service).length === 0) {
+            const restMs = directory.allRestingMs(service, "decode");
+            if (decodeEngines(service).length === 0 && restMs === undefined) {
                 return Result.err({ cause: "no decode engine is available", retryAfterMs: minimumRetryAfterMs });
             }
             const queue = queueOf(service);
--- a/src/stages/orderLeadership.ts
+++ b/src/stages/orderLeadership.ts
@@ -6,6 +6,10 @@
  * wall clock, so a holder that was paused sends nothing when it resumes. Another entry takes over only after it has
  * seen the row unchanged, by its own clock, for longer than an order can be in transit. A host that restarts stays the
  * holder without a delay, because no earlier process on it is alive.
+ *
+ * A store that is restored from an older copy may name an earlier holder and an earlier token, or none. The store's era
+ * is therefore the high part of the token, and a row that was written in an earlier era makes nobody the holder until
+ * it has been seen unchanged for that time. Entries also tell each other the highest token that they have seen.
  */
 
 import { z } from "zod";
@@ -16,6 +20,17 @@
 export interface OrderLeadership {
     /** Becomes or stays the holder and increments the token; `undefined` if that failed or its outcome is unknown. */
     readonly claim: () => Promise<OrderPermit | undefined>;
+    /** Highest token that this entry has written, read or received; 0 for none. */
+    readonly highestToken: () => number;
+    /** Records a token that another entry has seen; no token up to it is issued. */
+    readonly recordPeerToken: (fencingToken: number) => void;
+}
+
+export interface OrderLeadershipSettings {
+    /** Name of this host. */
+    readonly holder: string;
+    /** Whether all entries start for the first time, so that a missing row cannot have been lost. */
+    readonly isFirstStart: boolean;
 }
 
 /** Permission to send one order, with the token to send. */
@@ -28,44 +43,69 @@
 
 const leaderRow: RowKey = { table: "duties", key: "orders" };
 const leaderSchema = z.object({ holder: z.string(), fencingToken: z.number().int() });
+type LeaderRow = Readonly<z.output<typeof leaderSchema>>;
 /** An unchanged row may be taken over after this: longer than an order can be in transit (platform, 12 s). */
 const takeOverAfterMs = 14_000;
 /** Longest time from the request of the write to the sending of the order. */
 const permitTtlMs = 700;
+/** Number of tokens in an era: the low part of a token. Tokens of the first 4,096 eras fit into 32 bits. */
+const tokensPerEra = 2 ** 20;
+
+function eraOf(fencingToken: number): number {
+    return Math.floor(fencingToken / tokensPerEra);
+}
 
 export function createOrderLeadership(
     tables: TableService,
     clock: Clock,
     log: DecisionLog,
-    holder: string,
+    settings: OrderLeadershipSettings,
 ): OrderLeadership {
-    let lastSeen: { readonly fencingToken: number; readonly holder: string; readonly sinceMs: number; } | undefined;
+    const { holder } = settings;
+    /** The row as it was last seen; `value` is `undefined` if it did not exist. */
+    let lastSeen:
+        | { readonly value: LeaderRow | undefined; readonly era: number; readonly sinceMs: number; }
+        | undefined;
+    let highestToken = 0;
 
-    function mayTakeOver(current: z.output<typeof leaderSchema>): boolean {
-        if (current.holder === holder) {
-            return true;
+    function recordToken(fencingToken: number): void {
+        if (Number.isSafeInteger(fencingToken)) {
+            highestToken = Math.max(highestToken, fencingToken);
         }
-        if (
-            lastSeen === undefined || lastSeen.fencingToken !== current.fencingToken
-            || lastSeen.holder !== current.holder
-        ) {
-            lastSeen = { ...current, sinceMs: clock.monotonicMs() };
+    }
+
+    /** Whether the row may have lost a holder or a token that engines have seen. */
+    function mayBeOutdated(current: LeaderRow | undefined, era: number): boolean {
+        return current === undefined
+            ? highestToken > 0 || !settings.isFirstStart || tables.wasRestored()
+            : eraOf(current.fencingToken) < era;
+    }
+
+    function mayTakeOver(current: LeaderRow | undefined, era: number): boolean {
+        const isSame = lastSeen !== undefined && lastSeen.era === era
+            && lastSeen.value?.fencingToken === current?.fencingToken && lastSeen.value?.holder === current?.holder;
+        if (lastSeen === undefined || !isSame) {
+            lastSeen = { value: current, era, sinceMs: clock.monotonicMs() };
         }
-        return clock.monotonicMs() - lastSeen.sinceMs > takeOverAfterMs;
+        const isOwn = current === undefined || current.holder === holder;
+        return (isOwn && !mayBeOutdated(current, era)) || clock.monotonicMs() - lastSeen.sinceMs > takeOverAfterMs;
     }
 
     return {
         claim: async () => {
+            const eraBefore = tables.era();
             const rows = await tables.read([leaderRow]);
             if (rows.isErr) {
                 return undefined;
             }
             const row = rows.value[0];
             const current = row === undefined ? undefined : leaderSchema.safeParse(row.value).data;
-            if (current !== undefined && !mayTakeOver(current)) {
+            const era = tables.era();
+            if (!mayTakeOver(current, era)) {
                 return undefined;
             }
-            const fencingToken = (current?.fencingToken ?? 0) + 1;
+            recordToken(current?.fencingToken ?? 0);
+            const fencingToken = Math.max(highestToken, era * tokensPerEra) + 1;
             const requestedAtMs = clock.monotonicMs();
             const requestedAtWallMs = clock.wallMs();
             const outcome = await tables.commit({
@@ -78,6 +118,12 @@
                 });
                 return undefined;
             }
+            recordToken(fencingToken);
+            if (tables.era() !== eraBefore) {
+                // The version in the condition belongs to another era, so another entry's write may have been replaced.
+                log.info("the duty of ordering engines was not taken", { cause: "the store was restored meanwhile" });
+                return undefined;
+            }
             return {
                 holder,
                 fencingToken,
@@ -86,5 +132,7 @@
                     && Math.abs(clock.wallMs() - requestedAtWallMs) < permitTtlMs,
             };
         },
+        highestToken: () => highestToken,
+        recordPeerToken: recordToken,
     };
 }
--- a/src/stages/stages.test.ts
+++ b/src/stages/stages.test.ts
@@ -3,21 +3,28 @@
  * the stages.
  */
 
+import fc from "fast-check";
 import { Result } from "true-myth";
 import { describe, expect, it } from "vitest";
 import { engineRecord, silentDecisionLog } from "../../fakes/forwardingHarness.js";
 import { createProcessGate, createVirtualClock } from "../../fakes/virtualClock.js";
+import type { Clock } from "../common/clock.js";
 import type { EngineRecord } from "../engines/enginePort.js";
 import { createMemoryPlatform } from "../platform/memoryPlatform.js";
 import type { TableService } from "../platform/ports.js";
 import { createOrderLeadership } from "./orderLeadership.js";
+import type { OrderLeadership } from "./orderLeadership.js";
 import { nextStageChange, targetPrefillEngines } from "./stageSplit.js";
 
+function leadershipOf(holder: string, tables: TableService, clock: Clock, isFirstStart = true): OrderLeadership {
+    return createOrderLeadership(tables, clock, silentDecisionLog, { holder, isFirstStart });
+}
+
 describe("order leadership", () => {
     it("has one holder at a time, and its fencing tokens only increase", async () => {
         const clock = createVirtualClock();
         const { tables } = createMemoryPlatform();
-        const leaderships = ["a", "b"].map(host => createOrderLeadership(tables, clock, silentDecisionLog, host));
+        const leaderships = ["a", "b"].map(host => leadershipOf(host, tables, clock));
         const tokens: number[] = [];
         for (let round = 0; round < 20; round++) {
             const permits = await Promise.all(leaderships.map(leadership => leadership.claim()));
@@ -33,8 +40,8 @@
     it("moves to another host only after no order of the previous holder can be in transit", async () => {
         const clock = createVirtualClock();
         const { tables } = createMemoryPlatform();
-        const other = createOrderLeadership(tables, clock, silentDecisionLog, "b");
-        await createOrderLeadership(tables, clock, silentDecisionLog, "a").claim();
+        const other = leadershipOf("b", tables, clock);
+        await leadershipOf("a", tables, clock).claim();
         expect(await other.claim()).toBeUndefined();
         await clock.advance(13_900);
         expect(await other.claim()).toBeUndefined();
@@ -45,8 +52,8 @@
     it("stays with the same host after a restart, without a delay", async () => {
         const clock = createVirtualClock();
         const { tables } = createMemoryPlatform();
-        await createOrderLeadership(tables, clock, silentDecisionLog, "a").claim();
-        const restarted = createOrderLeadership(tables, clock, silentDecisionLog, "a");
+        await leadershipOf("a", tables, clock).claim();
+        const restarted = leadershipOf("a", tables, clock);
         expect((await restarted.claim())?.fencingToken).toBe(2);
     });
 
@@ -54,7 +61,7 @@
         const clock = createVirtualClock();
         const gate = createProcessGate(clock);
         const { tables } = createMemoryPlatform();
-        const permit = await createOrderLeadership(tables, gate.clock, silentDecisionLog, "a").claim();
+        const permit = await leadershipOf("a", tables, gate.clock).claim();
         expect(permit?.isFresh()).toBe(true);
         await clock.advance(5_000);
         expect(permit?.isFresh()).toBe(false);
@@ -69,11 +76,118 @@
                 return Result.err({ kind, cause: "test" });
             },
         };
-        const leadership = createOrderLeadership(tables, createVirtualClock(), silentDecisionLog, "a");
+        const leadership = leadershipOf("a", tables, createVirtualClock());
         expect(await leadership.claim()).toBeUndefined();
     });
 });
 
+describe("order leadership after a restoration of the store from an older copy", () => {
+    const takeOverMs = 14_001;
+
+    it("issues higher tokens than before, and none until no earlier order can be in transit", async () => {
+        const clock = createVirtualClock();
+        const platform = createMemoryPlatform();
+        const [a, b] = [leadershipOf("a", platform.tables, clock), leadershipOf("b", platform.tables, clock)];
+        await a.claim();
+        const restore = platform.snapshot();
+        // Entry b takes over, and its writes are lost: the restored row names entry a and an old token.
+        await b.claim();
+        await clock.advance(takeOverMs);
+        const lost = [await b.claim(), await b.claim()].map(permit => permit?.fencingToken ?? 0);
+        restore();
+        expect([await a.claim(), await b.claim(), await leadershipOf("a", platform.tables, clock, false).claim()])
+            .toEqual(Array(3).fill(undefined));
+        await clock.advance(takeOverMs);
+        const permit = await a.claim();
+        expect(permit?.fencingToken).toBeGreaterThan(Math.max(...lost));
+        expect(await b.claim()).toBeUndefined();
+    });
+
+    it("waits as well if the row itself is lost", async () => {
+        const clock = createVirtualClock();
+        const platform = createMemoryPlatform();
+        const restore = platform.snapshot();
+        const leadership = leadershipOf("a", platform.tables, clock);
+        const first = await leadership.claim();
+        restore();
+        expect(await leadership.claim()).toBeUndefined();
+        await clock.advance(takeOverMs);
+        expect((await leadership.claim())?.fencingToken).toBeGreaterThan(first?.fencingToken ?? 0);
+    });
+
+    it.each([5, 2 ** 20 + 7])("issues no token up to %d, which another entry has seen", async seen => {
+        const clock = createVirtualClock();
+        const { tables } = createMemoryPlatform();
+        const leadership = leadershipOf("a", tables, clock);
+        leadership.recordPeerToken(seen);
+        expect(await leadership.claim()).toBeUndefined();
+        await clock.advance(takeOverMs);
+        expect((await leadership.claim())?.fencingToken).toBe(seen + 1);
+        expect(leadership.highestToken()).toBe(seen + 1);
+    });
+
+    it("issues no permit if the store is restored between the read and the write", async () => {
+        const clock = createVirtualClock();
+        const platform = createMemoryPlatform();
+        const first = leadershipOf("a", platform.tables, clock);
+        await first.claim();
+        const restore = platform.snapshot();
+        const tables: TableService = {
+            ...platform.tables,
+            commit: async transaction => {
+                restore();
+                return platform.tables.commit(transaction);
+            },
+        };
+        expect(await leadershipOf("a", tables, clock).claim()).toBeUndefined();
+    });
+
+    it("never issues a lower token after a higher one, nor one token twice, under any order of events", async () => {
+        const event = fc.constantFrom("claim a", "claim b", "claim c", "save", "restore", "wait", "restart a");
+        await fc.assert(
+            fc.asyncProperty(fc.array(event, { maxLength: 40 }), async events => {
+                const clock = createVirtualClock();
+                const platform = createMemoryPlatform();
+                let restore = platform.snapshot();
+                const leaderships = new Map(
+                    ["a", "b", "c"].map(host => [host, leadershipOf(host, platform.tables, clock)]),
+                );
+                const permits: { readonly host: string; readonly token: number; readonly atMs: number; }[] = [];
+                for (const name of events) {
+                    const [action = "", host = ""] = name.split(" ");
+                    if (action === "claim") {
+                        const token = (await leaderships.get(host)?.claim())?.fencingToken;
+                        if (token !== undefined) {
+                            permits.push({ host, token, atMs: clock.monotonicMs() });
+                        }
+                    }
+                    else if (action === "save") {
+                        restore = platform.snapshot();
+                    }
+                    else if (action === "restore") {
+                        restore();
+                    }
+                    else if (action === "restart") {
+                        leaderships.set(host, leadershipOf(host, platform.tables, clock, false));
+                    }
+                    else {
+                        await clock.advance(takeOverMs);
+                    }
+                }
+                for (const [index, permit] of permits.entries()) {
+                    const previous = permits[index - 1];
+                    expect(previous === undefined || permit.token > previous.token).toBe(true);
+                    expect(
+                        previous === undefined || previous.host === permit.host
+                            || permit.atMs - previous.atMs >= takeOverMs - 1,
+                    ).toBe(true);
+                }
+            }),
+            { seed: 20_261_204, numRuns: 300 },
+        );
+    });
+});
+
 interface BalanceCase {
     readonly name: string;
     readonly prefill: readonly string[];
