--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -22,6 +22,7 @@
 } from "../src/engines/enginePort.js";
 import type { ForwardContext } from "../src/forwarding/context.js";
 import type { ForwardRequest, GenerationSize } from "../src/forwarding/forwardRequest.js";
+import { createResponseTimes } from "../src/forwarding/responseTimes.js";
 import { createFleetQuota } from "../src/limits/fleetQuota.js";
 import { createFleetRetryBudget } from "../src/limits/fleetRetryBudget.js";
 import type { RetryBudgetSettings } from "../src/limits/fleetRetryBudget.js";
@@ -209,6 +210,7 @@
         decodeScheduler: createScheduler({ clock, view, directory, health, loads, engines, log, metrics, entries }),
         quota: createFleetQuota(clock, { burstTolerance: 0 }),
         retryBudget: createFleetRetryBudget(clock, budget),
+        responseTimes: createResponseTimes(),
         shutdownDeadlineMs: () => undefined,
     };
 }
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -18,6 +18,7 @@
 import type { ForwardContext } from "../forwarding/context.js";
 import { forward } from "../forwarding/forward.js";
 import type { ForwardRequest, ForwardResult } from "../forwarding/forwardRequest.js";
+import { createResponseTimes } from "../forwarding/responseTimes.js";
 import { createFleetQuota } from "../limits/fleetQuota.js";
 import { createFleetRetryBudget } from "../limits/fleetRetryBudget.js";
 import { createDesiredStateSync } from "../peerSync/desiredStateSync.js";
@@ -265,6 +266,7 @@
         decodeScheduler,
         quota,
         retryBudget,
+        responseTimes: createResponseTimes(),
         shutdownDeadlineMs: () => shutdownDeadlineMs,
     };
 
--- a/src/forwarding/context.ts
+++ b/src/forwarding/context.ts
@@ -15,6 +15,7 @@
 import type { PlacementView } from "../scheduling/placement.js";
 import type { DecisionLog } from "../telemetry/decisionLog.js";
 import type { PrometheusMetrics } from "../telemetry/prometheusMetrics.js";
+import type { ResponseTimes } from "./responseTimes.js";
 
 export interface ForwardContext {
     readonly clock: Clock;
@@ -31,6 +32,7 @@
     readonly decodeScheduler: DecodeScheduler;
     readonly quota: FleetQuota;
     readonly retryBudget: FleetRetryBudget;
+    readonly responseTimes: ResponseTimes;
     /** Monotonic time at which draining ends at the latest; `undefined` unless this process is shutting down. */
     readonly shutdownDeadlineMs: () => number | undefined;
 }
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -131,6 +131,11 @@
         releaseResources(context, allocation, cache);
         return cancelled();
     }
+    if (timeLeftMs(context, generation) <= 0) {
+        endPrefillLoad();
+        releaseResources(context, allocation, cache);
+        return Result.err({ kind: "unreachable", cause: "its time was over before it was sent" });
+    }
     if (!context.directory.isUsable(allocation.engine.id)) {
         endPrefillLoad();
         releaseResources(context, allocation, cache);
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -4,7 +4,8 @@
  * has received anything.
  *
  * A call is retried only if the error proves that the engine did not run it, or if its route allows repeats; each retry
- * takes one from the fleet's retry budget.
+ * takes one from the fleet's retry budget. A call that may run more than once is hedged: if its response takes unusually
+ * long, it is also sent to another instance, and the first response counts.
  */
 
 import { Readable } from "node:stream";
@@ -19,10 +20,6 @@
 
 /** Maximum attempts of one call, the first included, before the caller is asked to retry. */
 const maxAttempts = 3;
-/** Fraction of the remaining time that one attempt of a repeatable call may use while another may follow. */
-const attemptTimeFraction = 0.5;
-/** Minimum timeout of one attempt: several times the usual response time of a plain service. */
-const minAttemptMs = 200;
 /** Retry delay for callers when no instance has run the call, for example because all instances are full. */
 const unavailableRetryMs = 250;
 const serverError = 500;
@@ -34,31 +31,112 @@
     readonly result: Result<EngineResponse, EngineError>;
 }
 
+/** An attempt that has no result yet. */
+interface RunningAttempt {
+    readonly engine: EngineRecord;
+    readonly result: Promise<Attempt>;
+    readonly cancel: () => void;
+}
+
+/** The attempts of one call. */
+interface CallState {
+    readonly triedEngines: Set<string>;
+    readonly running: Set<RunningAttempt>;
+    /** Ended attempts that may have run. */
+    possibleRuns: number;
+    /** The attempt that decides the outcome if no other succeeds. */
+    last: Attempt | undefined;
+}
+
 export async function callPlain(context: ForwardContext, routed: RoutedRequest): Promise<ForwardOutcome> {
-    const { route, request } = routed;
-    const isRepeatable = route.kind === "idempotent" || route.isResumable;
-    const triedEngines = new Set<string>();
-    let possibleRuns = 0;
-    let last: Attempt | undefined;
-    for (let attempt = 0; attempt < maxAttempts; attempt++) {
-        const engine = nextEngine(context, routed.service, triedEngines);
-        if (engine === undefined || (attempt > 0 && !context.retryBudget.take(routed.service))) {
-            break;
+    const state: CallState = { triedEngines: new Set(), running: new Set(), possibleRuns: 0, last: undefined };
+    startAttempt(context, routed, state);
+    let mayHedge = isRepeatable(routed);
+    while (state.running.size > 0) {
+        const ended = await nextEnd(context, routed, state, mayHedge);
+        if (ended === undefined) {
+            // The running attempt is an outlier: the call is also sent to another engine, and the first response counts.
+            mayHedge = startAttempt(context, routed, state);
+            if (mayHedge) {
+                context.metrics.count("hedges", routed.service);
+            }
+            continue;
         }
-        triedEngines.add(engine.id);
-        const canRetry = isRepeatable && possibleRuns + 1 < route.maxEngines;
-        const result = await sendAttempt(context, routed, engine, canRetry);
-        last = { engine, result };
-        const mayHaveRun = result.isOk || !provesNotRun(result.error);
-        possibleRuns += mayHaveRun ? 1 : 0;
-        const isFinal = result.isOk && result.value.status < serverError;
-        const isLastRun = mayHaveRun && (!isRepeatable || possibleRuns >= route.maxEngines);
-        if (isFinal || isLastRun || request.callerDisconnected.aborted || timeLeftMs(context, routed) <= 0) {
+        recordEnd(state, ended);
+        if (isFinal(ended) || routed.request.callerDisconnected.aborted || timeLeftMs(context, routed) <= 0) {
             break;
         }
-        logRetry(context, routed, last);
+        if (state.running.size === 0 && startAttempt(context, routed, state)) {
+            logRetry(context, routed, ended);
+        }
+    }
+    state.running.forEach(attempt => attempt.cancel());
+    return outcomeOf(context, routed, state.last, state.possibleRuns);
+}
+
+function isRepeatable({ route }: RoutedRequest): boolean {
+    return route.kind === "idempotent" || route.isResumable;
+}
+
+function isFinal({ result }: Attempt): boolean {
+    return result.isOk && result.value.status < serverError;
+}
+
+/** Sends the call to the next engine; returns whether the route, the retry budget and the engines allow that. */
+function startAttempt(context: ForwardContext, routed: RoutedRequest, state: CallState): boolean {
+    const runs = state.possibleRuns + state.running.size;
+    if (timeLeftMs(context, routed) <= 0) {
+        return false;
+    }
+    const mayRunAgain = runs === 0 || (isRepeatable(routed) && runs < routed.route.maxEngines);
+    const attempts = state.triedEngines.size;
+    const engine = mayRunAgain && attempts < maxAttempts
+        ? nextEngine(context, routed.service, state.triedEngines)
+        : undefined;
+    if (engine === undefined || (attempts > 0 && !context.retryBudget.take(routed.service))) {
+        return false;
+    }
+    state.triedEngines.add(engine.id);
+    const overtaken = new AbortController();
+    const attempt: RunningAttempt = {
+        engine,
+        result: sendAttempt(context, routed, engine, overtaken.signal).then(result => ({ engine, result })),
+        cancel: () => overtaken.abort(),
+    };
+    state.running.add(attempt);
+    return true;
+}
+
+/** Resolves to the next attempt that ends, or to `undefined` if `mayHedge` and none ends soon. */
+async function nextEnd(
+    context: ForwardContext,
+    routed: RoutedRequest,
+    { running }: CallState,
+    mayHedge: boolean,
+): Promise<Attempt | undefined> {
+    const ends = [...running].map(attempt => attempt.result);
+    if (!mayHedge) {
+        return Promise.race(ends);
+    }
+    const ended = new AbortController();
+    const outlier = context.clock.sleep(context.responseTimes.outlierMs(routed.service), ended.signal)
+        .then(() => undefined);
+    const first = await Promise.race([...ends, outlier]);
+    ended.abort();
+    return first;
+}
+
+function recordEnd(state: CallState, ended: Attempt): void {
+    for (const attempt of state.running) {
+        if (attempt.engine.id === ended.engine.id) {
+            state.running.delete(attempt);
+        }
+    }
+    state.possibleRuns += ended.result.isOk || !provesNotRun(ended.result.error) ? 1 : 0;
+    // A response that reports a failure is better than none.
+    if (ended.result.isOk || state.last === undefined || state.last.result.isErr) {
+        state.last = ended;
     }
-    return outcomeOf(context, routed, last, possibleRuns);
 }
 
 function timeLeftMs(context: ForwardContext, routed: RoutedRequest): number {
@@ -80,22 +158,23 @@
     context: ForwardContext,
     routed: RoutedRequest,
     engine: EngineRecord,
-    canRetry: boolean,
+    overtaken: AbortSignal,
 ): Promise<Result<EngineResponse, EngineError>> {
     const { request } = routed;
     const remainingMs = Math.max(1, timeLeftMs(context, routed));
-    const attemptTimeoutMs = canRetry
-        ? Math.min(remainingMs, Math.max(minAttemptMs, remainingMs * attemptTimeFraction))
-        : remainingMs;
-    const timeout = context.clock.timeout(attemptTimeoutMs);
+    const timeout = context.clock.timeout(remainingMs);
+    const sentAtMs = context.clock.monotonicMs();
     const endLoad = context.loads.start(engine.id, { requests: 1, kvTokens: 0, prefillTokens: 0 });
     const sent = await context.engines.send(engine, request, {
         remainingMs,
         ...request.lastEventId === undefined ? {} : { lastEventId: request.lastEventId },
-        signal: AbortSignal.any([timeout, request.callerDisconnected]),
+        signal: AbortSignal.any([timeout, overtaken, request.callerDisconnected]),
     });
     const result = sent.isErr ? sent : await bufferBody(sent.value);
     endLoad();
+    if (result.isOk && result.value.status < serverError) {
+        context.responseTimes.record(routed.service, context.clock.monotonicMs() - sentAtMs);
+    }
     recordHealth(context, engine, result, timeout.aborted, request.callerDisconnected.aborted);
     return timeout.aborted && result.isErr && result.error.kind === "cancelled"
         ? Result.err({ kind: "timeout", cause: "no whole answer in time" })
@@ -167,7 +246,8 @@
     if (last?.result.isOk) {
         return answered(last.result.value);
     }
-    const cause = last?.result.isErr ? `${last.engine.id}: ${last.result.error.cause}` : "no engine is available";
+    const noAttemptCause = timeLeftMs(context, routed) <= 0 ? "its time was over" : "no engine is available";
+    const cause = last?.result.isErr ? `${last.engine.id}: ${last.result.error.cause}` : noAttemptCause;
     if (possibleRuns > 0) {
         const isPastDeadline = timeLeftMs(context, routed) <= 0;
         return refuse(isPastDeadline ? 504 : 502, `the outcome is unknown: ${cause}`);
--- a/src/telemetry/prometheusMetrics.ts
+++ b/src/telemetry/prometheusMetrics.ts
@@ -7,6 +7,7 @@
 const counterHelp = {
     requests: "requests by service and outcome",
     repeats: "sends to a further engine",
+    hedges: "calls also sent to another instance because the first took unusually long",
     resumes: "streams continued at another engine",
     ownPrefills: "prompts that a decode engine read itself because the prefill engines were busy",
     prefillsDiscarded: "prefills whose result was not used",
