--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -71,6 +71,14 @@
         ? undefined
         : context.quota.admit(account.name, { ratePerSecond: account.ratePerSecond, burst: account.burst }, cost);
     if (admission?.kind === "refused") {
+        context.log.decision("over the rate of its client account", {
+            requestId: request.requestId,
+            clientAccount: account?.name,
+            cost,
+            ratePerSecond: account?.ratePerSecond,
+            burst: account?.burst,
+            ...admission.state,
+        });
         return refuse(429, `client account ${account?.name} is over its rate`, admission.retryAfterMs);
     }
     context.retryBudget.recordRequest(service);
--- a/src/limits/fleetQuota.ts
+++ b/src/limits/fleetQuota.ts
@@ -21,7 +21,19 @@
 export type QuotaDecision =
     /** `refund` returns the cost of a request that was not run; only its first call counts. */
     | { readonly kind: "admitted"; readonly refund: () => void; }
-    | { readonly kind: "refused"; readonly retryAfterMs: number; };
+    | {
+        readonly kind: "refused";
+        readonly retryAfterMs: number;
+        /** What the decision was based on, for the log. */
+        readonly state: QuotaState;
+    };
+
+export interface QuotaState {
+    /** Cost that the account's bucket covered; negative after admissions of other entries. */
+    readonly level: number;
+    /** Fraction of the rate and burst that this entry used, see `setReportingFraction`. */
+    readonly reportingFraction: number;
+}
 
 /** Cost admitted since an entry's start, less refunds, by account. */
 export type Usage = Readonly<Record<string, number>>;
@@ -86,7 +98,8 @@
             const missing = cost - bucket.level - settings.burstTolerance * reportingFraction;
             if (missing > 0) {
                 const rate = limits.ratePerSecond * reportingFraction;
-                return { kind: "refused", retryAfterMs: Math.ceil(missing / rate * msPerSecond) };
+                const state = { level: Math.round(bucket.level), reportingFraction };
+                return { kind: "refused", retryAfterMs: Math.ceil(missing / rate * msPerSecond), state };
             }
             bucket.level -= cost;
             count(clientAccount, cost);
