--- a/src/limits/fleetLimits.test.ts
+++ b/src/limits/fleetLimits.test.ts
@@ -134,7 +134,11 @@
         const clock = createVirtualClock();
         const quota = createFleetQuota(clock, { burstTolerance: 0 });
         const first = quota.admit("account", limits, 1_000);
-        expect(quota.admit("account", limits, 1_000)).toEqual({ kind: "refused", retryAfterMs: 1_000 });
+        expect(quota.admit("account", limits, 1_000)).toEqual({
+            kind: "refused",
+            retryAfterMs: 1_000,
+            state: { level: 0, reportingFraction: 1 },
+        });
         if (first.kind === "admitted") {
             first.refund();
             first.refund();
