Let calls for changes wait longer the more entries there are

The short wait was only there to find dead connections.

Change: the wait grows with the members, up to 10 s, each drawn at random. An entry sees in peer synchronization that another one has a later position; after 1 s it asks the store on a new connection, after 2 s it copies from that entry. A later revision that concerns other tables is asked for once.

Test: a dead connection is found through a peer within 2 s although the call waits 10 s; a store that stays silent is replaced by the peer's copy.

--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -83,8 +83,14 @@
     headerTimeoutMs: 3_000,
     idleTimeoutMs: 15_000,
 };
-/** How long the store may hold a call for changes. A silent connection is detected soon after this time. */
-const feedWaitMs = 1_500;
+/**
+ * How long the store may hold a call for changes: between these, depending on the number of entries. A dead connection is
+ * detected soon after this time, or earlier by the newer copies of other entries, so that with many entries, whose calls
+ * end at different times, each may wait longer and the load on the store grows more slowly than their number.
+ */
+const minFeedWaitMs = 1_500;
+const maxFeedWaitMs = 10_000;
+const feedWaitPerEntryMs = 375;
 /** Pause between calls for registry changes: engine records change often, and one call then returns several changes. */
 const registryPauseMs = 500;
 const desiredStatePauseMs = 50;
@@ -160,6 +166,11 @@
         directory.load(records, origin);
     }
 
+    function feedWaitMs(): number {
+        const longestMs = Math.min(maxFeedWaitMs, Math.max(minFeedWaitMs, feedWaitPerEntryMs * peerSync.members()));
+        return Math.round(minFeedWaitMs + random() * (longestMs - minFeedWaitMs));
+    }
+
     const desiredStateReplica = createTableReplica(ports.desiredState.feed, clock, log, {
         table: ports.desiredState.table,
         waitMs: feedWaitMs,
--- a/src/peerSync/peerSync.test.ts
+++ b/src/peerSync/peerSync.test.ts
@@ -32,6 +32,8 @@
     /** Number of calls of the feed and of whole reads so far. */
     calls: number;
     failure: FeedError["kind"] | undefined;
+    /** Whether calls for changes get no response, as on a dead connection; later calls use another connection. */
+    isSilent: boolean;
 }
 
 function createManualFeed(clock: VirtualClock): ManualFeed {
@@ -39,17 +41,24 @@
         copy: { position: at(1), rows: [{ key: "a", value: 1 }] },
         failure: undefined,
         calls: 0,
+        isSilent: false,
         readAll: async () => {
             feed.calls += 1;
             return feed.failure === "unknown" || feed.failure === "unavailable"
                 ? Result.err({ kind: feed.failure, cause: "test" })
                 : Result.ok(feed.copy);
         },
-        changesAfter: async (position, waitMs) => {
+        changesAfter: async (position, waitMs, signal) => {
             feed.calls += 1;
             const isUnknown = (): boolean => feed.copy.position.revision < position.revision;
             if (!isUnknown() && !isLater(feed.copy.position, position) && feed.failure === undefined) {
-                await clock.sleep(waitMs);
+                await clock.sleep(waitMs, signal);
+            }
+            while (feed.isSilent && !signal.aborted) {
+                await clock.sleep(waitMs + 1, signal);
+            }
+            if (signal.aborted) {
+                return Result.err<TableChanges, FeedError>({ kind: "unknown", cause: "aborted" });
             }
             if (feed.failure === undefined && isUnknown()) {
                 return Result.err<TableChanges, FeedError>({ kind: "historyGone", cause: "unknown revision" });
@@ -71,8 +80,13 @@
     readonly origin: CopyOrigin;
 }
 
-function startReplica(clock: VirtualClock, feed: TableFeed, received: ReceivedCopy[]): TableReplica {
-    const settings = { table: "t", waitMs: 1_500, pauseMs: 50, retryMs: 250 };
+function startReplica(
+    clock: VirtualClock,
+    feed: TableFeed,
+    received: ReceivedCopy[],
+    waitMs = 1_500,
+): TableReplica {
+    const settings = { table: "t", waitMs: () => waitMs, pauseMs: 50, retryMs: 250 };
     const replica = createTableReplica(
         feed,
         clock,
@@ -213,19 +227,20 @@
     readonly peerSyncs: readonly PeerSync[];
     readonly replicas: readonly TableReplica[];
     readonly partitioned: Set<number>;
-    /** Number of `exchange.state` calls so far. */
-    readonly calls: { states: number; };
+    /** Number of `exchange.state` and `exchange.copy` calls so far. */
+    readonly calls: { states: number; copies: number; };
 }
 
 /** Entries that call each other in memory, except for those in `partitioned`. */
-function createFleet(entries: number, feeds: readonly TableFeed[], clock: VirtualClock): Fleet {
+function createFleet(entries: number, feeds: readonly TableFeed[], clock: VirtualClock, waitMs = 1_500): Fleet {
     const partitioned = new Set<number>();
-    const calls = { states: 0 };
+    const calls = { states: 0, copies: 0 };
     const peerSyncs: PeerSync[] = [];
     const urlOf = (index: number): string => `http://entry-${index}`;
     const rpcOf = (from: number): RpcClient => ({
         call: async (url, method, params) => {
             calls.states += method === peerSyncMethods.state ? 1 : 0;
+            calls.copies += method === peerSyncMethods.copy ? 1 : 0;
             const to = peerSyncs.findIndex((peerSync, index) => peerSync !== undefined && urlOf(index) === url);
             const target = peerSyncs[to]?.methods[method];
             if (target === undefined || partitioned.has(to) || partitioned.has(from)) {
@@ -242,7 +257,7 @@
         if (feed === undefined) {
             throw new Error("a fleet needs a feed");
         }
-        return startReplica(clock, feed, []);
+        return startReplica(clock, feed, [], waitMs);
     });
     replicas.forEach((replica, index) => {
         const peerSync = createPeerSync({ url: urlOf(index), start: `start-${index}`, seeds: [urlOf(0)] }, {
@@ -301,6 +316,50 @@
         expect(fleet.peerSyncs[0]?.members()).toBe(2);
     });
 
+    it("shows an entry that its connection to the store is dead, long before its call for changes ends", async () => {
+        const clock = createVirtualClock();
+        const [good, dead] = [createManualFeed(clock), createManualFeed(clock)];
+        const fleet = createFleet(2, [good, dead], clock, 10_000);
+        await clock.advance(1_000);
+        dead.isSilent = true;
+        // The good feed delivers the change when its pending call ends.
+        good.copy = { position: at(8), rows: [{ key: "a", value: "new" }] };
+        dead.copy = good.copy;
+        fleet.replicas[0]?.refresh();
+        await clock.advance(100);
+        expect(fleet.replicas[0]?.position()).toEqual(at(8));
+        await clock.advance(400);
+        dead.isSilent = false;
+        await clock.advance(1_400);
+        expect(fleet.replicas[1]?.position()).toEqual(at(8));
+        expect(fleet.calls.copies).toBe(0);
+    });
+
+    it("copies a table from a peer if the store does not respond on a new connection either", async () => {
+        const clock = createVirtualClock();
+        const [good, dead] = [createManualFeed(clock), createManualFeed(clock)];
+        const fleet = createFleet(2, [good, dead], clock, 10_000);
+        await clock.advance(1_000);
+        dead.isSilent = true;
+        good.copy = { position: at(8), rows: [{ key: "a", value: "new" }] };
+        fleet.replicas[0]?.refresh();
+        await clock.advance(3_000);
+        expect(fleet.replicas[1]?.position()).toEqual(at(8));
+        expect(fleet.calls.copies).toBe(1);
+    });
+
+    it("asks the store once, and no peer, if a peer's later revision concerns other tables", async () => {
+        const clock = createVirtualClock();
+        const [first, second] = [createManualFeed(clock), createManualFeed(clock)];
+        first.copy = { position: at(50), rows: first.copy.rows };
+        const fleet = createFleet(2, [first, second], clock, 10_000);
+        await clock.advance(500);
+        second.calls = 0;
+        await clock.advance(9_000);
+        expect(second.calls).toBe(2);
+        expect(fleet.calls.copies).toBe(0);
+    });
+
     it("passes a restored copy with a lower revision to an entry that gets no response from the store", async () => {
         const clock = createVirtualClock();
         const good = createManualFeed(clock);
--- a/src/peerSync/peerSync.ts
+++ b/src/peerSync/peerSync.ts
@@ -26,6 +26,7 @@
 } from "./messages.js";
 import type { EntryState } from "./messages.js";
 import { isLater, unknownPosition } from "./storePosition.js";
+import type { StorePosition } from "./storePosition.js";
 import type { TableReplica } from "./tableReplica.js";
 
 export interface PeerSyncSettings {
@@ -95,15 +96,24 @@
 const memberTimeoutMs = 30_000;
 /** A peer that has never been seen, such as a seed that does not respond, is removed after this shorter time. */
 const unseenPeerTimeoutMs = 4_000;
-/**
- * Newer copies are fetched from peers when the store has not confirmed this entry's copy for this long, which is longer
- * than a call to the change feed takes.
- */
-const copyFromPeerAfterMs = 2_400;
+/** A change that a peer has seen arrives from the store within this time, unless the connection to the store is dead. */
+const refreshAfterMs = 1_000;
+/** If the store has not responded by then, the copy of the peer is fetched. */
+const copyFromPeerAfterMs = 2_000;
+
+/** How a replica is behind the copies of its peers. */
+interface Lag {
+    /** Latest position of a peer about which the store was asked, with the result that nothing is missing. */
+    checked: StorePosition;
+    /** Since when a peer has been known to be at a later position; `undefined` if none is. */
+    sinceMs: number | undefined;
+    isRefreshed: boolean;
+}
 
 export function createPeerSync(settings: PeerSyncSettings, dependencies: PeerSyncDependencies): PeerSync {
     const { clock, rpc, log, replicas } = dependencies;
     const peers = new Map<string, Peer>();
+    const lags = new Map<string, Lag>();
     let nextPeerOffset = 0;
 
     function addPeer(url: string): void {
@@ -143,7 +153,7 @@
         peer.lastSeenAtMs = clock.monotonicMs();
         state.entries.forEach(addPeer);
         dependencies.onState(state);
-        void fetchNewerCopies(state);
+        void catchUp(state);
     }
 
     function removePeer(url: string, cause: string): void {
@@ -183,15 +193,51 @@
         }
     }
 
-    async function fetchNewerCopies(state: EntryState): Promise<void> {
+    /** Catches up with a peer whose copy of a table is newer: from the store if it responds, else from the peer. */
+    async function catchUp(state: EntryState): Promise<void> {
         for (const [table, replica] of Object.entries(replicas)) {
-            const isNewer = isLater(positionOf(state, table), replica.position());
-            if (isNewer && replica.stalenessMs() > copyFromPeerAfterMs) {
+            const lag = lagOf(table);
+            const position = positionOf(state, table);
+            if (!isLater(position, replica.position())) {
+                continue;
+            }
+            if (!replica.isStoreReachable()) {
+                await fetchCopy(state.url, table, replica);
+                continue;
+            }
+            if (!isLater(position, lag.checked)) {
+                continue;
+            }
+            const nowMs = clock.monotonicMs();
+            lag.sinceMs ??= nowMs;
+            const behindMs = nowMs - lag.sinceMs;
+            if (replica.stalenessMs() < behindMs) {
+                // The store has confirmed the replica since then: the peer's revision concerns another table.
+                resetLag(lag, position);
+            }
+            else if (behindMs >= copyFromPeerAfterMs) {
+                resetLag(lag, lag.checked);
                 await fetchCopy(state.url, table, replica);
             }
+            else if (behindMs >= refreshAfterMs && !lag.isRefreshed) {
+                lag.isRefreshed = true;
+                replica.refresh();
+            }
         }
     }
 
+    function lagOf(table: string): Lag {
+        const lag = lags.get(table) ?? { checked: unknownPosition, sinceMs: undefined, isRefreshed: false };
+        lags.set(table, lag);
+        return lag;
+    }
+
+    function resetLag(lag: Lag, checked: StorePosition): void {
+        lag.checked = checked;
+        lag.sinceMs = undefined;
+        lag.isRefreshed = false;
+    }
+
     async function fetchCopy(url: string, table: string, replica: TableReplica): Promise<void> {
         const response = await rpc.call(url, peerSyncMethods.copy, { table }, { timeoutMs: callTimeoutMs });
         const copy = response.isOk ? checkValue(tableCopySchema, response.value) : undefined;
--- a/src/peerSync/tableReplica.ts
+++ b/src/peerSync/tableReplica.ts
@@ -38,8 +38,15 @@
 /** The change feed of one table. */
 export interface TableFeed {
     readonly readAll: () => Promise<Result<TableCopy, PlatformError>>;
-    /** Long poll: resolves as soon as there are changes after `position`, or without changes after `waitMs`. */
-    readonly changesAfter: (position: StorePosition, waitMs: number) => Promise<Result<TableChanges, FeedError>>;
+    /**
+     * Long poll: resolves as soon as there are changes after `position`, or without changes after `waitMs`. Aborting
+     * `signal` closes its connection.
+     */
+    readonly changesAfter: (
+        position: StorePosition,
+        waitMs: number,
+        signal: AbortSignal,
+    ) => Promise<Result<TableChanges, FeedError>>;
 }
 
 export interface TableReplica {
@@ -48,6 +55,10 @@
     readonly position: () => StorePosition;
     /** Time since the store last confirmed the copy; infinite until the first confirmation. */
     readonly stalenessMs: () => number;
+    /** Whether the last call to the store succeeded. */
+    readonly isStoreReachable: () => boolean;
+    /** Asks the store for changes now instead of waiting for the pending call, whose connection may be dead. */
+    readonly refresh: () => void;
     /** Replaces the copy by that of another entry if it is newer; returns whether it did. */
     readonly adoptIfNewer: (copy: TableCopy) => boolean;
     /** Follows the feed until `signal` aborts. */
@@ -56,8 +67,8 @@
 
 export interface ReplicaSettings {
     readonly table: string;
-    /** Longest time that the store may hold a long poll for changes. */
-    readonly waitMs: number;
+    /** Longest time that the store may hold the next long poll for changes. */
+    readonly waitMs: () => number;
     /** Delay after each successful call, so that many small changes arrive in one call. */
     readonly pauseMs: number;
     /** Delay after a failed call. */
@@ -86,6 +97,8 @@
     let position = unknownPosition;
     let confirmedAtMs = Number.NEGATIVE_INFINITY;
     let isStoreUnreachable = false;
+    let isRefreshRequested = false;
+    let pendingPoll = new AbortController();
 
     function copy(): TableCopy {
         return { position, rows: [...rows].map(([key, value]) => ({ key, value })) };
@@ -159,7 +172,10 @@
     async function readChanges(): Promise<Result<undefined, FeedError>> {
         const askedAtMs = clock.monotonicMs();
         const before = position;
-        const changes = await feed.changesAfter(before, settings.waitMs);
+        const waitMs = isRefreshRequested ? 0 : settings.waitMs();
+        isRefreshRequested = false;
+        pendingPoll = new AbortController();
+        const changes = await feed.changesAfter(before, waitMs, pendingPoll.signal);
         if (changes.isErr) {
             return Result.err(changes.error);
         }
@@ -179,6 +195,11 @@
         copy,
         position: () => position,
         stalenessMs: () => clock.monotonicMs() - confirmedAtMs,
+        isStoreReachable: () => !isStoreUnreachable,
+        refresh: () => {
+            isRefreshRequested = true;
+            pendingPoll.abort();
+        },
         adoptIfNewer: next => isLater(next.position, position) && replaceAll(next, isStoreUnreachable),
         follow: async signal => {
             let needsFullRead = true;
@@ -192,6 +213,9 @@
                     await clock.sleep(settings.pauseMs, signal);
                     continue;
                 }
+                if (isRefreshRequested) {
+                    continue;
+                }
                 // After a failure the whole table is read, because the feed may have missed changes in the meantime.
                 needsFullRead = true;
                 if (read.error.kind === "historyGone") {
