--- a/src/limits/fleetLimits.test.ts
+++ b/src/limits/fleetLimits.test.ts
@@ -137,7 +137,7 @@
         expect(quota.admit("account", limits, 1_000)).toEqual({
             kind: "refused",
             retryAfterMs: 1_000,
-            state: { level: 0, reportingFraction: 1 },
+            state: { bucketLevel: 0, reportingFraction: 1 },
         });
         if (first.kind === "admitted") {
             first.refund();
--- a/src/limits/fleetQuota.ts
+++ b/src/limits/fleetQuota.ts
@@ -30,7 +30,7 @@
 
 export interface QuotaState {
     /** Cost that the account's bucket covered; negative after admissions of other entries. */
-    readonly level: number;
+    readonly bucketLevel: number;
     /** Fraction of the rate and burst that this entry used, see `setReportingFraction`. */
     readonly reportingFraction: number;
 }
@@ -98,7 +98,7 @@
             const missing = cost - bucket.level - settings.burstTolerance * reportingFraction;
             if (missing > 0) {
                 const rate = limits.ratePerSecond * reportingFraction;
-                const state = { level: Math.round(bucket.level), reportingFraction };
+                const state = { bucketLevel: Math.round(bucket.level), reportingFraction };
                 return { kind: "refused", retryAfterMs: Math.ceil(missing / rate * msPerSecond), state };
             }
             bucket.level -= cost;
--- a/src/telemetry/decisionLog.ts
+++ b/src/telemetry/decisionLog.ts
@@ -79,7 +79,7 @@
         if (!isBatching) {
             void startBatch();
         }
-        logger.log({ level, message, timeMs: clock.wallMs(), ...fields, ...dropCount });
+        logger.log({ ...fields, level, message, timeMs: clock.wallMs(), ...dropCount });
     }
 
     return {
