--- a/src/forwarding/forward.test.ts
+++ b/src/forwarding/forward.test.ts
@@ -130,9 +130,14 @@
         const harness = createForwardingHarness(desiredStateOf([routeOf("idempotent")]));
         harness.load(plainEngines);
         const known = await forward(harness.context, requestTo("/idempotent/x", { key: "key" }));
-        expect(known.logFields).toEqual({ clientAccount: "account", route: "idempotent", objectiveMs: 900 });
+        expect(known.logFields).toEqual({ clientAccount: "account", route: "idempotent", cost: 10, objectiveMs: 900 });
         const unknown = await forward(harness.context, requestTo("/other/x"));
-        expect(unknown.logFields).toEqual({ clientAccount: undefined, route: undefined, objectiveMs: undefined });
+        expect(unknown.logFields).toEqual({
+            clientAccount: undefined,
+            route: undefined,
+            cost: undefined,
+            objectiveMs: undefined,
+        });
     });
 
     it("refuses a request over the account's rate before any engine is called, with a retry delay", async () => {
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -35,7 +35,12 @@
     const outcome = await admit(context, request, table, route, account);
     return {
         ...outcome,
-        logFields: { clientAccount: account?.name, route: route?.name, objectiveMs: route?.objectiveMs },
+        logFields: {
+            clientAccount: account?.name,
+            route: route?.name,
+            cost: account === undefined ? undefined : costOf(request, account),
+            objectiveMs: route?.objectiveMs,
+        },
     };
 }
 
@@ -66,7 +71,7 @@
     ) {
         return refuse(503, "this entry is shutting down", shutdownRetryMs);
     }
-    const cost = account?.unit === "tokens" ? chargedTokens(request, account.plainTokens) : 1;
+    const cost = account === undefined ? 0 : costOf(request, account);
     const admission = account === undefined
         ? undefined
         : context.quota.admit(account.name, { ratePerSecond: account.ratePerSecond, burst: account.burst }, cost);
@@ -103,7 +108,11 @@
     return timeToDeadlineMs < Math.max(minTimeToDeadlineMs, expectedMs * slowResponseFactor);
 }
 
-function chargedTokens({ size }: ForwardRequest, plainTokens: number): number {
+/** What a request counts against its account's rate. */
+function costOf({ size }: ForwardRequest, { unit, plainTokens }: ClientAccount): number {
+    if (unit !== "tokens") {
+        return 1;
+    }
     return size === undefined ? plainTokens : size.promptTokens + size.maxOutputTokens;
 }
 
--- a/src/forwarding/forwardRequest.ts
+++ b/src/forwarding/forwardRequest.ts
@@ -47,6 +47,8 @@
     readonly clientAccount: string | undefined;
     /** Name of the route. */
     readonly route: string | undefined;
+    /** What the request counts against the account's rate: 1, or a number of model tokens. */
+    readonly cost: number | undefined;
     /** The route's latency objective: time until the response begins. */
     readonly objectiveMs: number | undefined;
 }
