Fewer calls to the store in fleets with many entries

Cause: on the large deployment, 43 calls an entry in 40 s: half of them calls for changes, a quarter from the registration of engines at the start.

Change: calls for changes wait up to 20 s; the pause between calls for registry changes grows with the members from 0.5 to 1 s; the list of entries is read every 30 s, or after 1 s if a read failed.

--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -89,10 +89,15 @@
  * end at different times, each may wait longer and the load on the store grows more slowly than their number.
  */
 const minFeedWaitMs = 1_500;
-const maxFeedWaitMs = 10_000;
+const maxFeedWaitMs = 20_000;
 const feedWaitPerEntryMs = 375;
-/** Pause between calls for registry changes: engine records change often, and one call then returns several changes. */
-const registryPauseMs = 500;
+/**
+ * Pause between calls for registry changes, between these: engine records change often, and one call then returns several
+ * changes. A fleet with more entries has more engines and more time to notice that one leaves.
+ */
+const minRegistryPauseMs = 500;
+const maxRegistryPauseMs = 1_000;
+const registryPausePerEntryMs = 40;
 const desiredStatePauseMs = 50;
 const feedRetryMs = 250;
 /** Interval for requesting missing table copies from other entries and for passing membership to the budgets. */
@@ -178,13 +183,14 @@
     const desiredStateReplica = createTableReplica(ports.desiredState.feed, clock, log, {
         table: ports.desiredState.table,
         waitMs: feedWaitMs,
-        pauseMs: desiredStatePauseMs,
+        pauseMs: () => desiredStatePauseMs,
         retryMs: feedRetryMs,
     }, desiredState.applyCopy);
     const registryReplica = createTableReplica(ports.registry.feed, clock, log, {
         table: ports.registry.table,
         waitMs: feedWaitMs,
-        pauseMs: registryPauseMs,
+        pauseMs: () =>
+            Math.min(maxRegistryPauseMs, Math.max(minRegistryPauseMs, registryPausePerEntryMs * peerSync.members())),
         retryMs: feedRetryMs,
     }, applyRegistry);
     directory.onChange(() => {
--- a/src/peerSync/entryList.ts
+++ b/src/peerSync/entryList.ts
@@ -14,8 +14,8 @@
 
 const table = "entries";
 /** Interval between reads of the list; new entries become known through peer synchronization much sooner. */
-const readIntervalMs = 10_000;
-const writeRetryMs = 1_000;
+const readIntervalMs = 30_000;
+const retryMs = 1_000;
 const scanLimit = 500;
 
 export function createEntryList(
@@ -32,10 +32,11 @@
         return outcome.isOk;
     }
 
-    async function read(): Promise<void> {
+    /** Reads the list; returns whether the store responded. */
+    async function read(): Promise<boolean> {
         const rows = await tables.scan(table, "", scanLimit);
         if (rows.isErr) {
-            return;
+            return false;
         }
         const urls = rows.value.map(row => row.key);
         onEntries(urls);
@@ -43,16 +44,17 @@
             log.info("the row of this entry is missing from the store and is written again", { entry: own.url });
             await write();
         }
+        return true;
     }
 
     return {
         run: async signal => {
             while (!signal.aborted && !await write()) {
-                await clock.sleep(writeRetryMs, signal);
+                await clock.sleep(retryMs, signal);
             }
             while (!signal.aborted) {
-                await read();
-                await clock.sleep(readIntervalMs, signal);
+                const isRead = await read();
+                await clock.sleep(isRead ? readIntervalMs : retryMs, signal);
             }
         },
         remove: async () => {
--- a/src/peerSync/peerSync.test.ts
+++ b/src/peerSync/peerSync.test.ts
@@ -87,7 +87,7 @@
     received: ReceivedCopy[],
     waitMs = 1_500,
 ): TableReplica {
-    const settings = { table: "t", waitMs: () => waitMs, pauseMs: 50, retryMs: 250 };
+    const settings = { table: "t", waitMs: () => waitMs, pauseMs: () => 50, retryMs: 250 };
     const replica = createTableReplica(
         feed,
         clock,
--- a/src/peerSync/tableReplica.ts
+++ b/src/peerSync/tableReplica.ts
@@ -70,7 +70,7 @@
     /** Longest time that the store may hold the next long poll for changes. */
     readonly waitMs: () => number;
     /** Delay after each successful call, so that many small changes arrive in one call. */
-    readonly pauseMs: number;
+    readonly pauseMs: () => number;
     /** Delay after a failed call. */
     readonly retryMs: number;
 }
@@ -210,7 +210,7 @@
                 if (read.isOk) {
                     needsFullRead = false;
                     isHistoryUsable ||= !isFullRead;
-                    await clock.sleep(settings.pauseMs, signal);
+                    await clock.sleep(settings.pauseMs(), signal);
                     continue;
                 }
                 if (isRefreshRequested) {
