Forget that a replica was behind once it has caught up

Cause: the time since when a peer had been ahead was kept after the store had delivered the change, so at the next change the replica counted as confirmed and a dead connection was not found.

Test: a dead connection is found also if earlier changes arrived (fails before).

--- a/src/peerSync/peerSync.test.ts
+++ b/src/peerSync/peerSync.test.ts
@@ -366,6 +366,31 @@
         expect(fleet.calls.copies).toBe(0);
     });
 
+    it("shows a dead connection also if earlier changes arrived from the store", async () => {
+        const clock = createVirtualClock();
+        const feeds = [createManualFeed(clock), createManualFeed(clock)] as const;
+        const fleet = createFleet(2, feeds, clock, 10_000);
+        const publish = (revision: number): void => {
+            feeds.forEach(feed => {
+                feed.copy = { position: at(revision), rows: [] };
+            });
+            fleet.replicas[0]?.refresh();
+        };
+        await clock.advance(1_000);
+        publish(8);
+        // A round shows the second entry that it is behind, then the store brings it up to date.
+        await clock.advance(peerSyncIntervalMs);
+        fleet.replicas[1]?.refresh();
+        await clock.advance(6_000);
+        feeds[1].isSilent = true;
+        publish(9);
+        await clock.advance(500);
+        feeds[1].isSilent = false;
+        await clock.advance(1_500);
+        expect(fleet.replicas[1]?.position()).toEqual(at(9));
+        expect(fleet.calls.copies).toBe(0);
+    });
+
     it("copies a table from a peer if the store does not respond on a new connection either", async () => {
         const clock = createVirtualClock();
         const [good, dead] = [createManualFeed(clock), createManualFeed(clock)];
--- a/src/peerSync/peerSync.ts
+++ b/src/peerSync/peerSync.ts
@@ -114,8 +114,8 @@
 interface Lag {
     /** Latest position of a peer about which the store was asked, with the result that nothing is missing. */
     checked: StorePosition;
-    /** Since when a peer has been known to be at a later position; `undefined` if none is. */
-    sinceMs: number | undefined;
+    /** Later position of a peer, and since when it has been known; `undefined` if the replica is not behind. */
+    target: { readonly position: StorePosition; readonly sinceMs: number; } | undefined;
     isRefreshed: boolean;
 }
 
@@ -214,6 +214,9 @@
         for (const [table, replica] of Object.entries(replicas)) {
             const lag = lagOf(table);
             const position = positionOf(state, table);
+            if (lag.target !== undefined && !isLater(lag.target.position, replica.position())) {
+                resetLag(lag, lag.checked);
+            }
             if (!isLater(position, replica.position())) {
                 continue;
             }
@@ -225,11 +228,11 @@
                 continue;
             }
             const nowMs = clock.monotonicMs();
-            lag.sinceMs ??= nowMs;
-            const behindMs = nowMs - lag.sinceMs;
+            lag.target ??= { position, sinceMs: nowMs };
+            const behindMs = nowMs - lag.target.sinceMs;
             if (replica.stalenessMs() < behindMs) {
                 // The store has confirmed the replica since then: the peer's revision concerns another table.
-                resetLag(lag, position);
+                resetLag(lag, lag.target.position);
             }
             else if (behindMs >= copyFromPeerAfterMs) {
                 resetLag(lag, lag.checked);
@@ -243,14 +246,14 @@
     }
 
     function lagOf(table: string): Lag {
-        const lag = lags.get(table) ?? { checked: unknownPosition, sinceMs: undefined, isRefreshed: false };
+        const lag = lags.get(table) ?? { checked: unknownPosition, target: undefined, isRefreshed: false };
         lags.set(table, lag);
         return lag;
     }
 
     function resetLag(lag: Lag, checked: StorePosition): void {
         lag.checked = checked;
-        lag.sinceMs = undefined;
+        lag.target = undefined;
         lag.isRefreshed = false;
     }
 
