Learn how long a service's streams take before refusing the long ones

Change: the estimate is kept for each service and says nothing before eight streams have ended; these have equal weight, later ones a moving average.

Tests: an entry that has just started serves its longest request (refused before). The cases of streams that may not complete in time now state the learned duration that they had taken from the default; their outcomes are unchanged.

Not followed up: allocations that end early count as short streams.

--- a/src/forwarding/forward.test.ts
+++ b/src/forwarding/forward.test.ts
@@ -19,8 +19,9 @@
 import type { EngineError } from "../engines/enginePort.js";
 import type { RetryBudgetSettings } from "../limits/fleetRetryBudget.js";
 import type { Route, RouteKind } from "../routes/desiredState.js";
+import { expectedOutputTokens } from "../scheduling/decodeScheduler.js";
 import { forward } from "./forward.js";
-import type { ForwardOutcome, ForwardRequest } from "./forwardRequest.js";
+import type { ForwardOutcome, ForwardRequest, GenerationSize } from "./forwardRequest.js";
 import { createResponseTimes } from "./responseTimes.js";
 
 const plainEngines = [engineRecord("d-1"), engineRecord("d-2"), engineRecord("d-3")];
@@ -340,8 +341,10 @@
     readonly outcome: string;
 }
 
-// A decode allocation is expected to last 4 s for 700 output tokens. 5% of responses take longer than 1.8 times their
-// expected time, and 5% take less than half of it.
+/** The service's streams have lasted 4 s for 700 output tokens on average, of which 0.9 s did not depend on the output. */
+const learnedMs = (service: string, size: GenerationSize): number => 900 + 3_100 * expectedOutputTokens(size) / 700;
+
+// 5% of responses take longer than 1.8 times their expected time, and 5% take less than half of it.
 const timeCases: readonly TimeCase[] = [
     {
         name: "in normal service",
@@ -408,7 +411,8 @@
             const harness = createForwardingHarness(desiredStateOf([routeOf("stream", { timeoutMs: 14_000 })]));
             harness.load(modelEngines);
             const size = { promptTokens: 1_000, maxOutputTokens: outputTokens, outputHintTokens: outputTokens };
-            const context = { ...harness.context, shutdownDeadlineMs: () => shutdownDeadlineMs };
+            const decodeScheduler = { ...harness.context.decodeScheduler, expectedResponseMs: learnedMs };
+            const context = { ...harness.context, decodeScheduler, shutdownDeadlineMs: () => shutdownDeadlineMs };
             const result = await forward(context, requestTo("/stream/x", { size, ...request }));
             expect(await describeOutcome(result)).toBe(outcome);
             expect(harness.calls.length > 0).toBe(outcome === "200 ok");
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -18,7 +18,7 @@
 const noDesiredStateRetryMs = 500;
 /** Retry delay during shutdown: none, since the load balancer sends the retry to another entry. */
 const shutdownRetryMs = 0;
-/** Expected duration of a stream whose caller declares no size: the platform's average. */
+/** Expected duration of a stream of unknown size or of a service that has not ended any: the platform's average. */
 const averageStreamMs = 3_600;
 /** 5% of responses take longer than this multiple of their expected time. */
 const slowResponseFactor = 1.8;
@@ -67,7 +67,7 @@
     const shutdownDeadlineMs = context.shutdownDeadlineMs();
     if (
         route.kind === "stream" && shutdownDeadlineMs !== undefined
-        && wouldBeInterrupted(context, request, shutdownDeadlineMs)
+        && wouldBeInterrupted(context, service, request, shutdownDeadlineMs)
     ) {
         return refuse(503, "this entry is shutting down", shutdownRetryMs);
     }
@@ -102,9 +102,15 @@
 }
 
 /** Whether a stream would probably be incomplete at the shutdown deadline. */
-function wouldBeInterrupted(context: ForwardContext, { size }: ForwardRequest, shutdownDeadlineMs: number): boolean {
+function wouldBeInterrupted(
+    context: ForwardContext,
+    service: string,
+    { size }: ForwardRequest,
+    shutdownDeadlineMs: number,
+): boolean {
     const timeToDeadlineMs = shutdownDeadlineMs - context.clock.monotonicMs();
-    const expectedMs = size === undefined ? averageStreamMs : context.decodeScheduler.expectedResponseMs(size);
+    const learnedMs = size === undefined ? undefined : context.decodeScheduler.expectedResponseMs(service, size);
+    const expectedMs = learnedMs ?? averageStreamMs;
     return timeToDeadlineMs < Math.max(minTimeToDeadlineMs, expectedMs * slowResponseFactor);
 }
 
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -100,8 +100,8 @@
 }
 
 function canCompleteInTime(context: ForwardContext, generation: GenerationRequest): boolean {
-    return context.decodeScheduler.expectedResponseMs(generation.size) * fastResponseFactor
-        <= timeLeftMs(context, generation);
+    const expectedMs = context.decodeScheduler.expectedResponseMs(generation.service, generation.size);
+    return expectedMs === undefined || expectedMs * fastResponseFactor <= timeLeftMs(context, generation);
 }
 
 function timeLeftMs(context: ForwardContext, generation: GenerationRequest): number {
--- a/src/scheduling/decodeScheduler.ts
+++ b/src/scheduling/decodeScheduler.ts
@@ -20,6 +20,7 @@
 import type { DecodeQueue, QueuedRequest } from "./decodeQueue.js";
 import { allowsLocalPrefill, prefillTokensPerMs, prefillWaitMs, rankForDecode } from "./placement.js";
 import type { PlacementView } from "./placement.js";
+import { createStreamDurations } from "./streamDurations.js";
 
 /** A slot and KV memory at one decode engine for one request. */
 export interface DecodeAllocation {
@@ -39,8 +40,8 @@
 export interface DecodeScheduler {
     /** Queues the request until an engine has capacity, its queue deadline passes or its caller disconnects. */
     readonly allocate: (generation: GenerationRequest) => Promise<Result<DecodeAllocation, AllocationRefusal>>;
-    /** Expected time from the allocation to the end of the response. */
-    readonly expectedResponseMs: (size: GenerationSize) => number;
+    /** Expected time from the allocation to the end of the response; `undefined` while too few have ended. */
+    readonly expectedResponseMs: (service: string, size: GenerationSize) => number | undefined;
     /** Delay after which a refused caller should retry. */
     readonly retryAfterMs: (service: string) => number;
     /** Number of queued requests of all services. */
@@ -120,14 +121,6 @@
 /** Window over which allocations are counted to estimate how fast the queue moves. */
 const allocationWindowMs = 2_000;
 const allRestingCause = "all decode engines accept no requests for some time";
-/** Initial mean duration of an allocation: several hundred tokens at a few milliseconds each. */
-const initialAllocationMs = 4_000;
-/** Initial mean of the output tokens of a response, from the platform's data sheets. */
-const initialOutputTokens = 700;
-/** Weight of the newest ended allocation in the moving averages. */
-const averageWeight = 0.05;
-/** Part of an allocation's duration that does not grow with the output: prefill queue, prefill and KV transfer. */
-const expectedTtftMs = 900;
 
 /** Number of output tokens that a generation is expected to produce. */
 export function expectedOutputTokens(size: GenerationSize): number {
@@ -141,8 +134,7 @@
     const { clock, view, directory, health, loads, engines, log, metrics } = dependencies;
     const queues = new Map<string, ServiceQueue>();
     const backoffUntilMs = new Map<string, number>();
-    let meanAllocationMs = initialAllocationMs;
-    let meanOutputTokens = initialOutputTokens;
+    const durations = createStreamDurations();
     let recentAllocations: readonly { readonly atMs: number; readonly tokens: number; readonly service: string; }[] =
         [];
 
@@ -192,7 +184,7 @@
             .reduce((sum, recent) => sum + recent.tokens, 0);
         const { pending, kvTokens } = queueOf(service);
         const availableEngines = decodeEngines(service);
-        const freedTokensPerMs = availableEngines.length * kvTokens / meanAllocationMs
+        const freedTokensPerMs = availableEngines.length * kvTokens / durations.meanMs(service)
             / Math.max(1, dependencies.entries());
         // Requests that fit into free memory do not wait.
         const freeTokens = availableEngines
@@ -207,16 +199,6 @@
         return Math.min(maximumRetryAfterMs, minimumRetryAfterMs + queueDelayMs(service));
     }
 
-    function expectedResponseMs(size: GenerationSize): number {
-        return expectedTtftMs
-            + Math.max(0, meanAllocationMs - expectedTtftMs) * expectedOutputTokens(size) / meanOutputTokens;
-    }
-
-    function recordAllocationEnd(startedAtMs: number, size: GenerationSize): void {
-        meanAllocationMs += averageWeight * (clock.monotonicMs() - startedAtMs - meanAllocationMs);
-        meanOutputTokens += averageWeight * (expectedOutputTokens(size) - meanOutputTokens);
-    }
-
     function recordAllocation(item: QueuedGeneration, nowMs: number): void {
         const { service } = item.generation;
         recentAllocations = [...recentAllocations, { atMs: nowMs, tokens: item.tokens, service }];
@@ -236,7 +218,7 @@
         const endWork = loads.start(engine.id, { requests: 1, kvTokens: item.tokens, prefillTokens: 0 });
         const end = (): void => {
             endWork();
-            recordAllocationEnd(startedAtMs, size);
+            durations.record(service, clock.monotonicMs() - startedAtMs, expectedOutputTokens(size));
         };
         if (engineSpec.maxReservationMs === 0) {
             return { engine, reservation: undefined, end };
@@ -362,7 +344,7 @@
     }
 
     return {
-        expectedResponseMs,
+        expectedResponseMs: (service, size) => durations.expectedMs(service, expectedOutputTokens(size)),
         retryAfterMs,
         queuedRequests: () => [...queues.values()].reduce((sum, queue) => sum + queue.pending.size(), 0),
         allocate: async generation => {
--- a/src/scheduling/scheduling.test.ts
+++ b/src/scheduling/scheduling.test.ts
@@ -16,11 +16,13 @@
 } from "../../fakes/forwardingHarness.js";
 import type { ForwardingHarness } from "../../fakes/forwardingHarness.js";
 import type { EngineRecord, Stage } from "../engines/enginePort.js";
+import { forward } from "../forwarding/forward.js";
 import type { ForwardRequest, GenerationSize } from "../forwarding/forwardRequest.js";
 import type { GenerationRequest } from "../forwarding/routedRequest.js";
 import { createDecodeQueue } from "./decodeQueue.js";
 import type { QueuedRequest } from "./decodeQueue.js";
 import { allowsLocalPrefill, isLocalPrefillFaster, rankForDecode, rankForPlain } from "./placement.js";
+import { createStreamDurations } from "./streamDurations.js";
 
 const decode = [engineRecord("m-1", "decode"), engineRecord("m-2", "decode")];
 const prefill = engineRecord("p-1", "prefill");
@@ -247,3 +249,36 @@
         }
     });
 });
+
+interface DurationCase {
+    readonly name: string;
+    /** Duration and output tokens of the streams that have ended. */
+    readonly ended: readonly (readonly [durationMs: number, outputTokens: number])[];
+    readonly outputTokens: number;
+    readonly expectedMs: number | undefined;
+}
+
+const durationCases: readonly DurationCase[] = [
+    { name: "no stream has ended", ended: [], outputTokens: 6_000, expectedMs: undefined },
+    { name: "one stream has ended", ended: [[3_000, 4_000]], outputTokens: 6_000, expectedMs: undefined },
+    { name: "eight streams have ended", ended: Array(8).fill([3_000, 4_000]), outputTokens: 6_000, expectedMs: 4_050 },
+    { name: "streams that end at once", ended: Array(8).fill([100, 4_000]), outputTokens: 6_000, expectedMs: 900 },
+    { name: "a slow service", ended: Array(8).fill([4_000, 700]), outputTokens: 1_400, expectedMs: 7_100 },
+];
+
+describe("expected durations of streams", () => {
+    it.each(durationCases)("$name: $expectedMs ms", ({ ended, outputTokens, expectedMs }) => {
+        const durations = createStreamDurations();
+        ended.forEach(([durationMs, tokens]) => durations.record("models", durationMs, tokens));
+        durations.record("other", 60_000, 1);
+        expect(durations.expectedMs("models", outputTokens)).toBe(expectedMs);
+    });
+
+    it("do not refuse the longest requests of an entry that has just started", async () => {
+        const harness = createForwardingHarness(desiredStateOf([routeOf("stream")]));
+        harness.load([engineRecord("d-1", "decode")]);
+        const size = { promptTokens: 1_000, maxOutputTokens: 8_000, outputHintTokens: 6_700 };
+        const result = await forward(harness.context, requestTo("/stream/x", { size, callerTimeoutMs: 14_000 }));
+        expect(result.kind).toBe("answered");
+    });
+});
