--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -71,7 +71,7 @@
         }
     }
     state.running.forEach(attempt => attempt.cancel());
-    return outcomeOf(context, routed, state.last, state.possibleRuns);
+    return outcomeOf(context, routed, state.last, state.possibleRuns + state.running.size);
 }
 
 function isRepeatable({ route }: RoutedRequest): boolean {
