--- a/test/platformPath.test.ts
+++ b/test/platformPath.test.ts
@@ -88,6 +88,29 @@
         expect((await callSite(entry(0), "/look/x", "another-key")).status).toBe(200);
     });
 
+    it("keeps a withdrawn key withdrawn when the store comes back from an older copy, also at a restarted entry", async () => {
+        await start({ entries: 2 });
+        const beforeWithdrawal = site.store.revision();
+        site.publish(["another-key"]);
+        const statusOf = async (index: number, key: string): Promise<number> =>
+            (await callSite(entry(index), "/look/x", key)).status;
+        for (const index of [0, 1]) {
+            await until("the withdrawal is in force", async () => await statusOf(index, siteKey) === 401);
+        }
+        site.store.setFault("reset");
+        entry(1).signal("SIGKILL");
+        site.store.restore(beforeWithdrawal);
+        site.store.setFault("none");
+        await entry(1).restart();
+        await until(
+            "the restarted entry has the other one's desired state",
+            async () => await statusOf(1, siteKey).catch(() => 0) === 401,
+        );
+        expect([await statusOf(0, siteKey), await statusOf(0, "another-key")]).toEqual([401, 200]);
+        expect(await statusOf(1, "another-key")).toBe(200);
+        await until("the restoration is logged", () => entry(0).log().includes("restored from an older copy"));
+    });
+
     it("sends no requests to a draining engine", async () => {
         await start({ entries: 1 });
         const [, first] = site.engines;
