--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -21,7 +21,7 @@
     Stage,
 } from "../src/engines/enginePort.js";
 import type { ForwardContext } from "../src/forwarding/context.js";
-import type { ForwardRequest, GenerationSize } from "../src/forwarding/forwardRequest.js";
+import type { ForwardOutcome, ForwardRequest, GenerationSize } from "../src/forwarding/forwardRequest.js";
 import { createResponseTimes } from "../src/forwarding/responseTimes.js";
 import { createFleetQuota } from "../src/limits/fleetQuota.js";
 import { createFleetRetryBudget } from "../src/limits/fleetRetryBudget.js";
@@ -261,3 +261,20 @@
         ...overrides,
     };
 }
+
+/** The status and the whole body of an outcome, such as `200 ok`; the status alone for a refusal. */
+export async function describeOutcome(outcome: ForwardOutcome): Promise<string> {
+    if (outcome.kind === "refused") {
+        return String(outcome.refusal.status);
+    }
+    const chunks: Buffer[] = [];
+    try {
+        for await (const chunk of outcome.answer.body as AsyncIterable<Buffer>) {
+            chunks.push(chunk);
+        }
+    }
+    catch {
+        return `${outcome.answer.status} ${Buffer.concat(chunks).toString()}, broken`;
+    }
+    return `${outcome.answer.status} ${Buffer.concat(chunks).toString()}`;
+}
