Fill a stage that has lost its last engine without the pause between changes

Change: the pause does not apply while one of the stages has no engine and none is on its way.

Test: the second order is sent within 5 s of the loss (fails before).

--- a/src/stages/stageController.ts
+++ b/src/stages/stageController.ts
@@ -11,7 +11,7 @@
 import type { DecisionLog } from "../telemetry/decisionLog.js";
 import type { PrometheusMetrics } from "../telemetry/prometheusMetrics.js";
 import type { OrderLeadership } from "./orderLeadership.js";
-import { nextStageChange } from "./stageSplit.js";
+import { isStageMissing, nextStageChange } from "./stageSplit.js";
 
 export interface StageController {
     /** Runs the loop until `signal` aborts. */
@@ -45,7 +45,10 @@
 const intervalMs = 250;
 /** Longest delay until a changed stage appears in the engine's record, which is written at intervals. */
 const recordLagMs = 1_500;
-/** Pause between two changes while requests run: a change takes an engine out of use for seconds. */
+/**
+ * Pause between two changes while requests run: a change takes an engine out of use for seconds. A stage without any engine
+ * is filled without this pause.
+ */
 const pauseBetweenChangesMs = 15_000;
 const orderTimeoutMs = 1_500;
 /** Pause for an engine that did not respond to an order: the order may still be carried out late (platform). */
@@ -114,10 +117,10 @@
         if (modelEngines.some(engine => isReconfiguring(engine.id)) && !isIdle(modelEngines)) {
             return;
         }
-        if (!isIdle(modelEngines) && nowMs < nextChangeAtMs) {
+        const effective = modelEngines.map(engine => withPendingStage(engine, nowMs));
+        if (!isIdle(modelEngines) && nowMs < nextChangeAtMs && !isStageMissing(effective)) {
             return;
         }
-        const effective = modelEngines.map(engine => withPendingStage(engine, nowMs));
         const change = nextStageChange(effective, settings.prefillFraction, id => loads.total(id).requests);
         if (change === undefined || isReconfiguring(change.engine.id)) {
             return;
--- a/src/stages/stageSplit.ts
+++ b/src/stages/stageSplit.ts
@@ -14,6 +14,12 @@
     return engines < 2 ? 0 : Math.min(engines - 1, Math.max(1, Math.round(engines * prefillFraction)));
 }
 
+/** Whether no engine is left in a stage, although there are engines for both. */
+export function isStageMissing(engines: readonly EngineRecord[]): boolean {
+    const stages = new Set(engines.map(engine => engine.stage));
+    return engines.length > 1 && !(stages.has("prefill") && stages.has("decode"));
+}
+
 /**
  * The next change of stage, or `undefined` if the split is on target. Of the stage with too many engines, the one with
  * the fewest requests changes; `requestsAt` returns the requests in flight at an engine.
--- a/src/stages/stages.test.ts
+++ b/src/stages/stages.test.ts
@@ -6,14 +6,26 @@
 import fc from "fast-check";
 import { Result } from "true-myth";
 import { describe, expect, it } from "vitest";
-import { engineRecord, silentDecisionLog } from "../../fakes/forwardingHarness.js";
+import {
+    createForwardingHarness,
+    desiredStateOf,
+    engineRecord,
+    routeOf,
+    silentDecisionLog,
+} from "../../fakes/forwardingHarness.js";
 import { createProcessGate, createVirtualClock } from "../../fakes/virtualClock.js";
 import type { Clock } from "../common/clock.js";
-import type { EngineRecord } from "../engines/enginePort.js";
+import { createEngineDirectory } from "../engines/engineDirectory.js";
+import { createEngineLoads } from "../engines/engineLoads.js";
+import { createEngineNotices } from "../engines/engineNotices.js";
+import type { EngineRecord, EngineReport } from "../engines/enginePort.js";
 import { createMemoryPlatform } from "../platform/memoryPlatform.js";
 import type { TableService } from "../platform/ports.js";
+import { createRouteTable } from "../routes/routeTable.js";
+import { createPrometheusMetrics } from "../telemetry/prometheusMetrics.js";
 import { createOrderLeadership } from "./orderLeadership.js";
 import type { OrderLeadership } from "./orderLeadership.js";
+import { createStageController } from "./stageController.js";
 import { nextStageChange, targetPrefillEngines } from "./stageSplit.js";
 
 function leadershipOf(holder: string, tables: TableService, clock: Clock, isFirstStart = true): OrderLeadership {
@@ -231,3 +243,79 @@
         }
     });
 });
+
+interface ControllerCase {
+    readonly name: string;
+    /** Engines that leave at 5 s, while the pause after the first change lasts. */
+    readonly leaving: readonly string[];
+    readonly orders: readonly string[];
+}
+
+const controllerCases: readonly ControllerCase[] = [
+    { name: "waits before a second change under load", leaving: ["p-1"], orders: ["d-1 prefill"] },
+    {
+        name: "fills a stage without any engine at once",
+        leaving: ["p-1", "d-1"],
+        orders: ["d-1 prefill", "d-2 prefill"],
+    },
+];
+
+describe("the stage controller", () => {
+    it.each(controllerCases)("$name", async ({ leaving, orders }) => {
+        const clock = createVirtualClock();
+        const state = desiredStateOf([routeOf("stream")]);
+        const directory = createEngineDirectory(
+            clock,
+            silentDecisionLog,
+            createEngineNotices(clock, silentDecisionLog),
+        );
+        const loads = createEngineLoads();
+        const sent: string[] = [];
+        const report: EngineReport = {
+            stage: "decode",
+            bornMs: 1,
+            isReconfiguring: false,
+            orderSequence: 0,
+            running: 0,
+            queued: 0,
+            kvUsedTokens: 0,
+            kvTotalTokens: 1,
+        };
+        const controller = createStageController({
+            clock,
+            directory,
+            loads,
+            engines: {
+                ...createForwardingHarness(state).context.engines,
+                report: async () => Result.ok(report),
+                orderStage: async (engine, { stage }) => {
+                    sent.push(`${engine.id} ${stage}`);
+                    return "accepted";
+                },
+            },
+            leadership: {
+                claim: async () => ({ holder: "a", fencingToken: 1, isFresh: () => true }),
+                highestToken: () => 1,
+                recordPeerToken: () => undefined,
+            },
+            log: silentDecisionLog,
+            metrics: createPrometheusMetrics(),
+            routes: () => createRouteTable(state),
+        }, { prefillFraction: 0.25 });
+        const decode = ["d-1", "d-2", "d-3", "d-4", "d-5"].map(id => engineRecord(id, "decode"));
+        directory.load([engineRecord("p-1", "prefill"), ...decode], "current");
+        ["d-2", "d-3", "d-4", "d-5"].forEach(id => loads.start(id, { requests: 1, kvTokens: 1, prefillTokens: 0 }));
+        loads.start("d-3", { requests: 1, kvTokens: 1, prefillTokens: 0 });
+        loads.start("d-4", { requests: 1, kvTokens: 1, prefillTokens: 0 });
+        loads.start("d-5", { requests: 1, kvTokens: 1, prefillTokens: 0 });
+        const stopping = new AbortController();
+        void controller.run(stopping.signal);
+        await clock.advance(5_000);
+        // The first order has been carried out.
+        const changed = [engineRecord("d-1", "prefill", { recordSequence: 2 }), ...decode.slice(1)];
+        directory.load(changed.filter(({ id }) => !leaving.includes(id)), "current");
+        await clock.advance(5_000);
+        expect(sent).toEqual(orders);
+        stopping.abort();
+    });
+});
