Clear a requested refresh before a whole read

Found by reading: a refresh that was requested while a whole read was pending, and the read then failed, kept the loop from sleeping: whole reads followed each other without a pause and the outage was never recorded.

Test: a store that fails whole reads is called with a delay (the loop did not end before).

--- a/src/peerSync/peerSync.test.ts
+++ b/src/peerSync/peerSync.test.ts
@@ -211,6 +211,17 @@
         expect(feed.calls).toBeLessThan(50);
     });
 
+    it("calls a store that fails whole reads with a delay, also if a refresh is requested meanwhile", async () => {
+        const clock = createVirtualClock();
+        const feed = createManualFeed(clock);
+        feed.failure = "unavailable";
+        const replica = startReplica(clock, feed, []);
+        replica.refresh();
+        await clock.advance(5_000);
+        // One whole read in each retry delay.
+        expect(feed.calls).toBeLessThan(25);
+    });
+
     it("prefers a copy of a newer era from another entry, and rejects one of an older era", async () => {
         const clock = createVirtualClock();
         const feed = createManualFeed(clock);
--- a/src/peerSync/tableReplica.ts
+++ b/src/peerSync/tableReplica.ts
@@ -159,6 +159,7 @@
 
     async function readAll(): Promise<Result<undefined, FeedError>> {
         const askedAtMs = clock.monotonicMs();
+        isRefreshRequested = false;
         const all = await feed.readAll();
         if (all.isErr) {
             return Result.err(all.error);
@@ -213,7 +214,7 @@
                     await clock.sleep(settings.pauseMs(), signal);
                     continue;
                 }
-                if (isRefreshRequested) {
+                if (isRefreshRequested && !isFullRead) {
                     continue;
                 }
                 // After a failure the whole table is read, because the feed may have missed changes in the meantime.
