Choose ports of test entries outside the range of outgoing connections

The harness probed ports of the ephemeral range and released them; until an entry listened, another process's connection could take one. Logs of four such failures, reproduced with six soaks at a time, all show EADDRINUSE.

Change: ports between 10,000 and 30,000, from a start that depends on the process.

Ruled out: the entries' readiness; every entry that could listen was ready within 0.4 s of it.

--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -7,7 +7,6 @@
 import type { ChildProcess } from "node:child_process";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
@@ -60,11 +59,33 @@
 const graceS = 6;
 const waitTimeoutMs = 20_000;
 
+/**
+ * Ports for the entries' listeners. They lie below the range from which the operating system takes ports of outgoing
+ * connections: a port of that range may be taken by any process between its choice here and the entry's start. Each test
+ * process begins at another port, since several may run at the same time.
+ */
+const firstPort = 10_000;
+const endPort = 30_000;
+const portsPerProcess = 64;
+let nextPort = firstPort + process.pid * portsPerProcess % (endPort - firstPort);
+
+async function isFree(port: number): Promise<boolean> {
+    const server = createServer();
+    return new Promise(resolve => {
+        server.once("error", () => resolve(false));
+        server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+    });
+}
+
 async function freePorts(count: number): Promise<readonly number[]> {
-    const servers = Array.from({ length: count }, () => createServer());
-    await Promise.all(servers.map(server => new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))));
-    const ports = servers.map(server => (server.address() as AddressInfo).port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    const ports: number[] = [];
+    while (ports.length < count) {
+        const port = nextPort;
+        nextPort = nextPort + 1 < endPort ? nextPort + 1 : firstPort;
+        if (await isFree(port)) {
+            ports.push(port);
+        }
+    }
     return ports;
 }
 
