--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -77,7 +77,7 @@
 
 export function responseOf(status: number, chunks: readonly string[] = ["ok"]): Result<EngineResponse, EngineError> {
     const body = Readable.from(chunks.map(chunk => Buffer.from(chunk)));
-    return Result.ok({ engine: "", status, headers: [], body });
+    return Result.ok({ engine: "", status, headers: [], framing: "chunks", body });
 }
 
 export function errorOf(kind: EngineError["kind"]): Result<never, EngineError> {
--- a/fakes/simulatedEngine.ts
+++ b/fakes/simulatedEngine.ts
@@ -220,7 +220,7 @@
             const isPrefilled = cache !== undefined && consumeCache(cache);
             return new Promise(resolve => {
                 const body = new Readable({ read: () => undefined });
-                const response = { engine: id, status: statusOk, headers: [], body };
+                const response = { engine: id, status: statusOk, headers: [], framing: "chunks" as const, body };
                 const run: RequestRun = {
                     request: size,
                     reservedTokens: held?.tokens ?? 0,
--- a/src/engines/enginePort.ts
+++ b/src/engines/enginePort.ts
@@ -76,6 +76,9 @@
     readonly lastEventId?: string;
 }
 
+/** What marks the end of a response's body: its announced length, its last chunk, or the end of its connection. */
+export type BodyFraming = "length" | "chunks" | "connection";
+
 /** Response from an engine. Reading `body` fails if the engine ends the response early. */
 export interface EngineResponse {
     /** Id of the engine. */
@@ -83,6 +86,7 @@
     readonly status: number;
     /** Alternating names and values, without hop-by-hop headers. */
     readonly headers: readonly string[];
+    readonly framing: BodyFraming;
     readonly body: Readable;
 }
 
--- a/src/forwarding/forward.test.ts
+++ b/src/forwarding/forward.test.ts
@@ -275,7 +275,7 @@
                     yield* first.map(text => Buffer.from(text));
                     throw new Error("reset");
                 })());
-                return Result.ok({ engine: "", status: 200, headers: [], body });
+                return Result.ok({ engine: "", status: 200, headers: [], framing: "chunks", body });
             },
         });
         harness.load(modelEngines);
--- a/src/forwarding/slowResponses.test.ts
+++ b/src/forwarding/slowResponses.test.ts
@@ -205,7 +205,7 @@
                     }
                     body.push(null);
                 })();
-                return Result.ok({ engine: engine.id, status: 200, headers: [], body });
+                return Result.ok({ engine: engine.id, status: 200, headers: [], framing: "chunks", body });
             },
         });
         harness.load(modelEngines);
@@ -236,7 +236,7 @@
             },
         });
         const harness = createForwardingHarness(desiredStateOf([routeOf("idempotent")]), {
-            send: async () => Result.ok({ engine: "i-1", status: 200, headers: [], body }),
+            send: async () => Result.ok({ engine: "i-1", status: 200, headers: [], framing: "chunks", body }),
         });
         harness.load([engineRecord("i-1")]);
         const result = await forward(harness.context, requestTo("/idempotent/x"));
@@ -265,7 +265,7 @@
                             this.push("data: and so on ".repeat(1_000));
                         },
                     });
-                    return Result.ok({ engine: "d-1", status: 200, headers: [], body });
+                    return Result.ok({ engine: "d-1", status: 200, headers: [], framing: "chunks", body });
                 },
             },
         );
