Failing tests: every way in which an engine's response can end

Over real sockets from the engine to the caller: framing by length, chunks or the end of the connection; closed in order, reset or kept; between events, inside an event, before the first; on routes that may be resumed or not, at model engines and plain services.

--- /dev/null
+++ b/test/responseEnds.test.ts
@@ -0,0 +1,281 @@
+/**
+ * How a caller sees each way in which an engine's response can end: complete only if the engine's response was, over
+ * real connections from the engine's socket to the caller's.
+ *
+ * A response may have a length, chunks or neither; one with neither ends with its connection. A stream that ends inside
+ * an event was broken off, however it is framed.
+ */
+
+import { createServer } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
+import { request as sendRequest } from "undici";
+import { afterEach, describe, expect, it } from "vitest";
+import {
+    createTestForwardContext,
+    desiredStateOf,
+    engineRecord,
+    routeOf,
+    silentDecisionLog,
+} from "../fakes/forwardingHarness.js";
+import { createVirtualClock } from "../fakes/virtualClock.js";
+import { createEngineClient } from "../platform/engineClient.js";
+import { listenForCallers } from "../platform/ingress.js";
+import { createEngineNotices } from "../src/engines/engineNotices.js";
+import type { EnginePort } from "../src/engines/enginePort.js";
+import { forward } from "../src/forwarding/forward.js";
+import type { Route } from "../src/routes/desiredState.js";
+import { createPrometheusMetrics } from "../src/telemetry/prometheusMetrics.js";
+
+type Framing = "length" | "chunks" | "connection";
+type Close = "keep" | "end" | "reset";
+
+/** One response of an engine: what it writes, and what it then does with the connection. */
+interface ResponseEnd {
+    readonly name: string;
+    readonly framing: Framing;
+    readonly text: string;
+    /** Announced beyond `text`: bytes of a length, or a last chunk that never comes. */
+    readonly isShort: boolean;
+    readonly close: Close;
+    readonly isComplete: boolean;
+}
+
+const firstEvent = "id: 1\ndata: a\n\n";
+const secondEvent = "id: 2\ndata: b\n\n";
+const wholeStream = firstEvent + secondEvent;
+const insideData = `${firstEvent}id: 2\ndata: b`;
+const insideField = `${firstEvent}id: 2\nda`;
+const beforeBlankLine = `${firstEvent}id: 2\ndata: b\n`;
+const shortCases: readonly ResponseEnd[] = (["length", "chunks"] as const).flatMap(framing =>
+    (["end", "reset"] as const).map(close => ({
+        name: `${framing}, the rest is missing`,
+        framing,
+        text: firstEvent,
+        isShort: true,
+        close,
+        isComplete: false,
+    }))
+);
+const closeDelimited = (name: string, text: string, close: Close, isComplete: boolean): ResponseEnd => ({
+    name: `connection, ${name}`,
+    framing: "connection",
+    text,
+    isShort: false,
+    close,
+    isComplete,
+});
+
+const named = (ends: readonly ResponseEnd[]): readonly (readonly [string, ResponseEnd])[] =>
+    ends.map(end => [`${end.name}, then ${end.close}`, end]);
+
+const streamEnds: readonly ResponseEnd[] = [
+    { name: "length, whole", framing: "length", text: wholeStream, isShort: false, close: "keep", isComplete: true },
+    { name: "chunks, whole", framing: "chunks", text: wholeStream, isShort: false, close: "keep", isComplete: true },
+    ...shortCases,
+    {
+        name: "length, in an event",
+        framing: "length",
+        text: insideData,
+        isShort: false,
+        close: "keep",
+        isComplete: false,
+    },
+    {
+        name: "chunks, in an event",
+        framing: "chunks",
+        text: insideData,
+        isShort: false,
+        close: "keep",
+        isComplete: false,
+    },
+    closeDelimited("whole", wholeStream, "end", true),
+    closeDelimited("whole, with CR LF", wholeStream.replaceAll("\n", "\r\n"), "end", true),
+    closeDelimited("whole, with CR", wholeStream.replaceAll("\n", "\r"), "end", true),
+    closeDelimited("in the data of an event", insideData, "end", false),
+    closeDelimited("in a field name", insideField, "end", false),
+    closeDelimited("before the blank line", beforeBlankLine, "end", false),
+    closeDelimited("before the blank line, with CR LF", beforeBlankLine.replaceAll("\n", "\r\n"), "end", false),
+    closeDelimited("in the first event", "id: 1\nda", "end", false),
+    closeDelimited("before the first event", "", "end", false),
+    closeDelimited("in an event, reset", insideData, "reset", false),
+    closeDelimited("between events, reset", firstEvent, "reset", false),
+];
+
+const plainEnds: readonly ResponseEnd[] = [
+    { name: "length, whole", framing: "length", text: "done", isShort: false, close: "keep", isComplete: true },
+    { name: "chunks, whole", framing: "chunks", text: "done", isShort: false, close: "keep", isComplete: true },
+    ...shortCases,
+    closeDelimited("whole", "done", "end", true),
+    closeDelimited("reset", "do", "reset", false),
+];
+
+function responseText({ framing, text, isShort }: ResponseEnd, requestId: string, contentType: string): string {
+    const framingHeader = {
+        length: `content-length: ${text.length + (isShort ? 10 : 0)}\r\n`,
+        chunks: "transfer-encoding: chunked\r\n",
+        connection: "",
+    }[framing];
+    const chunk = text === "" ? "" : `${text.length.toString(16)}\r\n${text}\r\n`;
+    const body = framing === "chunks" ? chunk + (isShort ? "" : "0\r\n\r\n") : text;
+    return `HTTP/1.1 200 OK\r\ncontent-type: ${contentType}\r\nx-gooseberrywell-request-id: ${requestId}\r\n`
+        + `x-gooseberrywell-response-seal: sealed\r\n${framingHeader}\r\n${body}`;
+}
+
+/** Outside the range of outgoing connections; each entry gets the next one. */
+let port = 22_000;
+const cleanups: (() => Promise<void> | void)[] = [];
+
+afterEach(async () => {
+    for (const cleanup of cleanups.splice(0).reverse()) {
+        await cleanup();
+    }
+});
+
+interface EngineServer {
+    readonly address: string;
+    readonly sends: () => number;
+    readonly lastEventIds: readonly (string | undefined)[];
+}
+
+/** Responds to the requests that it runs with each of `ends` in turn; the last one repeats. */
+async function startEngineServer(ends: readonly ResponseEnd[], contentType: string): Promise<EngineServer> {
+    const lastEventIds: (string | undefined)[] = [];
+    const sockets = new Set<Socket>();
+    let reservations = 0;
+    const server: Server = createServer(socket => {
+        sockets.add(socket);
+        socket.on("error", () => undefined);
+        socket.on("data", (bytes: Buffer) => {
+            const head = bytes.toString();
+            if (head.includes("/hold-take ")) {
+                reservations += 1;
+                const body = JSON.stringify({ hold: `h-${reservations}` });
+                socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+                return;
+            }
+            if (!head.includes("x-gooseberrywell-request-id")) {
+                socket.write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+                return;
+            }
+            const end = ends[Math.min(lastEventIds.length, ends.length - 1)];
+            lastEventIds.push(/last-event-id: (\d+)/u.exec(head)?.[1]);
+            const requestId = /x-gooseberrywell-request-id: (\S+)/u.exec(head)?.[1] ?? "";
+            if (end !== undefined) {
+                socket.write(responseText(end, requestId, contentType), () => closeAs(socket, end.close));
+            }
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", () => resolve()));
+    cleanups.push(() => {
+        sockets.forEach(socket => socket.destroy());
+        server.close();
+    });
+    const { port } = server.address() as AddressInfo;
+    return { address: `127.0.0.1:${port}`, sends: () => lastEventIds.length, lastEventIds };
+}
+
+function closeAs(socket: Socket, close: Close): void {
+    if (close === "end") {
+        socket.end();
+    }
+    if (close === "reset") {
+        socket.resetAndDestroy();
+    }
+}
+
+/** Starts an entry with one route whose service has two engines, all at the engine server's address. */
+async function startEntry(engine: EngineServer, route: Route): Promise<string> {
+    const clock = createVirtualClock();
+    const notices = createEngineNotices(clock, silentDecisionLog);
+    const engines: EnginePort = createEngineClient({ log: silentDecisionLog, notices });
+    const context = createTestForwardContext({ clock, notices, engines, state: desiredStateOf([route]) });
+    const stage = route.services[0]?.service === "models" ? "decode" : undefined;
+    context.directory.load(
+        ["e-1", "e-2"].map((id, index) => engineRecord(id, stage, { bornMs: index, address: engine.address })),
+        "current",
+    );
+    port += 1;
+    const ingress = await listenForCallers({ ip: "127.0.0.1", port }, {
+        clock,
+        log: silentDecisionLog,
+        metrics: createPrometheusMetrics(),
+        limits: () => desiredStateOf([]).limits,
+        desiredStateVersion: () => 1,
+        forward: request => forward(context, request),
+    });
+    cleanups.push(() => engines.close(), () => ingress.close());
+    return `http://127.0.0.1:${port}`;
+}
+
+const callerHeaders = {
+    "x-gooseberrywell-request-id": "r-1",
+    "x-gooseberrywell-token-usage": "100,20",
+    host: "caller.example",
+};
+
+/** What a caller receives: status and text of a complete response, the status alone of an error, or `broken`. */
+async function callEntry(entryUrl: string, route: Route): Promise<string> {
+    const { statusCode, body } = await sendRequest(`${entryUrl}${route.pathPrefix}x`, {
+        method: "POST",
+        headers: callerHeaders,
+    });
+    try {
+        const text = await body.text();
+        return statusCode === 200 ? `200 ${text}` : String(statusCode);
+    }
+    catch {
+        return "broken";
+    }
+}
+
+const wholeEnd: ResponseEnd = {
+    name: "whole",
+    framing: "chunks",
+    text: secondEvent,
+    isShort: false,
+    close: "keep",
+    isComplete: true,
+};
+const streamRoute = routeOf("stream");
+const resumableRoute = routeOf("stream", { isResumable: true });
+const plainServiceStreamRoute = routeOf("stream", { services: [{ service: "desk", weight: 1 }] });
+
+describe("the end of an engine's stream", () => {
+    // An engine closed its connection in order inside an event; the caller received the short stream as a complete one.
+    it.each(named(streamEnds))("on a route that is not resumable: %s", async (name, end) => {
+        const engine = await startEngineServer([end], "text/event-stream");
+        const outcome = await callEntry(await startEntry(engine, streamRoute), streamRoute);
+        expect(outcome).toBe(end.isComplete ? `200 ${end.text}` : "broken");
+        expect(engine.sends()).toBe(1);
+    });
+
+    // A stream that ended inside an event was completed with that event instead of being resumed.
+    it.each(named(streamEnds))("on a resumable route: %s", async (name, end) => {
+        const hasFirstEvent = end.text.startsWith(firstEvent);
+        const rest = hasFirstEvent ? wholeEnd : { ...wholeEnd, text: wholeStream };
+        const engine = await startEngineServer([end, rest], "text/event-stream");
+        const outcome = await callEntry(await startEntry(engine, resumableRoute), resumableRoute);
+        expect(outcome).toBe(`200 ${end.isComplete ? end.text : wholeStream}`);
+        expect(engine.lastEventIds).toEqual(
+            end.isComplete ? [undefined] : [undefined, hasFirstEvent ? "1" : undefined],
+        );
+    });
+
+    // Streams of services without model engines were never checked for their last event.
+    it.each(named(streamEnds))("of a plain service: %s", async (name, end) => {
+        const engine = await startEngineServer([end], "text/event-stream");
+        const outcome = await callEntry(await startEntry(engine, plainServiceStreamRoute), plainServiceStreamRoute);
+        expect(outcome).toBe(end.isComplete ? `200 ${end.text}` : "502");
+        expect(engine.sends()).toBe(1);
+    });
+});
+
+describe("the end of a plain response", () => {
+    it.each(named(plainEnds))("on a route that allows no repeats: %s", async (name, end) => {
+        const route = routeOf("nonIdempotent");
+        const engine = await startEngineServer([end], "application/json");
+        const outcome = await callEntry(await startEntry(engine, route), route);
+        expect(outcome).toBe(end.isComplete ? `200 ${end.text}` : "502");
+        expect(engine.sends()).toBe(1);
+    });
+});
