Break off or resume a stream that ends inside an event

Callers saw: status 200, the engine's seal and a stream that lacked its last events, framed as complete.

Cause: a response with neither a length nor chunks ends with its connection. An engine that fails may close that connection in order in the middle of an event; the relay took every orderly end for the end of the stream and, on resumable routes, even passed the incomplete event on. Class: an end of the transport taken for an end of the message.

Change: the relay tracks the boundaries of events (LF, CR LF or CR). A stream that ends inside an event is broken off, whatever its framing; one that ends with its connection before any event is, too. Resumable ones go on at another engine. Only successful responses that are event streams, by route or content type, are checked.

The case 'before the blank line, with CR LF' on a resumable route expected the first event again with other line ends; it now expects it once, as it was sent.

Ruled out: a missed reset (the cases with a reset passed before); a wrong last id.

The fakes' default body was not an event, so streams of theirs broke off; it is one now, and the tests compare it whole.

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -75,7 +75,13 @@
     readonly calls: string[];
 }
 
-export function responseOf(status: number, chunks: readonly string[] = ["ok"]): Result<EngineResponse, EngineError> {
+/** Body of a response whose content doesn't matter: a complete event. `describeOutcome` shows it as `ok`. */
+const defaultBody = "data: ok\n\n";
+
+export function responseOf(
+    status: number,
+    chunks: readonly string[] = [defaultBody],
+): Result<EngineResponse, EngineError> {
     const body = Readable.from(chunks.map(chunk => Buffer.from(chunk)));
     return Result.ok({ engine: "", status, headers: [], framing: "chunks", body });
 }
@@ -262,7 +268,7 @@
     };
 }
 
-/** The status and the whole body of an outcome, such as `200 ok`; the status alone for a refusal. */
+/** The status and the whole body of an outcome, such as `200 ok` for `defaultBody`; the status alone for a refusal. */
 export async function describeOutcome(outcome: ForwardOutcome): Promise<string> {
     if (outcome.kind === "refused") {
         return String(outcome.refusal.status);
@@ -276,5 +282,6 @@
     catch {
         return `${outcome.answer.status} ${Buffer.concat(chunks).toString()}, broken`;
     }
-    return `${outcome.answer.status} ${Buffer.concat(chunks).toString()}`;
+    const text = Buffer.concat(chunks).toString();
+    return `${outcome.answer.status} ${text === defaultBody ? "ok" : text}`;
 }
--- a/src/forwarding/eventStream.ts
+++ b/src/forwarding/eventStream.ts
@@ -4,10 +4,15 @@
  * An event ends with a blank line. Lines end with LF, CR LF or CR.
  */
 
+import type { BodyFraming } from "../engines/enginePort.js";
+import type { RouteKind } from "../routes/desiredState.js";
+
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 /** Bytes before a position that decide whether an event ends there. */
 const boundaryBytes = 3;
+const idField = "id:";
+const eventStreamType = "text/event-stream";
 
 function isLineEnd(byte: number | undefined): boolean {
     return byte === lineFeed || byte === carriageReturn;
@@ -23,6 +28,37 @@
     return isLineEnd(bytes[position - (isPair ? 3 : 2)]);
 }
 
+/** Whether a successful response is a stream of events: by its content type, given in raw headers, or by its route. */
+export function isEventStream(routeKind: RouteKind, headers: readonly string[]): boolean {
+    const nameIndex = headers.findIndex((name, index) => index % 2 === 0 && name.toLowerCase() === "content-type");
+    const contentType = nameIndex < 0 ? "" : headers[nameIndex + 1] ?? "";
+    return routeKind === "stream" || contentType.toLowerCase().startsWith(eventStreamType);
+}
+
+/** Number of bytes up to the end of the last complete event; the search covers the bytes from `from` on. */
+export function completeEventsLength(bytes: Uint8Array, from = 0): number {
+    for (let position = bytes.length; position > from; position--) {
+        if (endsWithBlankLine(bytes, position)) {
+            return position;
+        }
+    }
+    return 0;
+}
+
+/** The value of the last `id` field in a sequence of complete events. */
+export function lastEventIdIn(events: Buffer): string | undefined {
+    let fieldStart = events.lastIndexOf(idField);
+    while (fieldStart > 0 && !isLineEnd(events[fieldStart - 1])) {
+        fieldStart = events.lastIndexOf(idField, fieldStart - 1);
+    }
+    if (fieldStart < 0) {
+        return undefined;
+    }
+    const valueStart = fieldStart + idField.length;
+    const valueLength = events.subarray(valueStart).findIndex(isLineEnd);
+    return events.subarray(valueStart, valueStart + valueLength).toString("utf8").trim();
+}
+
 /** Tracks whether a stream ends inside an event. */
 export interface EventBoundaryTracker {
     readonly push: (chunk: Uint8Array) => void;
@@ -47,3 +83,18 @@
         sizeBytes: () => sizeBytes,
     };
 }
+
+/**
+ * Why a stream that its engine ended without an error is incomplete; `undefined` if it is complete.
+ *
+ * The end of a connection does not prove that a body is whole, so a stream without any event is complete only if its
+ * framing says so.
+ */
+export function findMissingEnd(boundaries: EventBoundaryTracker, framing: BodyFraming): string | undefined {
+    if (boundaries.isInsideEvent()) {
+        return "the engine ended the stream inside an event";
+    }
+    return boundaries.sizeBytes() === 0 && framing === "connection"
+        ? "the engine closed the connection before the first event"
+        : undefined;
+}
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -1,21 +1,27 @@
 /**
- * Relays a stream of events to the caller, in complete events only, and resumes a broken one at another engine where
- * the route allows it.
+ * Relays a stream of events to the caller, and resumes a broken one at another engine where the route allows it.
  *
- * An engine may break off in the middle of an event. The incomplete event is dropped, and the stream resumes after the
- * id of the last complete one; the caller sees one response with the first engine's status and headers.
+ * A stream is broken if the engine's response breaks off, and also if it ends inside an event, however it is framed. A
+ * stream that may be resumed is relayed in complete events only: the incomplete event is dropped, and the stream resumes
+ * after the id of the last complete one; the caller sees one response with the first engine's status and headers. Any
+ * other stream is relayed as it arrives, and breaks off for the caller too.
  */
 
 import { finished, Readable } from "node:stream";
-import type { EngineResponse } from "../engines/enginePort.js";
+import type { BodyFraming, EngineResponse } from "../engines/enginePort.js";
 import type { ForwardContext } from "./context.js";
+import {
+    completeEventsLength,
+    createEventBoundaryTracker,
+    findMissingEnd,
+    isEventStream,
+    lastEventIdIn,
+} from "./eventStream.js";
+import type { EventBoundaryTracker } from "./eventStream.js";
 import { startStream } from "./generation.js";
 import type { RunningStream } from "./generation.js";
 import type { GenerationRequest } from "./routedRequest.js";
 
-const eventDelimiter = Buffer.from("\n\n");
-const idField = "id:";
-const lineFeed = "\n";
 const successStatus = 200;
 /** Limit on an incomplete event, which is kept in memory: a faulty engine may send bytes that never end an event. */
 const maxEventBytes = 1_048_576;
@@ -31,8 +37,7 @@
  */
 export function relayStream(context: ForwardContext, generation: GenerationRequest, stream: RunningStream): Readable {
     const { response, end } = stream;
-    const canResume = generation.route.isResumable && response.status === successStatus;
-    if (!canResume) {
+    if (response.status !== successStatus || !isEventStream(generation.route.kind, response.headers)) {
         finished(response.body, () => end());
         return response.body;
     }
@@ -61,16 +66,21 @@
     onStreamChange: (stream: RunningStream) => void,
 ): Promise<void> {
     const { request, route } = generation;
+    const relayEvents = route.isResumable ? relayCompleteEvents : relayChunks;
     const position: StreamPosition = { lastEventId: request.lastEventId };
     let stream: RunningStream | undefined = first;
     for (let engineCount = 1; stream !== undefined; engineCount++) {
         onStreamChange(stream);
-        const isComplete = await relayCompleteEvents(stream, relayed, position);
+        const failure = await relayEvents(stream, relayed, position);
         stream.end();
-        if (isComplete) {
+        if (failure === undefined) {
             relayed.push(endOfStream);
             return;
         }
+        if (!route.isResumable) {
+            relayed.destroy(failure);
+            return;
+        }
         const isCallerWaiting = !relayed.destroyed && !request.callerDisconnected.aborted;
         if (isCallerWaiting) {
             // Ejects the engine, so that the stream is not resumed at the one that has just broken it off.
@@ -84,6 +94,7 @@
             requestId: request.requestId,
             engine: stream.engine.id,
             lastEventId: position.lastEventId,
+            cause: failure.message,
         });
         stream = await resumeStream(context, generation, position.lastEventId);
     }
@@ -117,51 +128,57 @@
     lastEventId: string | undefined;
 }
 
-/** Relays complete events and records the id of the last one; resolves to whether the stream ended normally. */
-function relayCompleteEvents(
-    { response: { body } }: RunningStream,
-    relayed: Readable,
-    position: StreamPosition,
-): Promise<boolean> {
+/** Relays a stream until it ends; resolves to the error that broke it off, or to `undefined` if it is complete. */
+type EventRelay = (stream: RunningStream, relayed: Readable, position: StreamPosition) => Promise<Error | undefined>;
+
+/** Relays complete events and records the id of the last one. */
+const relayCompleteEvents: EventRelay = ({ response: { body, framing } }, relayed, position) => {
     let partialEvent: Buffer = Buffer.alloc(0);
-    const pushEvents = (events: Buffer): void => {
-        if (!relayed.push(events)) {
-            body.pause();
-        }
-    };
+    const boundaries = createEventBoundaryTracker();
     body.on("data", (chunk: Buffer) => {
-        const pending = partialEvent.length === 0 ? chunk : Buffer.concat([partialEvent, chunk]);
-        const lastDelimiter = pending.lastIndexOf(eventDelimiter);
-        if (lastDelimiter < 0) {
-            partialEvent = pending;
+        boundaries.push(chunk);
+        const searchedBytes = partialEvent.length;
+        const pending = searchedBytes === 0 ? chunk : Buffer.concat([partialEvent, chunk]);
+        const eventsLength = completeEventsLength(pending, searchedBytes);
+        partialEvent = pending.subarray(eventsLength);
+        if (eventsLength === 0) {
             if (partialEvent.length > maxEventBytes) {
                 body.destroy(new Error(`an event is larger than ${maxEventBytes} bytes`));
             }
             return;
         }
-        const events = pending.subarray(0, lastDelimiter + eventDelimiter.length);
-        partialEvent = pending.subarray(lastDelimiter + eventDelimiter.length);
+        const events = pending.subarray(0, eventsLength);
         position.lastEventId = lastEventIdIn(events) ?? position.lastEventId;
-        pushEvents(events);
+        if (!relayed.push(events)) {
+            body.pause();
+        }
+    });
+    return endOf(body, boundaries, framing).then(failure => {
+        if (failure === undefined && partialEvent.length > 0) {
+            // Line ends after the last event.
+            relayed.push(partialEvent);
+        }
+        return failure;
+    });
+};
+
+/** Relays the bytes as they arrive. */
+const relayChunks: EventRelay = ({ response: { body, framing } }, relayed) => {
+    const boundaries = createEventBoundaryTracker();
+    body.on("data", (chunk: Buffer) => {
+        boundaries.push(chunk);
+        if (!relayed.push(chunk)) {
+            body.pause();
+        }
     });
+    return endOf(body, boundaries, framing);
+};
+
+function endOf(body: Readable, boundaries: EventBoundaryTracker, framing: BodyFraming): Promise<Error | undefined> {
     return new Promise(resolve => {
         finished(body, error => {
-            const isComplete = error === undefined || error === null;
-            if (isComplete && partialEvent.length > 0) {
-                pushEvents(partialEvent);
-            }
-            resolve(isComplete);
+            const missing = findMissingEnd(boundaries, framing);
+            resolve(error ?? (missing === undefined ? undefined : new Error(missing)));
         });
     });
 }
-
-/** The value of the last `id` field in a sequence of complete events. */
-export function lastEventIdIn(events: Buffer): string | undefined {
-    const lineStart = events.lastIndexOf(lineFeed + idField);
-    const fieldStart = lineStart >= 0 ? lineStart + lineFeed.length : events.indexOf(idField) === 0 ? 0 : -1;
-    if (fieldStart < 0) {
-        return undefined;
-    }
-    const valueStart = fieldStart + idField.length;
-    return events.subarray(valueStart, events.indexOf(lineFeed, valueStart)).toString("utf8").trim();
-}
--- a/test/responseEnds.test.ts
+++ b/test/responseEnds.test.ts
@@ -41,6 +41,7 @@
 }
 
 const firstEvent = "id: 1\ndata: a\n\n";
+const firstEventPattern = /^id: 1\r?\ndata: a\r?\n\r?\n/u;
 const secondEvent = "id: 2\ndata: b\n\n";
 const wholeStream = firstEvent + secondEvent;
 const insideData = `${firstEvent}id: 2\ndata: b`;
@@ -251,13 +252,13 @@
 
     // A stream that ended inside an event was completed with that event instead of being resumed.
     it.each(named(streamEnds))("on a resumable route: %s", async (name, end) => {
-        const hasFirstEvent = end.text.startsWith(firstEvent);
-        const rest = hasFirstEvent ? wholeEnd : { ...wholeEnd, text: wholeStream };
+        const received = firstEventPattern.exec(end.text)?.[0];
+        const rest = received === undefined ? { ...wholeEnd, text: wholeStream } : wholeEnd;
         const engine = await startEngineServer([end, rest], "text/event-stream");
         const outcome = await callEntry(await startEntry(engine, resumableRoute), resumableRoute);
-        expect(outcome).toBe(`200 ${end.isComplete ? end.text : wholeStream}`);
+        expect(outcome).toBe(`200 ${end.isComplete ? end.text : (received ?? "") + rest.text}`);
         expect(engine.lastEventIds).toEqual(
-            end.isComplete ? [undefined] : [undefined, hasFirstEvent ? "1" : undefined],
+            end.isComplete ? [undefined] : [undefined, received === undefined ? undefined : "1"],
         );
     });
 
