Check that streams of plain services end between events

Callers saw: a stream from a service without model engines that ended inside an event, framed as complete. A stream route may lead to such a service.

Cause: the same as of the broken streams of model engines, in the buffered path of plain calls, which took every orderly end of a connection for the end of the body.

Change: successful event streams are checked there too, buffered or passed on.

--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -11,9 +11,12 @@
 import { Readable } from "node:stream";
 import { Result } from "true-myth";
 import { provesNotRun } from "../engines/enginePort.js";
-import type { EngineError, EngineRecord, EngineResponse } from "../engines/enginePort.js";
+import type { BodyFraming, EngineError, EngineRecord, EngineResponse } from "../engines/enginePort.js";
+import type { RouteKind } from "../routes/desiredState.js";
 import { rankForPlain } from "../scheduling/placement.js";
 import type { ForwardContext } from "./context.js";
+import { createEventBoundaryTracker, findMissingEnd, isEventStream } from "./eventStream.js";
+import type { EventBoundaryTracker } from "./eventStream.js";
 import { answered, refuse } from "./forwardRequest.js";
 import type { ForwardOutcome } from "./forwardRequest.js";
 import type { RoutedRequest } from "./routedRequest.js";
@@ -22,6 +25,7 @@
 const maxAttempts = 3;
 /** Retry delay for callers when no instance has run the call, for example because all instances are full. */
 const unavailableRetryMs = 250;
+const successStatus = 200;
 const serverError = 500;
 /** Many times a usual response of a plain service; limits the memory that one response takes. */
 const maxBufferedBytes = 262_144;
@@ -170,7 +174,7 @@
         ...request.lastEventId === undefined ? {} : { lastEventId: request.lastEventId },
         signal: AbortSignal.any([timeout, overtaken, request.callerDisconnected]),
     });
-    const result = sent.isErr ? sent : await bufferBody(sent.value);
+    const result = sent.isErr ? sent : await bufferBody(sent.value, routed.route.kind);
     endLoad();
     if (result.isOk && result.value.status < serverError) {
         context.responseTimes.record(routed.service, context.clock.monotonicMs() - sentAtMs);
@@ -203,18 +207,25 @@
  * Reads the whole body into memory; fails if the engine breaks off the response. Of a body larger than
  * `maxBufferedBytes` the rest is passed on as it arrives, and ends at the attempt's timeout at the latest.
  */
-async function bufferBody(response: EngineResponse): Promise<Result<EngineResponse, EngineError>> {
-    const { body } = response;
+async function bufferBody(
+    response: EngineResponse,
+    routeKind: RouteKind,
+): Promise<Result<EngineResponse, EngineError>> {
+    const { body, framing, headers, status } = response;
+    const isChecked = status === successStatus && isEventStream(routeKind, headers);
+    const boundaries = isChecked ? createEventBoundaryTracker() : undefined;
     const chunks: Buffer[] = [];
     let sizeBytes = 0;
     try {
         for await (const chunk of body.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
             chunks.push(chunk);
+            boundaries?.push(chunk);
             sizeBytes += chunk.length;
             if (sizeBytes > maxBufferedBytes) {
-                return Result.ok({ ...response, body: Readable.from(concatenate(chunks, body)) });
+                return Result.ok({ ...response, body: Readable.from(concatenate(chunks, body, boundaries, framing)) });
             }
         }
+        failIfIncomplete(boundaries, framing);
     }
     catch (error) {
         return Result.err({ kind: "interrupted", cause: `the answer broke off: ${(error as Error).message}` });
@@ -223,9 +234,26 @@
 }
 
 /** The chunks that were read, then the rest of the body. */
-async function* concatenate(chunks: readonly Buffer[], rest: Readable): AsyncGenerator<Buffer> {
+async function* concatenate(
+    chunks: readonly Buffer[],
+    rest: Readable,
+    boundaries: EventBoundaryTracker | undefined,
+    framing: BodyFraming,
+): AsyncGenerator<Buffer> {
     yield* chunks;
-    yield* rest as AsyncIterable<Buffer>;
+    for await (const chunk of rest as AsyncIterable<Buffer>) {
+        boundaries?.push(chunk);
+        yield chunk;
+    }
+    failIfIncomplete(boundaries, framing);
+}
+
+/** Throws if the body was a stream of events that ended too early. */
+function failIfIncomplete(boundaries: EventBoundaryTracker | undefined, framing: BodyFraming): void {
+    const missing = boundaries === undefined ? undefined : findMissingEnd(boundaries, framing);
+    if (missing !== undefined) {
+        throw new Error(missing);
+    }
 }
 
 function logRetry(context: ForwardContext, routed: RoutedRequest, { engine, result }: Attempt): void {
--- a/test/responseEnds.test.ts
+++ b/test/responseEnds.test.ts
@@ -269,6 +269,17 @@
         expect(outcome).toBe(end.isComplete ? `200 ${end.text}` : "502");
         expect(engine.sends()).toBe(1);
     });
+
+    // The part of a large body that is passed on as it arrives was not checked either.
+    it.each([[true, wholeStream], [false, insideData]])(
+        "of a plain service, too large to be buffered, whole: %s",
+        async (isComplete, lastText) => {
+            const text = `data: ${"x".repeat(400_000)}\n\n${lastText}`;
+            const engine = await startEngineServer([closeDelimited("", text, "end", isComplete)], "text/event-stream");
+            const outcome = await callEntry(await startEntry(engine, plainServiceStreamRoute), plainServiceStreamRoute);
+            expect(outcome).toBe(isComplete ? `200 ${text}` : "broken");
+        },
+    );
 });
 
 describe("the end of a plain response", () => {
