Send streams without the length that an engine announced

Callers saw: a stream continued at another engine, cut at the length that its first engine had announced, with the rest as stray bytes on a kept connection; and a stream that ended inside an event with all announced bytes, which no later close could mark as broken.

Cause: the first engine's content length was passed on with its other headers, although the length of a relayed stream isn't known before its end.

Change: relayed streams of events have no length, so the caller's connection carries chunks. Responses that are read whole before they are passed on keep theirs.

--- a/src/forwarding/eventStream.ts
+++ b/src/forwarding/eventStream.ts
@@ -35,6 +35,15 @@
     return routeKind === "stream" || contentType.toLowerCase().startsWith(eventStreamType);
 }
 
+/**
+ * Raw headers without the length. A stream that breaks off can't be told from a complete one once its announced length
+ * was sent, and one that resumes at another engine may have another length.
+ */
+export function withoutLength(headers: readonly string[]): readonly string[] {
+    const isLength = (index: number): boolean => headers[index]?.toLowerCase() === "content-length";
+    return headers.filter((text, index) => !isLength(index - index % 2));
+}
+
 /** Number of bytes up to the end of the last complete event; the search covers the bytes from `from` on. */
 export function completeEventsLength(bytes: Uint8Array, from = 0): number {
     for (let position = bytes.length; position > from; position--) {
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -55,9 +55,7 @@
     if (started.kind === "refused") {
         return started.outcome;
     }
-    const { response } = started.stream;
-    const body = relayStream(context, generation, started.stream);
-    return answered({ ...response, body });
+    return answered(relayStream(context, generation, started.stream));
 }
 
 /** Starts a stream, or resumes one after `lastEventId`. */
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -15,7 +15,7 @@
 import type { RouteKind } from "../routes/desiredState.js";
 import { rankForPlain } from "../scheduling/placement.js";
 import type { ForwardContext } from "./context.js";
-import { createEventBoundaryTracker, findMissingEnd, isEventStream } from "./eventStream.js";
+import { createEventBoundaryTracker, findMissingEnd, isEventStream, withoutLength } from "./eventStream.js";
 import type { EventBoundaryTracker } from "./eventStream.js";
 import { answered, refuse } from "./forwardRequest.js";
 import type { ForwardOutcome } from "./forwardRequest.js";
@@ -222,7 +222,11 @@
             boundaries?.push(chunk);
             sizeBytes += chunk.length;
             if (sizeBytes > maxBufferedBytes) {
-                return Result.ok({ ...response, body: Readable.from(concatenate(chunks, body, boundaries, framing)) });
+                return Result.ok({
+                    ...response,
+                    headers: isChecked ? withoutLength(headers) : headers,
+                    body: Readable.from(concatenate(chunks, body, boundaries, framing)),
+                });
             }
         }
         failIfIncomplete(boundaries, framing);
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -16,6 +16,7 @@
     findMissingEnd,
     isEventStream,
     lastEventIdIn,
+    withoutLength,
 } from "./eventStream.js";
 import type { EventBoundaryTracker } from "./eventStream.js";
 import { startStream } from "./generation.js";
@@ -30,16 +31,21 @@
 const endOfStream = null;
 
 /**
- * Returns the body for the caller: the stream's events, failing where the stream broke off and could not be resumed.
+ * Returns the response for the caller. Its body has the stream's events and fails where the stream broke off and could
+ * not be resumed.
  *
  * A chunk is passed on in the event loop turn in which it arrives, because entries spend most of their processor time
  * here.
  */
-export function relayStream(context: ForwardContext, generation: GenerationRequest, stream: RunningStream): Readable {
+export function relayStream(
+    context: ForwardContext,
+    generation: GenerationRequest,
+    stream: RunningStream,
+): EngineResponse {
     const { response, end } = stream;
     if (response.status !== successStatus || !isEventStream(generation.route.kind, response.headers)) {
         finished(response.body, () => end());
-        return response.body;
+        return response;
     }
     const current: { body: Readable; } = { body: response.body };
     const relayed = new Readable({
@@ -55,7 +61,7 @@
         current.body = body;
     };
     void relayWithResumption(context, generation, stream, relayed, onStreamChange);
-    return relayed;
+    return { ...response, headers: withoutLength(response.headers), body: relayed };
 }
 
 async function relayWithResumption(
--- a/test/responseEnds.test.ts
+++ b/test/responseEnds.test.ts
@@ -271,11 +271,20 @@
     });
 
     // The part of a large body that is passed on as it arrives was not checked either.
-    it.each([[true, wholeStream], [false, insideData]])(
-        "of a plain service, too large to be buffered, whole: %s",
-        async (isComplete, lastText) => {
+    it.each(
+        [
+            ["connection", true, wholeStream],
+            ["connection", false, insideData],
+            ["length", true, wholeStream],
+            ["length", false, insideData],
+        ] as const,
+    )(
+        "of a plain service, too large to be buffered: %s, whole: %s",
+        async (framing, isComplete, lastText) => {
             const text = `data: ${"x".repeat(400_000)}\n\n${lastText}`;
-            const engine = await startEngineServer([closeDelimited("", text, "end", isComplete)], "text/event-stream");
+            const close = framing === "connection" ? "end" : "keep";
+            const end = { name: "", framing, text, isShort: false, close, isComplete } as const;
+            const engine = await startEngineServer([end], "text/event-stream");
             const outcome = await callEntry(await startEntry(engine, plainServiceStreamRoute), plainServiceStreamRoute);
             expect(outcome).toBe(isComplete ? `200 ${text}` : "broken");
         },
