Report a reset response of a plain service as unknown at the agent

Callers would see: half a response of a service behind an agent, as the whole one.

Found when looking for the class of the broken streams elsewhere: an end of the transport taken for an end of the message.

Change: the connector moves to src/rpc, and the agent's client of plain services uses it. The connect timeout stays at the client's default, 10 s.

The agent's client of its engine needs no connector: decode streams end with an event of their own, and JSON that is cut does not parse.

--- a/src/endpoint/serviceCalls.ts
+++ b/src/endpoint/serviceCalls.ts
@@ -4,6 +4,7 @@
 
 import { Agent } from "undici";
 import type { Clock } from "../common/clock.js";
+import { createResetDetectingConnector } from "../rpc/resetDetectingConnector.js";
 import type { Counters } from "../telemetry/telemetry.js";
 import type { ServiceCall, ServiceResponse } from "./messages.js";
 import type { WorkQueue } from "./workQueue.js";
@@ -16,6 +17,7 @@
 /** How long the request ids of sent calls are kept, so that a repeated non-idempotent call is detected. */
 const sentRequestIdTtlMs = 600_000;
 const maxServiceConnections = 256;
+const connectTimeoutMs = 10_000;
 const plainCallCostTokens = 1;
 const forwardedResponseHeaders: ReadonlySet<string> = new Set(["content-type", "cache-control", "etag", "location"]);
 /** Errors after which it is certain that the service received nothing. */
@@ -27,7 +29,11 @@
     clock: Clock,
     counters: Counters,
 ): ServiceCalls {
-    const dispatcher = new Agent({ connections: maxServiceConnections, pipelining: 1 });
+    const dispatcher = new Agent({
+        connections: maxServiceConnections,
+        pipelining: 1,
+        connect: createResetDetectingConnector(connectTimeoutMs),
+    });
     const sentAtMs = new Map<string, number>();
 
     function wasSent(requestId: string): boolean {
