--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -260,6 +260,7 @@
         clientAccount: undefined,
         key: undefined,
         size: undefined,
+        sharedPromptParts: [],
         receivedAtMs: 0,
         callerTimeoutMs: 2_000,
         lastEventId: undefined,
--- a/src/forwarding/forwardRequest.ts
+++ b/src/forwarding/forwardRequest.ts
@@ -18,6 +18,8 @@
     readonly path: string;
     readonly key: string | undefined;
     readonly size: GenerationSize | undefined;
+    /** Ids of the prompt's parts that other requests may share, in order. */
+    readonly sharedPromptParts: readonly string[];
     /** Monotonic time at which the request's headers were received. */
     readonly receivedAtMs: number;
     /** How long the caller waits after `receivedAtMs`; `undefined` if it did not state a time. */
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -22,6 +22,8 @@
 export interface RunningStream {
     readonly engine: EngineRecord;
     readonly response: EngineResponse;
+    /** Monotonic time at which its engine returned the response's headers. */
+    readonly startedAtMs: number;
     /** Ends the load accounting of the allocation. */
     readonly end: () => void;
 }
@@ -76,7 +78,12 @@
         if (result.isOk) {
             return {
                 kind: "started",
-                stream: { engine: allocation.value.engine, response: result.value, end: allocation.value.end },
+                stream: {
+                    engine: allocation.value.engine,
+                    response: result.value,
+                    startedAtMs: context.clock.monotonicMs(),
+                    end: allocation.value.end,
+                },
             };
         }
         allocation.value.end();
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -87,6 +87,7 @@
             relayed.destroy(failure);
             return;
         }
+        logBreak(context, generation, stream, failure);
         const isCallerWaiting = !relayed.destroyed && !request.callerDisconnected.aborted;
         if (isCallerWaiting) {
             // Ejects the engine, so that the stream is not resumed at the one that has just broken it off.
@@ -107,6 +108,25 @@
     relayed.destroy(new Error("the engine broke off the stream and it could not be resumed at another engine"));
 }
 
+function logBreak(
+    context: ForwardContext,
+    { request }: GenerationRequest,
+    { engine, startedAtMs }: RunningStream,
+    failure: Error,
+): void {
+    if (request.callerDisconnected.aborted) {
+        return;
+    }
+    context.log.decision("a stream broke off at its engine", {
+        requestId: request.requestId,
+        engine: engine.id,
+        bornMs: engine.bornMs,
+        sinceStartMs: Math.round(context.clock.monotonicMs() - startedAtMs),
+        sharedPromptParts: request.sharedPromptParts,
+        cause: failure.message,
+    });
+}
+
 async function resumeStream(
     context: ForwardContext,
     generation: GenerationRequest,
