--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -83,11 +83,11 @@
             relayed.push(endOfStream);
             return;
         }
+        logBreak(context, generation, stream, failure);
         if (!route.isResumable) {
             relayed.destroy(failure);
             return;
         }
-        logBreak(context, generation, stream, failure);
         const isCallerWaiting = !relayed.destroyed && !request.callerDisconnected.aborted;
         if (isCallerWaiting) {
             // Ejects the engine, so that the stream is not resumed at the one that has just broken it off.
