Failing test: a part of a prompt that crashes each engine

Requests with the part end one engine each, and one more for each repeat on a route that may be resumed; sound requests share the other parts.

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -14,6 +14,8 @@
     EngineError,
     EnginePort,
     EngineRecord,
+    EngineReport,
+    EngineRequest,
     EngineResponse,
     PrefilledCache,
     Reservation,
@@ -65,9 +67,14 @@
 
 /** Overrides what engines return for a call; calls without an override succeed. */
 export interface EngineScript {
-    readonly send?: (engine: EngineRecord, options: SendOptions) => Promise<Result<EngineResponse, EngineError>>;
+    readonly send?: (
+        engine: EngineRecord,
+        options: SendOptions,
+        request: EngineRequest,
+    ) => Promise<Result<EngineResponse, EngineError>>;
     readonly prefill?: (engine: EngineRecord, options: SendOptions) => Promise<Result<PrefilledCache, EngineError>>;
     readonly reserve?: (engine: EngineRecord, tokens: number) => Promise<Result<Reservation, EngineError>>;
+    readonly report?: (engine: EngineRecord) => Promise<Result<EngineReport, EngineError>>;
 }
 
 export interface EngineCalls {
@@ -95,7 +102,7 @@
     return {
         send: async (engine, request, options) => {
             calls.push(`send ${engine.id}`);
-            return script.send?.(engine, options) ?? responseOf(200);
+            return script.send?.(engine, options, request) ?? responseOf(200);
         },
         prefill: async (engine, request, options) => {
             calls.push(`prefill ${engine.id}`);
@@ -108,7 +115,7 @@
         },
         releaseCache: ({ address }) => void calls.push(`releaseCache ${address}`),
         releaseReservation: engine => void calls.push(`releaseReservation ${engine.id}`),
-        report: async () => errorOf("unreachable"),
+        report: async engine => script.report?.(engine) ?? errorOf("unreachable"),
         orderStage: async () => "rejected",
         keepOnly: () => undefined,
         setMaxConnections: () => undefined,
--- a/src/engines/enginePort.ts
+++ b/src/engines/enginePort.ts
@@ -31,7 +31,12 @@
 /** Why a call returned no usable response. Only `notExecuted` and `unreachable` prove that the request did not run. */
 export type EngineError =
     | { readonly kind: "notExecuted"; readonly status: number; readonly cause: string; }
-    | { readonly kind: "unreachable"; readonly cause: string; }
+    | {
+        readonly kind: "unreachable";
+        readonly cause: string;
+        /** Nothing listens at the engine's address, although its host responds. */
+        readonly isConnectionRefused?: boolean;
+    }
     | { readonly kind: "interrupted"; readonly cause: string; }
     | { readonly kind: "timeout"; readonly cause: string; }
     | { readonly kind: "cancelled"; readonly cause: string; };
