--- a/test/responseEnds.test.ts
+++ b/test/responseEnds.test.ts
@@ -122,8 +122,6 @@
         + `x-gooseberrywell-response-seal: sealed\r\n${framingHeader}\r\n${body}`;
 }
 
-/** Outside the range of outgoing connections; each entry gets the next one. */
-let port = 22_000;
 const cleanups: (() => Promise<void> | void)[] = [];
 
 afterEach(async () => {
@@ -195,8 +193,7 @@
         ["e-1", "e-2"].map((id, index) => engineRecord(id, stage, { bornMs: index, address: engine.address })),
         "current",
     );
-    port += 1;
-    const ingress = await listenForCallers({ ip: "127.0.0.1", port }, {
+    const ingress = await listenForCallers({ ip: "127.0.0.1", port: 0 }, {
         clock,
         log: silentDecisionLog,
         metrics: createPrometheusMetrics(),
@@ -205,7 +202,7 @@
         forward: request => forward(context, request),
     });
     cleanups.push(() => engines.close(), () => ingress.close());
-    return `http://127.0.0.1:${port}`;
+    return `http://127.0.0.1:${ingress.port}`;
 }
 
 const callerHeaders = {
