Refuse requests with a part of a prompt under which engines end

Cause: an entry treated a broken stream as a failure of its engine alone. New requests with the part went on to the next engine, and where a route may be resumed the same one did too. Class: a failure that belongs to the request is charged to whoever served it.

Change: src/quarantine. When an engine has ended (nothing listens there, or another start of it does) while a request had just started on it, the shared parts of that prompt are suspected, except those with which others have run in the last 10 s; the request isn't repeated. After a second engine, requests with the part are refused as not run, before any engine is asked for a place. Parts that were in all of these requests are blamed together only: a request with one of them still runs, and refutes what stands against it. Entries share the evidence in peer synchronization; it expires, and a quarantine of 2 minutes doubles with each further engine.

Ruled out: refusing by client account or first part, which sound requests share; counting any broken stream, since a reset or a lost answer says nothing about the prompt; times of sound runs in messages, which would grow younger with each hop (refutations don't).

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -28,6 +28,7 @@
 import { createFleetQuota } from "../src/limits/fleetQuota.js";
 import { createFleetRetryBudget } from "../src/limits/fleetRetryBudget.js";
 import type { RetryBudgetSettings } from "../src/limits/fleetRetryBudget.js";
+import { createPromptQuarantine } from "../src/quarantine/promptQuarantine.js";
 import type { DesiredState, Route, RouteKind } from "../src/routes/desiredState.js";
 import { createRouteTable } from "../src/routes/routeTable.js";
 import { createDecodeScheduler, defaultDecodeSchedulerSettings } from "../src/scheduling/decodeScheduler.js";
@@ -227,6 +228,7 @@
             reportEarly: () => undefined,
         }),
         retryBudget: createFleetRetryBudget(clock, budget),
+        quarantine: createPromptQuarantine({ clock, log, report: engines.report }),
         responseTimes: createResponseTimes(),
         shutdownDeadlineMs: () => undefined,
     };
--- a/fakes/platformEngine.ts
+++ b/fakes/platformEngine.ts
@@ -11,6 +11,7 @@
  * Fault applied to requests until the next one is set. `shed` rejects requests as not executed, `reset` resets the
  * connection, `silent` never responds, `cut` resets in the middle of a stream, `cutFirst` does so only in streams that are
  * not resumed, `lost` executes the request and resets without a response, `error` responds to plain calls with status 500,
+ * `endOnPart` ends the engine when it begins to write on a prompt with `deadlyPromptPart`, and starts it again soon after,
  * `rest` rejects requests and asks for a pause, `leaving` announces in all responses that the engine is leaving, and
  * `endless` sends bytes that are no response until the connection is closed.
  */
@@ -22,6 +23,7 @@
     | "cut"
     | "cutFirst"
     | "lost"
+    | "endOnPart"
     | "error"
     | "rest"
     | "leaving"
@@ -35,6 +37,8 @@
     readonly eventMs: number;
     /** Maximum number of concurrent reservations and streams. */
     readonly capacity: number;
+    /** Called when the engine has started again. */
+    readonly onRestart?: () => void;
 }
 
 /** One execution of a request, as the engine received it. */
@@ -59,6 +63,8 @@
     readonly close: () => Promise<void>;
 }
 
+export const deadlyPromptPart = "dead";
+const restartMs = 300;
 const headerPrefix = "x-gooseberrywell-";
 const cacheLifetimeMs = 500;
 const restS = 0.8;
@@ -181,6 +187,10 @@
             request.socket.resetAndDestroy();
             return;
         }
+        if (fault === "endOnPart" && header(`${headerPrefix}prompt-prefix`).includes(`${deadlyPromptPart}:`)) {
+            endAndRestart();
+            return;
+        }
         if (options.stage === "decode") {
             stream(request, response, requestId, Number(header("last-event-id") || 0));
             return;
@@ -240,6 +250,14 @@
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", () => resolve()));
     const { port } = server.address() as AddressInfo;
 
+    function endAndRestart(): void {
+        server.close();
+        sockets.forEach(socket => socket.destroy());
+        reservations.clear();
+        caches.clear();
+        setTimeout(() => server.listen(port, "127.0.0.1", options.onRestart), restartMs).unref();
+    }
+
     return {
         id: options.id,
         stage: options.stage,
--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -174,8 +174,14 @@
             events: options.events ?? 5,
             eventMs: options.eventMs ?? 10,
             capacity: 50,
+            onRestart: () => {
+                const restarted = engines.find(engine => engine.id === id);
+                if (restarted !== undefined) {
+                    register(restarted, "ready");
+                }
+            },
         });
-    const engines = await Promise.all([
+    const engines: readonly FakePlatformEngine[] = await Promise.all([
         engineOf("p-1", "prefill"),
         engineOf("m-1", "decode"),
         engineOf("m-2", "decode"),
@@ -299,6 +305,7 @@
     path: string,
     key: string = siteKey,
     signal?: AbortSignal,
+    promptPrefix?: string,
 ): Promise<SiteResponse> {
     lastRequestNumber += 1;
     const requestId = `r-${lastRequestNumber}`;
@@ -311,6 +318,7 @@
             "x-gooseberrywell-request-id": requestId,
             "x-gooseberrywell-request-deadline": "5000",
             ...isGeneration ? { "x-gooseberrywell-token-usage": "1000,100" } : {},
+            ...promptPrefix === undefined ? {} : { "x-gooseberrywell-prompt-prefix": promptPrefix },
         },
         body: `body of ${requestId}`,
         ...signal === undefined ? {} : { signal },
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -28,6 +28,7 @@
 import { createTableReplica } from "../peerSync/tableReplica.js";
 import type { CopyOrigin, TableCopy, TableFeed } from "../peerSync/tableReplica.js";
 import type { TableService } from "../platform/ports.js";
+import { createPromptQuarantine } from "../quarantine/promptQuarantine.js";
 import type { CallerLimits, DesiredState } from "../routes/desiredState.js";
 import { listen } from "../rpc/httpServer.js";
 import { createRpcClient } from "../rpc/rpcClient.js";
@@ -130,6 +131,7 @@
         reportEarly: (clientAccount, admittedCost) => peerSync.reportUsage(clientAccount, admittedCost),
     });
     const retryBudget = createFleetRetryBudget(clock, settings.retryBudget);
+    const quarantine = createPromptQuarantine({ clock, log, report: engines.report });
     let shutdownDeadlineMs: number | undefined;
 
     const desiredState = createDesiredStateSync({
@@ -205,6 +207,7 @@
         stages.recordPeerReconfiguring(state.reconfiguring);
         leadership.recordPeerToken(state.fencingToken);
         state.leaving.forEach(notices.recordLeaving);
+        quarantine.applyEvidence(state.crashEvidence);
         void desiredState.applyPeerState(state);
     }
 
@@ -223,6 +226,7 @@
             fencingToken: leadership.highestToken(),
             desiredStateVersion: desiredState.version(),
             leaving: [...notices.leaving()],
+            crashEvidence: [...quarantine.evidence()],
         }),
         onState: applyPeerState,
         onUsageReport: ({ start, clientAccount, admittedCost }) =>
@@ -289,6 +293,7 @@
         decodeScheduler,
         quota,
         retryBudget,
+        quarantine,
         responseTimes: createResponseTimes(),
         shutdownDeadlineMs: () => shutdownDeadlineMs,
     };
--- a/src/forwarding/context.ts
+++ b/src/forwarding/context.ts
@@ -10,6 +10,7 @@
 import type { EnginePort } from "../engines/enginePort.js";
 import type { FleetQuota } from "../limits/fleetQuota.js";
 import type { FleetRetryBudget } from "../limits/fleetRetryBudget.js";
+import type { PromptQuarantine } from "../quarantine/promptQuarantine.js";
 import type { RouteTable } from "../routes/routeTable.js";
 import type { DecodeScheduler } from "../scheduling/decodeScheduler.js";
 import type { PlacementView } from "../scheduling/placement.js";
@@ -32,6 +33,7 @@
     readonly decodeScheduler: DecodeScheduler;
     readonly quota: FleetQuota;
     readonly retryBudget: FleetRetryBudget;
+    readonly quarantine: PromptQuarantine;
     readonly responseTimes: ResponseTimes;
     /** Monotonic time at which draining ends at the latest; `undefined` unless this process is shutting down. */
     readonly shutdownDeadlineMs: () => number | undefined;
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -10,7 +10,7 @@
 import { createEngineCallBudget } from "./engineCallBudget.js";
 import { refuse } from "./forwardRequest.js";
 import type { ForwardOutcome, ForwardRequest, ForwardResult } from "./forwardRequest.js";
-import { generate } from "./generation.js";
+import { generate, refuseQuarantined } from "./generation.js";
 import { callPlain } from "./plainCall.js";
 import type { RoutedRequest } from "./routedRequest.js";
 
@@ -71,6 +71,10 @@
     ) {
         return refuse(503, "this entry is shutting down", shutdownRetryMs);
     }
+    const quarantined = refuseQuarantined(context, request, service);
+    if (quarantined !== undefined) {
+        return quarantined;
+    }
     const cost = account === undefined ? 0 : costOf(request, account);
     const admission = account === undefined
         ? undefined
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -9,12 +9,13 @@
 import { Result } from "true-myth";
 import { provesNotRun } from "../engines/enginePort.js";
 import type { EngineError, EngineRecord, EngineResponse, PrefilledCache } from "../engines/enginePort.js";
+import type { PromptRun } from "../quarantine/promptQuarantine.js";
 import type { DecodeAllocation } from "../scheduling/decodeScheduler.js";
 import { allowsLocalPrefill, isLocalPrefillFaster, rankForPrefill } from "../scheduling/placement.js";
 import type { ForwardContext } from "./context.js";
 import type { EngineCallBudget } from "./engineCallBudget.js";
 import { answered, refuse } from "./forwardRequest.js";
-import type { ForwardOutcome } from "./forwardRequest.js";
+import type { ForwardOutcome, ForwardRequest } from "./forwardRequest.js";
 import type { GenerationRequest } from "./routedRequest.js";
 import { relayStream } from "./streamRelay.js";
 
@@ -24,10 +25,14 @@
     readonly response: EngineResponse;
     /** Monotonic time at which its engine returned the response's headers. */
     readonly startedAtMs: number;
+    readonly run: PromptRun;
     /** Ends the load accounting of the allocation. */
     readonly end: () => void;
 }
 
+/** A request that an engine has accepted. */
+type StartedRun = Pick<RunningStream, "response" | "run">;
+
 interface StartFailure {
     readonly kind: "refused";
     readonly outcome: ForwardOutcome;
@@ -46,6 +51,7 @@
 const fastResponseFactor = 0.5;
 const serverError = 500;
 const firstAttempt = 0;
+const quarantinedCause = "engines ended under a part of its prompt";
 
 export async function generate(context: ForwardContext, generation: GenerationRequest): Promise<ForwardOutcome> {
     const { lastEventId } = generation.request;
@@ -60,6 +66,21 @@
     return answered(relayStream(context, generation, started.stream));
 }
 
+/** The refusal of a request with a part of its prompt in quarantine; `undefined` for any other request. */
+export function refuseQuarantined(
+    context: ForwardContext,
+    { requestId, sharedPromptParts }: ForwardRequest,
+    service: string,
+): ForwardOutcome | undefined {
+    const quarantined = context.quarantine.find(sharedPromptParts);
+    if (quarantined === undefined) {
+        return undefined;
+    }
+    context.metrics.count("quarantined", service);
+    context.log.decision("a part of the prompt is in quarantine", { requestId, ...quarantined });
+    return refuse(503, quarantinedCause, quarantined.remainingMs);
+}
+
 /** Starts a stream, or resumes one after `lastEventId`. */
 export async function startStream(
     context: ForwardContext,
@@ -69,6 +90,10 @@
     const { request, service } = generation;
     let outcome: ForwardOutcome = refuse(503, "no engine is available", retryAfterMs(context, generation));
     for (let attempt = firstAttempt; attempt < maxAttempts; attempt++) {
+        const quarantined = refuseQuarantined(context, request, service);
+        if (quarantined !== undefined) {
+            return { kind: "refused", outcome: quarantined };
+        }
         const allocation = await context.decodeScheduler.allocate(generation);
         if (allocation.isErr) {
             const { cause, retryAfterMs: waitMs } = allocation.error;
@@ -80,7 +105,7 @@
                 kind: "started",
                 stream: {
                     engine: allocation.value.engine,
-                    response: result.value,
+                    ...result.value,
                     startedAtMs: context.clock.monotonicMs(),
                     end: allocation.value.end,
                 },
@@ -91,6 +116,9 @@
         if (!provesNotRun(result.error) || request.callerDisconnected.aborted) {
             return { kind: "refused", outcome };
         }
+        if (isQuarantined(context, generation)) {
+            continue;
+        }
         if (timeLeftMs(context, generation) <= 0 || !generation.callBudget.tryAcquireCall()) {
             return { kind: "refused", outcome };
         }
@@ -104,6 +132,10 @@
     return { kind: "refused", outcome };
 }
 
+function isQuarantined(context: ForwardContext, { request }: GenerationRequest): boolean {
+    return context.quarantine.find(request.sharedPromptParts) !== undefined;
+}
+
 function canCompleteInTime(context: ForwardContext, generation: GenerationRequest): boolean {
     const expectedMs = context.decodeScheduler.expectedResponseMs(generation.service, generation.size);
     return expectedMs === undefined || expectedMs * fastResponseFactor <= timeLeftMs(context, generation);
@@ -122,8 +154,12 @@
     generation: GenerationRequest,
     allocation: DecodeAllocation,
     lastEventId: string | undefined,
-): Promise<Result<EngineResponse, EngineError>> {
+): Promise<Result<StartedRun, EngineError>> {
     const { request, callBudget } = generation;
+    if (isQuarantined(context, generation)) {
+        releaseResources(context, allocation, undefined);
+        return Result.err({ kind: "unreachable", cause: quarantinedCause });
+    }
     const cache = await prefill(context, generation, allocation.engine);
     // Without a cache, the decode engine prefills the prompt itself (a local prefill) before its first token.
     const endPrefillLoad = context.loads.start(allocation.engine.id, {
@@ -146,11 +182,17 @@
         releaseResources(context, allocation, cache);
         return Result.err({ kind: "unreachable", cause: "the engine stopped accepting work during the prefill" });
     }
+    if (isQuarantined(context, generation)) {
+        endPrefillLoad();
+        releaseResources(context, allocation, cache);
+        return Result.err({ kind: "unreachable", cause: quarantinedCause });
+    }
     if (!callBudget.tryAcquireCall()) {
         endPrefillLoad();
         releaseResources(context, allocation, cache);
         return Result.err({ kind: "unreachable", cause: "the retry budget is used up" });
     }
+    const run = context.quarantine.startRun(allocation.engine, request.sharedPromptParts);
     const sent = await context.engines.send(allocation.engine, request, {
         remainingMs: Math.max(1, timeLeftMs(context, generation)),
         signal: AbortSignal.any([request.callerDisconnected, context.clock.timeout(timeLeftMs(context, generation))]),
@@ -162,8 +204,12 @@
     if (sent.isOk || sent.error.kind !== "unreachable") {
         callBudget.recordCall();
     }
+    if (sent.isErr) {
+        const isBroken = sent.error.kind === "interrupted" && !request.callerDisconnected.aborted;
+        void run.end(isBroken ? "broken" : "abandoned");
+    }
     if (request.callerDisconnected.aborted) {
-        return sent;
+        return sent.map(response => ({ response, run }));
     }
     if (sent.isErr) {
         if (provesNotRun(sent.error)) {
@@ -172,10 +218,10 @@
         // A rejection counts as unresponsive too: an engine that grants a reservation and then rejects its request does
         // not match its registry record.
         context.health.recordOutcome(allocation.engine.id, "unresponsive");
-        return sent;
+        return Result.err(sent.error);
     }
     context.health.recordOutcome(allocation.engine.id, sent.value.status >= serverError ? "failed" : "succeeded");
-    return sent;
+    return Result.ok({ response: sent.value, run });
 }
 
 function releaseResources(
@@ -256,7 +302,7 @@
     }
 }
 
-function cancelled(): Result<EngineResponse, EngineError> {
+function cancelled(): Result<never, EngineError> {
     return Result.err({ kind: "cancelled", cause: "the caller went away" });
 }
 
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -42,9 +42,10 @@
     generation: GenerationRequest,
     stream: RunningStream,
 ): EngineResponse {
-    const { response, end } = stream;
+    const { response, run, end } = stream;
     if (response.status !== successStatus || !isEventStream(generation.route.kind, response.headers)) {
         finished(response.body, () => end());
+        void run.end("abandoned");
         return response;
     }
     const current: { body: Readable; } = { body: response.body };
@@ -77,22 +78,29 @@
     let stream: RunningStream | undefined = first;
     for (let engineCount = 1; stream !== undefined; engineCount++) {
         onStreamChange(stream);
+        stream.response.body.once("data", stream.run.recordOutput);
         const failure = await relayEvents(stream, relayed, position);
         stream.end();
         if (failure === undefined) {
+            void stream.run.end("completed");
             relayed.push(endOfStream);
             return;
         }
+        const isCallerWaiting = !relayed.destroyed && !request.callerDisconnected.aborted;
+        const runEnded = stream.run.end(isCallerWaiting ? "broken" : "abandoned");
         logBreak(context, generation, stream, failure);
         if (!route.isResumable) {
             relayed.destroy(failure);
             return;
         }
-        const isCallerWaiting = !relayed.destroyed && !request.callerDisconnected.aborted;
         if (isCallerWaiting) {
             // Ejects the engine, so that the stream is not resumed at the one that has just broken it off.
             context.health.recordOutcome(stream.engine.id, "unresponsive");
         }
+        await runEnded;
+        if (!context.quarantine.mayRepeat(request.sharedPromptParts)) {
+            break;
+        }
         if (!isCallerWaiting || engineCount >= route.maxEngines || !generation.callBudget.tryAcquireCall()) {
             break;
         }
--- a/src/peerSync/messages.ts
+++ b/src/peerSync/messages.ts
@@ -19,6 +19,14 @@
 
 const workSchema = z.object({ requests: z.number(), kvTokens: z.number(), prefillTokens: z.number() });
 
+const crashEvidenceSchema = z.object({
+    part: z.string(),
+    engine: z.string(),
+    bornMs: z.number(),
+    agoMs: z.number().min(0),
+    isRefuted: z.boolean(),
+});
+
 /** The state of one entry, used both as the request and as the response. */
 export const entryStateSchema = z.object({
     /** Base URL of the entry. */
@@ -39,6 +47,8 @@
     desiredStateVersion: z.number().default(0),
     /** Engines that announced in a response that they are leaving, with the Unix milliseconds of their starts. */
     leaving: z.array(z.object({ id: z.string(), bornMs: z.number() })).default([]),
+    /** Engines that ended while a request with this part in its prompt had just started, see `CrashEvidence`. */
+    crashEvidence: z.array(crashEvidenceSchema).default([]),
     /** Remaining time in ms of each engine's change to another stage, by engine. */
     reconfiguring: z.record(z.string(), z.number()),
     /** Base URLs of the peers that it has seen. */
--- a/src/peerSync/peerSync.test.ts
+++ b/src/peerSync/peerSync.test.ts
@@ -25,6 +25,7 @@
     fencingToken: 0,
     desiredStateVersion: 0,
     leaving: [],
+    crashEvidence: [],
 };
 
 /** A change feed whose content and failures the test sets. */
--- a/src/peerSync/peerSync.ts
+++ b/src/peerSync/peerSync.ts
@@ -4,7 +4,7 @@
  * In each round, at a fixed interval, an entry calls a bounded number of peers: those without contact for the longest
  * time, so that the age of every peer's state is bounded. Each side of a call receives the other's state, so a peer that
  * has just called is not called back. Entries send only their own state and the URLs of the peers they have seen; they do
- * not relay the states of others. Peers are found through the seeds in the settings, the list in the store and other
+ * not relay the states of others, except what all entries must learn: leaving engines and evidence against prompts. Peers are found through the seeds in the settings, the list in the store and other
  * peers. A peer that was seen once remains a member until it announces its shutdown or has not been seen for
  * `memberTimeoutMs`, because it may be cut off and still admit requests. On the wire, the methods are named
  * `exchange.*`.
@@ -43,7 +43,7 @@
 /** The part of an entry's state that other modules supply. */
 export type LocalState = Pick<
     EntryState,
-    "usage" | "work" | "reconfiguring" | "fencingToken" | "desiredStateVersion" | "leaving"
+    "usage" | "work" | "reconfiguring" | "fencingToken" | "desiredStateVersion" | "leaving" | "crashEvidence"
 >;
 
 export interface PeerSyncDependencies {
--- /dev/null
+++ b/src/quarantine/crashEvidence.ts
@@ -0,0 +1,146 @@
+/**
+ * Evidence against parts of prompts: which engines ended while a request with the part had just started on them.
+ *
+ * Several parts may be in all requests under which engines ended. A part is blamed only together with every other part
+ * that accounts for at least the same engines, so that a request with just one of them is still served and, if it runs,
+ * refutes the evidence against that one. Evidence merges in any order: the oldest time of an item counts, and an item
+ * that is refuted stays so.
+ */
+
+import type { Clock } from "../common/clock.js";
+import type { EngineStart } from "../engines/engineNotices.js";
+
+/** One end of an engine under a request with a part. */
+export interface CrashEvidence {
+    readonly part: string;
+    readonly engine: string;
+    readonly bornMs: number;
+    /** Time since the engine ended. */
+    readonly agoMs: number;
+    /** A request with the part has run since. */
+    readonly isRefuted: boolean;
+}
+
+export interface EvidenceTable {
+    /** Adds an item or merges it with the one known of the same part and engine start. */
+    readonly add: (item: CrashEvidence) => void;
+    /** Refutes all items against a part; returns whether there was one. */
+    readonly refute: (part: string) => boolean;
+    /**
+     * The part to blame in a request that consists of `parts`, and the time since the last engine that it ended;
+     * `undefined` unless at least `minCrashes` engines ended under it.
+     */
+    readonly blame: (parts: readonly string[], minCrashes: number) => Blame | undefined;
+    /** The items to share with other entries, the newest first. */
+    readonly items: () => readonly CrashEvidence[];
+}
+
+export interface Blame {
+    readonly part: string;
+    readonly crashes: number;
+    readonly sinceLastMs: number;
+}
+
+interface Item {
+    readonly start: EngineStart;
+    readonly atMs: number;
+    readonly isRefuted: boolean;
+}
+
+/** Evidence is forgotten after this time. */
+export const evidenceLifetimeMs = 1_800_000;
+/** A refuted item is kept and shared for this long, until it has reached all entries. */
+const refutedLifetimeMs = 60_000;
+/** Items in one message to another entry. */
+const maxItems = 100;
+/** Parts with evidence; the oldest are forgotten first. */
+const maxParts = 500;
+
+export function createEvidenceTable(clock: Clock): EvidenceTable {
+    const itemsByPart = new Map<string, Map<string, Item>>();
+
+    const keyOf = ({ id, bornMs }: EngineStart): string => `${bornMs} ${id}`;
+
+    function removeExpired(): void {
+        const nowMs = clock.monotonicMs();
+        for (const [part, items] of itemsByPart) {
+            for (const [key, { atMs, isRefuted }] of items) {
+                if (nowMs - atMs > (isRefuted ? refutedLifetimeMs : evidenceLifetimeMs)) {
+                    items.delete(key);
+                }
+            }
+            if (items.size === 0) {
+                itemsByPart.delete(part);
+            }
+        }
+        const oldest = itemsByPart.size > maxParts ? itemsByPart.keys().next().value : undefined;
+        if (oldest !== undefined) {
+            itemsByPart.delete(oldest);
+        }
+    }
+
+    /** The items against a part that are not refuted, by engine start. */
+    function itemsAgainst(part: string): ReadonlyMap<string, Item> {
+        return new Map([...itemsByPart.get(part) ?? []].filter(([, { isRefuted }]) => !isRefuted));
+    }
+
+    /** Whether a part that is not in `parts` accounts for all of these engines. */
+    function isExplainedByOthers(keys: readonly string[], parts: readonly string[]): boolean {
+        return [...itemsByPart.keys()].some(other => {
+            const known = parts.includes(other) ? undefined : itemsAgainst(other);
+            return known !== undefined && keys.every(key => known.has(key));
+        });
+    }
+
+    return {
+        add: ({ part, engine, bornMs, agoMs, isRefuted }) => {
+            const items = itemsByPart.get(part) ?? new Map<string, Item>();
+            const start = { id: engine, bornMs };
+            const known = items.get(keyOf(start));
+            const atMs = clock.monotonicMs() - agoMs;
+            items.set(keyOf(start), {
+                start,
+                atMs: Math.min(atMs, known?.atMs ?? atMs),
+                isRefuted: isRefuted || (known?.isRefuted ?? false),
+            });
+            itemsByPart.set(part, items);
+            removeExpired();
+        },
+        refute: part => {
+            const items = itemsByPart.get(part);
+            const isNew = itemsAgainst(part).size > 0;
+            items?.forEach((item, key) => items.set(key, { ...item, isRefuted: true }));
+            return isNew;
+        },
+        blame: (parts, minCrashes) => {
+            if (itemsByPart.size === 0) {
+                return undefined;
+            }
+            removeExpired();
+            for (const part of parts) {
+                const items = itemsAgainst(part);
+                if (items.size >= minCrashes && !isExplainedByOthers([...items.keys()], parts)) {
+                    const lastMs = Math.max(...[...items.values()].map(({ atMs }) => atMs));
+                    return { part, crashes: items.size, sinceLastMs: clock.monotonicMs() - lastMs };
+                }
+            }
+            return undefined;
+        },
+        items: () => {
+            removeExpired();
+            const nowMs = clock.monotonicMs();
+            return [...itemsByPart]
+                .flatMap(([part, items]) =>
+                    [...items.values()].map(({ start, atMs, isRefuted }): CrashEvidence => ({
+                        part,
+                        engine: start.id,
+                        bornMs: start.bornMs,
+                        agoMs: nowMs - atMs,
+                        isRefuted,
+                    }))
+                )
+                .sort((left, right) => left.agoMs - right.agoMs)
+                .slice(0, maxItems);
+        },
+    };
+}
--- /dev/null
+++ b/src/quarantine/promptQuarantine.ts
@@ -0,0 +1,180 @@
+/**
+ * Keeps requests from engines that would crash on a part of their prompts ("queries of death").
+ *
+ * When an engine ends while a request has just started on it, the shared parts of that request's prompt are suspected,
+ * except those with which other requests have run lately. The request is not repeated at another engine. Once a second
+ * engine has ended under the same part, requests with it are refused as not run. The quarantine of a part lasts longer
+ * with each further engine, then requests with it are tried again. Entries share their evidence.
+ */
+
+import type { Clock } from "../common/clock.js";
+import type { EnginePort, EngineRecord } from "../engines/enginePort.js";
+import type { DecisionLog } from "../telemetry/decisionLog.js";
+import { createEvidenceTable } from "./crashEvidence.js";
+import type { CrashEvidence } from "./crashEvidence.js";
+
+/** How a run ended. `abandoned` proves nothing: it was cancelled, or its engine did not accept it. */
+export type RunEnd = "completed" | "broken" | "abandoned";
+
+/** A request that was sent to an engine to be run. */
+export interface PromptRun {
+    /** Records that the engine has begun to write; only the first call counts. */
+    readonly recordOutput: () => void;
+    /** Ends the run; resolves once its evidence is recorded. */
+    readonly end: (how: RunEnd) => Promise<void>;
+}
+
+/** A part of prompts under which engines ended. */
+export interface QuarantinedPart {
+    readonly part: string;
+    /** Number of engines that ended. */
+    readonly crashes: number;
+    /** How long requests with it will be refused. */
+    readonly remainingMs: number;
+}
+
+export interface PromptQuarantine {
+    /** Why requests with these parts are refused; `undefined` if they may be sent to engines. */
+    readonly find: (parts: readonly string[]) => QuarantinedPart | undefined;
+    /** Whether a request may be sent again after an engine has broken it off. */
+    readonly mayRepeat: (parts: readonly string[]) => boolean;
+    readonly startRun: (engine: EngineRecord, parts: readonly string[]) => PromptRun;
+    /** Evidence to share with other entries. */
+    readonly evidence: () => readonly CrashEvidence[];
+    /** Merges the evidence of another entry. */
+    readonly applyEvidence: (evidence: readonly CrashEvidence[]) => void;
+}
+
+export interface PromptQuarantineDependencies {
+    readonly clock: Clock;
+    readonly log: DecisionLog;
+    readonly report: EnginePort["report"];
+}
+
+/** An engine may end for another reason while a request starts; two by chance with the same part are unlikely. */
+const minCrashesToRefuse = 2;
+/** Duration of a quarantine after the second engine; it doubles with each further one. */
+const baseQuarantineMs = 120_000;
+const maxQuarantineMs = 1_800_000;
+/** A run that has written for this long did not crash its engine by starting. */
+const startPhaseMs = 1_000;
+/** A part is not suspected if another request with it has run within this time before an engine's end. */
+const soundWindowMs = 10_000;
+const maxSoundParts = 5_000;
+/** Longer ids are not tracked, so that callers cannot fill the memory or the messages between entries. */
+const maxPartLength = 64;
+const maxPartsPerRequest = 32;
+const reportTimeoutMs = 300;
+/** An engine that is ending may still accept a connection and reset it. */
+const maxReports = 3;
+const reportPauseMs = 100;
+
+export function createPromptQuarantine(dependencies: PromptQuarantineDependencies): PromptQuarantine {
+    const { clock, log, report } = dependencies;
+    const table = createEvidenceTable(clock);
+    /** When a request with a part was last seen running, the latest ones last. */
+    const soundAtMs = new Map<string, number>();
+    const checksByStart = new Map<string, Promise<boolean>>();
+
+    const trackedParts = (parts: readonly string[]): readonly string[] =>
+        [...new Set(parts)].filter(part => part.length <= maxPartLength).slice(0, maxPartsPerRequest);
+
+    function recordSound(parts: readonly string[]): void {
+        for (const part of parts) {
+            soundAtMs.delete(part);
+            soundAtMs.set(part, clock.monotonicMs());
+            if (table.refute(part)) {
+                log.info("a request with a suspected part of a prompt has run", { part });
+            }
+        }
+        const oldest = soundAtMs.size > maxSoundParts ? soundAtMs.keys().next().value : undefined;
+        if (oldest !== undefined) {
+            soundAtMs.delete(oldest);
+        }
+    }
+
+    function wasSound(part: string, atMs: number): boolean {
+        return (soundAtMs.get(part) ?? Number.NEGATIVE_INFINITY) > atMs - soundWindowMs;
+    }
+
+    /** Whether an engine that broke off a response has ended: nothing listens there, or another start of it does. */
+    async function checkHasEnded(engine: EngineRecord): Promise<boolean> {
+        for (let attempt = 1; attempt <= maxReports; attempt++) {
+            const reported = await report(engine, reportTimeoutMs);
+            if (reported.isOk) {
+                const { bornMs } = reported.value;
+                return bornMs > 0 && engine.bornMs > 0 && bornMs !== engine.bornMs;
+            }
+            if (reported.error.kind === "unreachable") {
+                return reported.error.isConnectionRefused === true;
+            }
+            await clock.sleep(reportPauseMs);
+        }
+        return false;
+    }
+
+    /** Streams of one engine break off together, so they share one check. */
+    function hasEnded(engine: EngineRecord): Promise<boolean> {
+        const key = `${engine.bornMs} ${engine.id}`;
+        const running = checksByStart.get(key) ?? checkHasEnded(engine).finally(() => checksByStart.delete(key));
+        checksByStart.set(key, running);
+        return running;
+    }
+
+    async function recordBreak(engine: EngineRecord, parts: readonly string[]): Promise<void> {
+        const brokenAtMs = clock.monotonicMs();
+        const suspected = parts.filter(part => !wasSound(part, brokenAtMs));
+        if (suspected.length === 0 || !await hasEnded(engine)) {
+            return;
+        }
+        const { id, bornMs } = engine;
+        log.decision("an engine ended while a request had just started", { engine: id, bornMs, suspected });
+        addEvidence(suspected.map(part => ({
+            part,
+            engine: id,
+            bornMs,
+            agoMs: clock.monotonicMs() - brokenAtMs,
+            isRefuted: false,
+        })));
+    }
+
+    function addEvidence(items: readonly CrashEvidence[]): void {
+        for (const item of items) {
+            const isRefuted = item.isRefuted || wasSound(item.part, clock.monotonicMs() - item.agoMs);
+            table.add({ ...item, isRefuted });
+        }
+    }
+
+    return {
+        find: parts => {
+            const blame = table.blame(parts, minCrashesToRefuse);
+            if (blame === undefined) {
+                return undefined;
+            }
+            const { part, crashes, sinceLastMs } = blame;
+            const durationMs = Math.min(maxQuarantineMs, baseQuarantineMs * 2 ** (crashes - minCrashesToRefuse));
+            return sinceLastMs < durationMs ? { part, crashes, remainingMs: durationMs - sinceLastMs } : undefined;
+        },
+        mayRepeat: parts => table.blame(parts, 1) === undefined,
+        startRun: (engine, allParts) => {
+            const parts = trackedParts(allParts);
+            let outputAtMs: number | undefined;
+            return {
+                recordOutput: () => {
+                    outputAtMs ??= clock.monotonicMs();
+                },
+                end: async how => {
+                    const hasStarted = outputAtMs !== undefined && clock.monotonicMs() - outputAtMs >= startPhaseMs;
+                    if (how === "completed" || (how === "broken" && hasStarted)) {
+                        recordSound(parts);
+                    }
+                    else if (how === "broken") {
+                        await recordBreak(engine, parts);
+                    }
+                },
+            };
+        },
+        evidence: table.items,
+        applyEvidence: items => addEvidence(items.filter(({ part }) => part.length <= maxPartLength)),
+    };
+}
--- a/src/telemetry/prometheusMetrics.ts
+++ b/src/telemetry/prometheusMetrics.ts
@@ -12,6 +12,7 @@
     ownPrefills: "prompts that a decode engine read itself because the prefill engines were busy",
     prefillsDiscarded: "prefills whose result was not used",
     callersGone: "requests whose callers went away",
+    quarantined: "requests refused because engines ended under a part of their prompts",
     storeCalls: "calls to the platform's store by outcome",
     ordersSent: "orders to engines by outcome",
 } as const;
--- a/test/platformPath.test.ts
+++ b/test/platformPath.test.ts
@@ -208,3 +208,29 @@
         await expectAllReleased();
     });
 });
+
+describe("a part of a prompt that ends engines", () => {
+    // Every entry would learn of the part by ending engines of its own.
+    it("is refused by every entry once two engines have ended; other requests with its other parts are served", async () => {
+        await start({ entries: 2 });
+        site.engines.forEach(engine => engine.setFault("endOnPart"));
+        const call = async (index: number, parts: string): Promise<number> => {
+            const response = await callSite(entry(index), "/chat/x", siteKey, undefined, parts);
+            return response.body === undefined ? 0 : response.status;
+        };
+        const deadlyRuns = (): number =>
+            site.engines.flatMap(engine => engine.runs)
+                .filter(run => run.headers["x-gooseberrywell-prompt-prefix"]?.includes("dead") === true).length;
+        let number = 0;
+        const callDeadly = (index: number): Promise<number> => call(index, `shared:10,dead:20,own-${number++}:5`);
+        await until("the first entry refuses the part", async () => {
+            await until("a sound request is served", async () => await call(0, `shared:10,own-${number++}:5`) === 200);
+            return await callDeadly(0) === 503;
+        });
+        const runs = deadlyRuns();
+        expect(runs).toBeLessThanOrEqual(5);
+        await until("the second entry refuses the part", async () => await callDeadly(1) === 503);
+        expect(deadlyRuns() - runs).toBeLessThanOrEqual(3);
+        await until("the second entry serves", async () => await call(1, `shared:10,own-${number++}:5`) === 200);
+    });
+});
