Never repeat a request whose engine has ended; share evidence at once

Change: whether a request is repeated depends on its own run alone. New evidence is sent to the live peers ahead of the next round, to at most 20; they pass it on in theirs.

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -228,7 +228,7 @@
             reportEarly: () => undefined,
         }),
         retryBudget: createFleetRetryBudget(clock, budget),
-        quarantine: createPromptQuarantine({ clock, log, report: engines.report }),
+        quarantine: createPromptQuarantine({ clock, log, report: engines.report, onEvidence: () => undefined }),
         responseTimes: createResponseTimes(),
         shutdownDeadlineMs: () => undefined,
     };
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -131,7 +131,12 @@
         reportEarly: (clientAccount, admittedCost) => peerSync.reportUsage(clientAccount, admittedCost),
     });
     const retryBudget = createFleetRetryBudget(clock, settings.retryBudget);
-    const quarantine = createPromptQuarantine({ clock, log, report: engines.report });
+    const quarantine = createPromptQuarantine({
+        clock,
+        log,
+        report: engines.report,
+        onEvidence: () => peerSync.syncNow(),
+    });
     let shutdownDeadlineMs: number | undefined;
 
     const desiredState = createDesiredStateSync({
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -97,11 +97,11 @@
             // Ejects the engine, so that the stream is not resumed at the one that has just broken it off.
             context.health.recordOutcome(stream.engine.id, "unresponsive");
         }
-        await runEnded;
-        if (!context.quarantine.mayRepeat(request.sharedPromptParts)) {
-            break;
-        }
-        if (!isCallerWaiting || engineCount >= route.maxEngines || !generation.callBudget.tryAcquireCall()) {
+        const isSuspected = await runEnded;
+        if (
+            isSuspected || !isCallerWaiting || engineCount >= route.maxEngines
+            || !generation.callBudget.tryAcquireCall()
+        ) {
             break;
         }
         context.metrics.count("resumes", generation.service);
--- a/src/peerSync/peerSync.ts
+++ b/src/peerSync/peerSync.ts
@@ -68,6 +68,8 @@
     readonly liveFraction: () => number;
     /** Tells the live peers the usage of an account now, ahead of the next round. Not in fleets of many entries. */
     readonly reportUsage: (clientAccount: string, admittedCost: number) => void;
+    /** Sends this entry's state to its live peers now, ahead of the next round; in fleets of many entries, to some. */
+    readonly syncNow: () => void;
     /** Adds peers found elsewhere, such as in the store's list. */
     readonly addPeers: (urls: readonly string[]) => void;
     readonly run: (signal: AbortSignal) => Promise<void>;
@@ -100,6 +102,8 @@
 const liveWindowIntervals = 3;
 /** With more live peers than this, usage is not reported ahead of the rounds, so that the cost stays bounded. */
 const maxUsageReportPeers = 40;
+/** Peers that get a state ahead of the rounds; they pass on what all entries must learn. */
+const maxEarlySyncPeers = 20;
 const usageReportTimeoutMs = 400;
 /** A member that was not seen for this long is removed; longer than a network partition on the platform may last. */
 const memberTimeoutMs = 30_000;
@@ -294,8 +298,14 @@
         }
     }
 
+    function syncNow(): void {
+        const live = [...peers].filter(([, peer]) => isLive(peer) && !peer.isCallPending);
+        live.slice(0, maxEarlySyncPeers).forEach(([url, peer]) => void callPeer(url, peer));
+    }
+
     return {
         reportUsage,
+        syncNow,
         methods: {
             [peerSyncMethods.usage]: rpcMethod(usageReportSchema, async report => {
                 dependencies.onUsageReport(report);
--- a/src/quarantine/promptQuarantine.test.ts
+++ b/src/quarantine/promptQuarantine.test.ts
@@ -32,7 +32,7 @@
 interface Entry {
     readonly quarantine: PromptQuarantine;
     /** Runs a request with these parts at an engine; it writes for `outputMs`, if at all, and ends. */
-    readonly run: (engine: string, parts: string, how: RunEnd, outputMs?: number) => Promise<void>;
+    readonly run: (engine: string, parts: string, how: RunEnd, outputMs?: number) => Promise<boolean>;
     readonly isRefused: (parts: string) => boolean;
 }
 
@@ -44,6 +44,7 @@
         clock,
         log: silentDecisionLog,
         report: async () => reports[Math.min(next++, reports.length - 1)] ?? refused,
+        onEvidence: () => undefined,
     });
     return {
         quarantine,
@@ -55,7 +56,7 @@
             }
             const ended = run.end(how);
             await clock.advance(500);
-            await ended;
+            return ended;
         },
         isRefused: parts => quarantine.find(split(parts)) !== undefined,
     };
@@ -178,9 +179,8 @@
 describe("an engine breaks off a request", () => {
     it.each(endCases)("$name: suspected $isSuspected", async ({ how, outputMs, reports, isSuspected }) => {
         const entry = createEntry(createVirtualClock(), reports);
-        await entry.run("e1", "p", how, outputMs);
-        expect(entry.quarantine.mayRepeat(["p"])).toBe(!isSuspected);
-        expect(entry.quarantine.mayRepeat(["q"])).toBe(true);
+        expect(await entry.run("e1", "p", how, outputMs)).toBe(isSuspected);
+        expect(entry.quarantine.evidence().map(({ part }) => part)).toEqual(isSuspected ? ["p"] : []);
     });
 });
 
--- a/src/quarantine/promptQuarantine.ts
+++ b/src/quarantine/promptQuarantine.ts
@@ -20,8 +20,8 @@
 export interface PromptRun {
     /** Records that the engine has begun to write; only the first call counts. */
     readonly recordOutput: () => void;
-    /** Ends the run; resolves once its evidence is recorded. */
-    readonly end: (how: RunEnd) => Promise<void>;
+    /** Ends the run; resolves to whether its engine ended with it, so that its prompt is suspected. */
+    readonly end: (how: RunEnd) => Promise<boolean>;
 }
 
 /** A part of prompts under which engines ended. */
@@ -36,8 +36,6 @@
 export interface PromptQuarantine {
     /** Why requests with these parts are refused; `undefined` if they may be sent to engines. */
     readonly find: (parts: readonly string[]) => QuarantinedPart | undefined;
-    /** Whether a request may be sent again after an engine has broken it off. */
-    readonly mayRepeat: (parts: readonly string[]) => boolean;
     readonly startRun: (engine: EngineRecord, parts: readonly string[]) => PromptRun;
     /** Evidence to share with other entries. */
     readonly evidence: () => readonly CrashEvidence[];
@@ -49,6 +47,8 @@
     readonly clock: Clock;
     readonly log: DecisionLog;
     readonly report: EnginePort["report"];
+    /** Called when this entry has new evidence, which other entries should learn soon. */
+    readonly onEvidence: () => void;
 }
 
 /** An engine may end for another reason while a request starts; two by chance with the same part are unlikely. */
@@ -70,7 +70,7 @@
 const reportPauseMs = 100;
 
 export function createPromptQuarantine(dependencies: PromptQuarantineDependencies): PromptQuarantine {
-    const { clock, log, report } = dependencies;
+    const { clock, log, report, onEvidence } = dependencies;
     const table = createEvidenceTable(clock);
     /** When a request with a part was last seen running, the latest ones last. */
     const soundAtMs = new Map<string, number>();
@@ -121,11 +121,12 @@
         return running;
     }
 
-    async function recordBreak(engine: EngineRecord, parts: readonly string[]): Promise<void> {
+    /** Returns whether the engine has ended and there are parts to suspect. */
+    async function recordBreak(engine: EngineRecord, parts: readonly string[]): Promise<boolean> {
         const brokenAtMs = clock.monotonicMs();
         const suspected = parts.filter(part => !wasSound(part, brokenAtMs));
         if (suspected.length === 0 || !await hasEnded(engine)) {
-            return;
+            return false;
         }
         const { id, bornMs } = engine;
         log.decision("an engine ended while a request had just started", { engine: id, bornMs, suspected });
@@ -136,6 +137,8 @@
             agoMs: clock.monotonicMs() - brokenAtMs,
             isRefuted: false,
         })));
+        onEvidence();
+        return true;
     }
 
     function addEvidence(items: readonly CrashEvidence[]): void {
@@ -155,7 +158,6 @@
             const durationMs = Math.min(maxQuarantineMs, baseQuarantineMs * 2 ** (crashes - minCrashesToRefuse));
             return sinceLastMs < durationMs ? { part, crashes, remainingMs: durationMs - sinceLastMs } : undefined;
         },
-        mayRepeat: parts => table.blame(parts, 1) === undefined,
         startRun: (engine, allParts) => {
             const parts = trackedParts(allParts);
             let outputAtMs: number | undefined;
@@ -167,10 +169,9 @@
                     const hasStarted = outputAtMs !== undefined && clock.monotonicMs() - outputAtMs >= startPhaseMs;
                     if (how === "completed" || (how === "broken" && hasStarted)) {
                         recordSound(parts);
+                        return false;
                     }
-                    else if (how === "broken") {
-                        await recordBreak(engine, parts);
-                    }
+                    return how === "broken" && recordBreak(engine, parts);
                 },
             };
         },
