Keep evidence against parts of prompts in the store

Cause: the evidence was only in the memory of the entries.

Change: a row in the store for each part under which several engines ended, read once at the start of an entry, removed when it is refuted or has expired, written again when the store was restored. Messages between entries carry single items for a minute only, and at most 40 in all.

--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -28,6 +28,7 @@
 import { createTableReplica } from "../peerSync/tableReplica.js";
 import type { CopyOrigin, TableCopy, TableFeed } from "../peerSync/tableReplica.js";
 import type { TableService } from "../platform/ports.js";
+import { createEvidenceStore } from "../quarantine/evidenceStore.js";
 import { createPromptQuarantine } from "../quarantine/promptQuarantine.js";
 import type { CallerLimits, DesiredState } from "../routes/desiredState.js";
 import { listen } from "../rpc/httpServer.js";
@@ -280,6 +281,7 @@
     void registryReplica.follow(stopping.signal);
     void peerSync.run(stopping.signal);
     void entryList.run(stopping.signal);
+    void createEvidenceStore(ports.tables, clock, log, quarantine).run(stopping.signal);
     void stages.run(stopping.signal);
     void fetchCopies();
     void updateBudgets();
--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -31,7 +31,7 @@
      * `undefined` unless at least `minCrashes` engines ended under it.
      */
     readonly blame: (parts: readonly string[], minCrashes: number) => Blame | undefined;
-    /** The items to share with other entries, the newest first. */
+    /** The items to share with other entries: new ones, and those against parts under which several engines ended. */
     readonly items: () => readonly CrashEvidence[];
 }
 
@@ -49,10 +49,10 @@
 
 /** Evidence is forgotten after this time. */
 export const evidenceLifetimeMs = 1_800_000;
-/** A refuted item is kept and shared for this long, until it has reached all entries. */
-const refutedLifetimeMs = 60_000;
+/** A refuted item is kept, and a single one shared, for this long: until it has reached all entries. */
+const sharingMs = 60_000;
 /** Items in one message to another entry. */
-const maxItems = 100;
+const maxSharedItems = 40;
 /** Parts with evidence; the oldest are forgotten first. */
 const maxParts = 500;
 
@@ -65,7 +65,7 @@
         const nowMs = clock.monotonicMs();
         for (const [part, items] of itemsByPart) {
             for (const [key, { atMs, isRefuted }] of items) {
-                if (nowMs - atMs > (isRefuted ? refutedLifetimeMs : evidenceLifetimeMs)) {
+                if (nowMs - atMs > (isRefuted ? sharingMs : evidenceLifetimeMs)) {
                     items.delete(key);
                 }
             }
@@ -130,17 +130,20 @@
             removeExpired();
             const nowMs = clock.monotonicMs();
             return [...itemsByPart]
-                .flatMap(([part, items]) =>
-                    [...items.values()].map(({ start, atMs, isRefuted }): CrashEvidence => ({
-                        part,
-                        engine: start.id,
-                        bornMs: start.bornMs,
-                        agoMs: nowMs - atMs,
-                        isRefuted,
-                    }))
-                )
-                .sort((left, right) => left.agoMs - right.agoMs)
-                .slice(0, maxItems);
+                .flatMap(([part, items]) => {
+                    const isRepeated = itemsAgainst(part).size > 1;
+                    return [...items.values()].map(item => ({ part, isRepeated, agoMs: nowMs - item.atMs, ...item }));
+                })
+                .filter(({ isRepeated, agoMs }) => isRepeated || agoMs < sharingMs)
+                .sort((left, right) => Number(right.isRepeated) - Number(left.isRepeated) || left.agoMs - right.agoMs)
+                .slice(0, maxSharedItems)
+                .map(({ part, start, agoMs, isRefuted }) => ({
+                    part,
+                    engine: start.id,
+                    bornMs: start.bornMs,
+                    agoMs,
+                    isRefuted,
+                }));
         },
     };
 }
--- a/src/quarantine/promptQuarantine.ts
+++ b/src/quarantine/promptQuarantine.ts
@@ -39,6 +39,8 @@
     readonly startRun: (engine: EngineRecord, parts: readonly string[]) => PromptRun;
     /** Evidence to share with other entries. */
     readonly evidence: () => readonly CrashEvidence[];
+    /** Whether an engine ended under a request of this entry with the part. */
+    readonly hasOwnEvidence: (part: string) => boolean;
     /** Merges the evidence of another entry. */
     readonly applyEvidence: (evidence: readonly CrashEvidence[]) => void;
 }
@@ -60,7 +62,7 @@
 const startPhaseMs = 1_000;
 /** A part is not suspected if another request with it has run within this time before an engine's end. */
 const soundWindowMs = 10_000;
-const maxSoundParts = 5_000;
+const maxTrackedParts = 5_000;
 /** Longer ids are not tracked, so that callers cannot fill the memory or the messages between entries. */
 const maxPartLength = 64;
 const maxPartsPerRequest = 32;
@@ -74,6 +76,7 @@
     const table = createEvidenceTable(clock);
     /** When a request with a part was last seen running, the latest ones last. */
     const soundAtMs = new Map<string, number>();
+    const ownParts = new Set<string>();
     const checksByStart = new Map<string, Promise<boolean>>();
 
     const trackedParts = (parts: readonly string[]): readonly string[] =>
@@ -87,10 +90,7 @@
                 log.info("a request with a suspected part of a prompt has run", { part });
             }
         }
-        const oldest = soundAtMs.size > maxSoundParts ? soundAtMs.keys().next().value : undefined;
-        if (oldest !== undefined) {
-            soundAtMs.delete(oldest);
-        }
+        removeOldest(soundAtMs, maxTrackedParts);
     }
 
     function wasSound(part: string, atMs: number): boolean {
@@ -137,6 +137,8 @@
             agoMs: clock.monotonicMs() - brokenAtMs,
             isRefuted: false,
         })));
+        suspected.forEach(part => ownParts.add(part));
+        removeOldest(ownParts, maxTrackedParts);
         onEvidence();
         return true;
     }
@@ -176,6 +178,16 @@
             };
         },
         evidence: table.items,
+        hasOwnEvidence: part => ownParts.has(part),
         applyEvidence: items => addEvidence(items.filter(({ part }) => part.length <= maxPartLength)),
     };
 }
+
+function removeOldest(entries: Map<string, unknown> | Set<string>, maxSize: number): void {
+    for (const oldest of entries.keys()) {
+        if (entries.size <= maxSize) {
+            return;
+        }
+        entries.delete(oldest);
+    }
+}
