--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -27,8 +27,8 @@
     /** Refutes all items against a part; returns whether there was one. */
     readonly refute: (part: string) => boolean;
     /**
-     * The part to blame in a request that consists of `parts`, and the time since the last engine that it ended;
-     * `undefined` unless at least `minCrashes` engines ended under it.
+     * The parts to blame in a request that consists of `parts`, and the time since the last engine that they ended;
+     * `undefined` unless at least `minCrashes` engines ended under one of them.
      */
     readonly blame: (parts: readonly string[], minCrashes: number) => Blame | undefined;
     /** The items to share with other entries: new ones, and those against parts under which several engines ended. */
@@ -36,7 +36,8 @@
 }
 
 export interface Blame {
-    readonly part: string;
+    /** The parts under which the most engines ended. */
+    readonly blamedParts: readonly string[];
     readonly crashes: number;
     readonly sinceLastMs: number;
 }
@@ -117,14 +118,20 @@
                 return undefined;
             }
             removeExpired();
-            for (const part of parts) {
-                const items = itemsAgainst(part);
-                if (items.size >= minCrashes && !isExplainedByOthers([...items.keys()], parts)) {
-                    const lastMs = Math.max(...[...items.values()].map(({ atMs }) => atMs));
-                    return { part, crashes: items.size, sinceLastMs: clock.monotonicMs() - lastMs };
-                }
+            const blamed = parts
+                .map(part => ({ part, items: itemsAgainst(part) }))
+                .filter(({ items }) => items.size >= minCrashes && !isExplainedByOthers([...items.keys()], parts));
+            const crashes = Math.max(...blamed.map(({ items }) => items.size));
+            const worst = blamed.filter(({ items }) => items.size === crashes);
+            if (worst.length === 0) {
+                return undefined;
             }
-            return undefined;
+            const lastMs = Math.max(...worst.flatMap(({ items }) => [...items.values()].map(({ atMs }) => atMs)));
+            return {
+                blamedParts: worst.map(({ part }) => part),
+                crashes,
+                sinceLastMs: clock.monotonicMs() - lastMs,
+            };
         },
         items: () => {
             removeExpired();
--- a/src/quarantine/evidenceStore.test.ts
+++ b/src/quarantine/evidenceStore.test.ts
@@ -54,7 +54,7 @@
         (await createQuarantined(clock, tables)).kill();
         const restarted = startEntry(clock, tables);
         await clock.settle();
-        expect(restarted.quarantine.find(["d"])).toMatchObject({ part: "d", crashes: 2 });
+        expect(restarted.quarantine.find(["d"])).toMatchObject({ blamedParts: ["d"], crashes: 2 });
         expect(restarted.quarantine.find(["other"])).toBeUndefined();
     });
 
--- a/src/quarantine/promptQuarantine.test.ts
+++ b/src/quarantine/promptQuarantine.test.ts
@@ -114,6 +114,16 @@
         expect(served.filter(entry.isRefused)).toEqual([]);
     });
 
+    it("is named in the reason, with those that were always together with it", async () => {
+        const clock = createVirtualClock();
+        const entry = createEntry(clock);
+        await entry.run("e1", "s x d", "broken");
+        await entry.run("e2", "s d", "broken");
+        expect(entry.quarantine.find(["s", "x", "d"])).toMatchObject({ blamedParts: ["s", "d"], crashes: 2 });
+        await entry.run("e9", "s", "completed");
+        expect(entry.quarantine.find(["s", "x", "d"])).toMatchObject({ blamedParts: ["d"], crashes: 2 });
+    });
+
     it("that was sound is suspected again once no request with it has run for some time", async () => {
         const clock = createVirtualClock();
         const entry = createEntry(clock);
@@ -129,7 +139,7 @@
         const entry = createEntry(clock);
         await entry.run("e1", "d", "broken");
         await entry.run("e2", "d", "broken");
-        expect(entry.quarantine.find(["d"])).toMatchObject({ part: "d", crashes: 2 });
+        expect(entry.quarantine.find(["d"])).toMatchObject({ blamedParts: ["d"], crashes: 2 });
         await clock.advance(118_000);
         expect(entry.isRefused("d")).toBe(true);
         await clock.advance(2_000);
--- a/src/quarantine/promptQuarantine.ts
+++ b/src/quarantine/promptQuarantine.ts
@@ -24,18 +24,19 @@
     readonly end: (how: RunEnd) => Promise<boolean>;
 }
 
-/** A part of prompts under which engines ended. */
-export interface QuarantinedPart {
-    readonly part: string;
+/** Why a request is refused. */
+export interface QuarantineReason {
+    /** Parts of its prompt under which engines ended: one, or several that were always together. */
+    readonly blamedParts: readonly string[];
     /** Number of engines that ended. */
     readonly crashes: number;
-    /** How long requests with it will be refused. */
+    /** How long requests with these parts will be refused. */
     readonly remainingMs: number;
 }
 
 export interface PromptQuarantine {
     /** Why requests with these parts are refused; `undefined` if they may be sent to engines. */
-    readonly find: (parts: readonly string[]) => QuarantinedPart | undefined;
+    readonly find: (parts: readonly string[]) => QuarantineReason | undefined;
     readonly startRun: (engine: EngineRecord, parts: readonly string[]) => PromptRun;
     /** Evidence to share with other entries. */
     readonly evidence: () => readonly CrashEvidence[];
@@ -156,9 +157,11 @@
             if (blame === undefined) {
                 return undefined;
             }
-            const { part, crashes, sinceLastMs } = blame;
+            const { blamedParts, crashes, sinceLastMs } = blame;
             const durationMs = Math.min(maxQuarantineMs, baseQuarantineMs * 2 ** (crashes - minCrashesToRefuse));
-            return sinceLastMs < durationMs ? { part, crashes, remainingMs: durationMs - sinceLastMs } : undefined;
+            return sinceLastMs < durationMs
+                ? { blamedParts, crashes, remainingMs: durationMs - sinceLastMs }
+                : undefined;
         },
         startRun: (engine, allParts) => {
             const parts = trackedParts(allParts);
