Take a run for sound only after several writes

Cause: a run that broke off a second after its first byte counted as sound and refuted the evidence against its parts. The time of the end is when this process sees it: a machine that froze just after the first event, or an engine that is eight times slower, makes a deadly part look sound everywhere, and two more engines end before it is refused again.

Change: sound is a complete run, or one of a second and three writes; suspected are runs of less than a second or with one write; others prove nothing.

--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -78,7 +78,7 @@
     let stream: RunningStream | undefined = first;
     for (let engineCount = 1; stream !== undefined; engineCount++) {
         onStreamChange(stream);
-        stream.response.body.once("data", stream.run.recordOutput);
+        stream.response.body.on("data", stream.run.recordOutput);
         const failure = await relayEvents(stream, relayed, position);
         stream.end();
         if (failure === undefined) {
--- a/src/quarantine/promptQuarantine.test.ts
+++ b/src/quarantine/promptQuarantine.test.ts
@@ -32,7 +32,13 @@
 interface Entry {
     readonly quarantine: PromptQuarantine;
     /** Runs a request with these parts at an engine; it writes for `outputMs`, if at all, and ends. */
-    readonly run: (engine: string, parts: string, how: RunEnd, outputMs?: number) => Promise<boolean>;
+    readonly run: (
+        engine: string,
+        parts: string,
+        how: RunEnd,
+        outputMs?: number,
+        outputs?: number,
+    ) => Promise<boolean>;
     readonly isRefused: (parts: string) => boolean;
 }
 
@@ -48,10 +54,10 @@
     });
     return {
         quarantine,
-        run: async (engine, parts, how, outputMs) => {
+        run: async (engine, parts, how, outputMs, outputs = 5) => {
             const run = quarantine.startRun(engineRecord(engine, "decode"), split(parts));
             if (outputMs !== undefined) {
-                run.recordOutput();
+                Array.from({ length: outputs }, run.recordOutput);
                 await clock.advance(outputMs);
             }
             const ended = run.end(how);
@@ -164,6 +170,7 @@
     readonly name: string;
     readonly how: RunEnd;
     readonly outputMs?: number;
+    readonly outputs?: number;
     readonly reports: readonly Reported[];
     readonly isSuspected: boolean;
 }
@@ -179,6 +186,15 @@
     { name: "it has started anew", how: "broken", reports: [reportOf(2)], isSuspected: true },
     { name: "it wrote a little", how: "broken", outputMs: 200, reports: [refused], isSuspected: true },
     { name: "it wrote for long", how: "broken", outputMs: 3_000, reports: [refused], isSuspected: false },
+    {
+        name: "it wrote once, and its end was seen late",
+        how: "broken",
+        outputMs: 3_000,
+        outputs: 1,
+        reports: [refused],
+        isSuspected: true,
+    },
+    { name: "it wrote twice", how: "broken", outputMs: 3_000, outputs: 2, reports: [refused], isSuspected: false },
     { name: "it runs on", how: "broken", reports: [reportOf(1)], isSuspected: false },
     { name: "it can't be reached", how: "broken", reports: [errorOf("unreachable")], isSuspected: false },
     { name: "it doesn't respond", how: "broken", reports: [errorOf("timeout")], isSuspected: false },
@@ -187,13 +203,29 @@
 ];
 
 describe("an engine breaks off a request", () => {
-    it.each(endCases)("$name: suspected $isSuspected", async ({ how, outputMs, reports, isSuspected }) => {
+    it.each(endCases)("$name: suspected $isSuspected", async ({ how, outputMs, outputs, reports, isSuspected }) => {
         const entry = createEntry(createVirtualClock(), reports);
-        expect(await entry.run("e1", "p", how, outputMs)).toBe(isSuspected);
+        expect(await entry.run("e1", "p", how, outputMs, outputs)).toBe(isSuspected);
         expect(entry.quarantine.evidence().map(({ part }) => part)).toEqual(isSuspected ? ["p"] : []);
     });
 });
 
+describe("a run that broke off", () => {
+    // A machine that froze just after the first event took the deadly part for a sound one.
+    it.each([
+        ["refutes the evidence against its part after several writes", 5, false],
+        ["proves nothing if it wrote once and its end was seen late", 1, true],
+        ["proves nothing if it wrote twice", 2, true],
+    ])("%s", async (name, outputs, isRefusedAfter) => {
+        const clock = createVirtualClock();
+        const entry = createEntry(clock);
+        await entry.run("e1", "d", "broken");
+        await entry.run("e2", "d", "broken");
+        await entry.run("e3", "d", "broken", 3_000, outputs);
+        expect(entry.isRefused("d")).toBe(isRefusedAfter);
+    });
+});
+
 describe("entries that share their evidence", () => {
     async function shareAll(entries: readonly Entry[]): Promise<void> {
         for (const from of entries) {
--- a/src/quarantine/promptQuarantine.ts
+++ b/src/quarantine/promptQuarantine.ts
@@ -18,7 +18,7 @@
 
 /** A request that was sent to an engine to be run. */
 export interface PromptRun {
-    /** Records that the engine has begun to write; only the first call counts. */
+    /** Records that the engine has written something. */
     readonly recordOutput: () => void;
     /** Ends the run; resolves to whether its engine ended with it, so that its prompt is suspected. */
     readonly end: (how: RunEnd) => Promise<boolean>;
@@ -59,8 +59,12 @@
 /** Duration of a quarantine after the second engine; it doubles with each further one. */
 const baseQuarantineMs = 120_000;
 const maxQuarantineMs = 1_800_000;
-/** A run that has written for this long did not crash its engine by starting. */
+/**
+ * A run that has written for this long, and this often, did not crash its engine by starting. The time alone does not
+ * tell: a slow engine may end late, and this process may see the end late.
+ */
 const startPhaseMs = 1_000;
+const minOutputs = 3;
 /** A part is not suspected if another request with it has run within this time before an engine's end. */
 const soundWindowMs = 10_000;
 const maxTrackedParts = 5_000;
@@ -166,17 +170,20 @@
         startRun: (engine, allParts) => {
             const parts = trackedParts(allParts);
             let outputAtMs: number | undefined;
+            let outputs = 0;
             return {
                 recordOutput: () => {
                     outputAtMs ??= clock.monotonicMs();
+                    outputs += 1;
                 },
                 end: async how => {
-                    const hasStarted = outputAtMs !== undefined && clock.monotonicMs() - outputAtMs >= startPhaseMs;
-                    if (how === "completed" || (how === "broken" && hasStarted)) {
+                    const writtenForMs = outputAtMs === undefined ? 0 : clock.monotonicMs() - outputAtMs;
+                    if (how === "completed" || (how === "broken" && isPastStart(writtenForMs, outputs))) {
                         recordSound(parts);
                         return false;
                     }
-                    return how === "broken" && recordBreak(engine, parts);
+                    const isStarting = writtenForMs < startPhaseMs || outputs < 2;
+                    return how === "broken" && isStarting && recordBreak(engine, parts);
                 },
             };
         },
@@ -186,6 +193,10 @@
     };
 }
 
+function isPastStart(writtenForMs: number, outputs: number): boolean {
+    return writtenForMs >= startPhaseMs && outputs >= minOutputs;
+}
+
 function removeOldest(entries: Map<string, unknown> | Set<string>, maxSize: number): void {
     for (const oldest of entries.keys()) {
         if (entries.size <= maxSize) {
