Ask a silent engine only once whether it has ended; log a bounded number of parts

A stream that may be resumed waits for the answer: three questions to an engine that doesn't respond took 1.1 s. Silence is no proof of an end, so the first one decides.

Measured: a new case; it hung without the change (the virtual clock stands still).

--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -29,6 +29,7 @@
 /** Limit on what is buffered for a slow caller: a few events. */
 const readAheadBytes = 4_096;
 const endOfStream = null;
+const maxLoggedParts = 8;
 
 /**
  * Returns the response for the caller. Its body has the stream's events and fails where the stream broke off and could
@@ -130,7 +131,7 @@
         engine: engine.id,
         bornMs: engine.bornMs,
         sinceStartMs: Math.round(context.clock.monotonicMs() - startedAtMs),
-        sharedPromptParts: request.sharedPromptParts,
+        sharedPromptParts: request.sharedPromptParts.slice(0, maxLoggedParts),
         cause: failure.message,
     });
 }
--- a/src/quarantine/promptQuarantine.test.ts
+++ b/src/quarantine/promptQuarantine.test.ts
@@ -210,6 +210,25 @@
     });
 });
 
+describe("an engine that does not respond to the question whether it has ended", () => {
+    // A stream that may be resumed waits for the answer.
+    it("is asked once", async () => {
+        const clock = createVirtualClock();
+        let asked = 0;
+        const quarantine = createPromptQuarantine({
+            clock,
+            log: silentDecisionLog,
+            report: async () => {
+                asked += 1;
+                return errorOf("timeout");
+            },
+            onEvidence: () => undefined,
+        });
+        expect(await quarantine.startRun(engineRecord("e1", "decode"), ["p"]).end("broken")).toBe(false);
+        expect(asked).toBe(1);
+    });
+});
+
 describe("a run that broke off", () => {
     // A machine that froze just after the first event took the deadly part for a sound one.
     it.each([
--- a/src/quarantine/promptQuarantine.ts
+++ b/src/quarantine/promptQuarantine.ts
@@ -110,8 +110,8 @@
                 const { bornMs } = reported.value;
                 return bornMs > 0 && engine.bornMs > 0 && bornMs !== engine.bornMs;
             }
-            if (reported.error.kind === "unreachable") {
-                return reported.error.isConnectionRefused === true;
+            if (reported.error.kind !== "interrupted") {
+                return reported.error.kind === "unreachable" && reported.error.isConnectionRefused === true;
             }
             await clock.sleep(reportPauseMs);
         }
