--- a/src/peerSync/peerSync.test.ts
+++ b/src/peerSync/peerSync.test.ts
@@ -341,6 +341,19 @@
         expect(fleet.usageReports).toEqual([{ to: 1, ...report }, { to: 2, ...report }]);
     });
 
+    it.each([[4, 3], [60, 20]])(
+        "of %d entries, one sends its state to %d live ones ahead of its round",
+        async (entries, sent) => {
+            const clock = createVirtualClock();
+            const fleet = createFleet(entries, [createManualFeed(clock)], clock);
+            await clock.advance(30 * peerSyncIntervalMs);
+            fleet.calls.states = 0;
+            fleet.peerSyncs[0]?.syncNow();
+            await clock.settle();
+            expect(fleet.calls.states).toBe(sent);
+        },
+    );
+
     it.each([27, 60])("considers all of %d reachable entries live", async entries => {
         const clock = createVirtualClock();
         const fleet = createFleet(entries, [createManualFeed(clock)], clock);
