--- a/test/responseEnds.test.ts
+++ b/test/responseEnds.test.ts
@@ -21,18 +21,17 @@
 import { createEngineClient } from "../platform/engineClient.js";
 import { listenForCallers } from "../platform/ingress.js";
 import { createEngineNotices } from "../src/engines/engineNotices.js";
-import type { EnginePort } from "../src/engines/enginePort.js";
+import type { BodyFraming, EnginePort } from "../src/engines/enginePort.js";
 import { forward } from "../src/forwarding/forward.js";
 import type { Route } from "../src/routes/desiredState.js";
 import { createPrometheusMetrics } from "../src/telemetry/prometheusMetrics.js";
 
-type Framing = "length" | "chunks" | "connection";
 type Close = "keep" | "end" | "reset";
 
 /** One response of an engine: what it writes, and what it then does with the connection. */
 interface ResponseEnd {
     readonly name: string;
-    readonly framing: Framing;
+    readonly framing: BodyFraming;
     readonly text: string;
     /** Announced beyond `text`: bytes of a length, or a last chunk that never comes. */
     readonly isShort: boolean;
