Read and log the rate that an engine names for itself

Change: the engine client decodes the header from every response of an engine, on any status, and logs what the engine names, changes and ends; each request to an engine with a limit is logged with its purpose. Nothing uses the rate yet.

One copy of the key of an engine's start.

--- a/src/engines/engineNotices.ts
+++ b/src/engines/engineNotices.ts
@@ -34,6 +34,11 @@
 const maxLeaving = 200;
 const msPerSecond = 1_000;
 
+/** Identifies one start of an engine. */
+export function startKey({ id, bornMs }: EngineStart): string {
+    return `${bornMs} ${id}`;
+}
+
 /** Decodes `Retry-After` in seconds, which may have a fraction; `undefined` if it is not a positive number. */
 export function parseRestMs(retryAfter: string | undefined): number | undefined {
     const seconds = retryAfter === undefined || retryAfter.trim() === "" ? Number.NaN : Number(retryAfter);
@@ -45,10 +50,9 @@
     const restUntilMs = new Map<string, number>();
     const listeners: (() => void)[] = [];
 
-    const keyOf = ({ id, bornMs }: EngineStart): string => `${bornMs} ${id}`;
-    const isLeaving = (engine: EngineStart): boolean => leavingByKey.has(keyOf(engine));
+    const isLeaving = (engine: EngineStart): boolean => leavingByKey.has(startKey(engine));
     const restRemainingMs = (engine: EngineStart): number =>
-        Math.max(0, (restUntilMs.get(keyOf(engine)) ?? 0) - clock.monotonicMs());
+        Math.max(0, (restUntilMs.get(startKey(engine)) ?? 0) - clock.monotonicMs());
 
     function removeExpiredRests(): void {
         const nowMs = clock.monotonicMs();
@@ -65,7 +69,7 @@
                 return;
             }
             const { id, bornMs } = engine;
-            leavingByKey.set(keyOf(engine), { id, bornMs });
+            leavingByKey.set(startKey(engine), { id, bornMs });
             const oldest = leavingByKey.size > maxLeaving ? leavingByKey.keys().next().value : undefined;
             if (oldest !== undefined) {
                 leavingByKey.delete(oldest);
@@ -75,12 +79,12 @@
         },
         recordRest: (engine, restMs) => {
             const untilMs = clock.monotonicMs() + restMs;
-            if (untilMs <= (restUntilMs.get(keyOf(engine)) ?? 0)) {
+            if (untilMs <= (restUntilMs.get(startKey(engine)) ?? 0)) {
                 return;
             }
             removeExpiredRests();
-            const isNew = !restUntilMs.has(keyOf(engine));
-            restUntilMs.set(keyOf(engine), untilMs);
+            const isNew = !restUntilMs.has(startKey(engine));
+            restUntilMs.set(startKey(engine), untilMs);
             if (isNew) {
                 log.info("an engine accepts nothing from this host for some time", { engine: engine.id, restMs });
             }
--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -8,6 +8,7 @@
  */
 
 import type { Clock } from "../common/clock.js";
+import { startKey } from "../engines/engineNotices.js";
 import type { EngineStart } from "../engines/engineNotices.js";
 
 /** One end of an engine under a request with a part. */
@@ -60,8 +61,6 @@
 export function createEvidenceTable(clock: Clock): EvidenceTable {
     const itemsByPart = new Map<string, Map<string, Item>>();
 
-    const keyOf = ({ id, bornMs }: EngineStart): string => `${bornMs} ${id}`;
-
     function removeExpired(): void {
         const nowMs = clock.monotonicMs();
         for (const [part, items] of itemsByPart) {
@@ -97,9 +96,9 @@
         add: ({ part, engine, bornMs, agoMs, isRefuted }) => {
             const items = itemsByPart.get(part) ?? new Map<string, Item>();
             const start = { id: engine, bornMs };
-            const known = items.get(keyOf(start));
+            const known = items.get(startKey(start));
             const atMs = clock.monotonicMs() - agoMs;
-            items.set(keyOf(start), {
+            items.set(startKey(start), {
                 start,
                 atMs: Math.min(atMs, known?.atMs ?? atMs),
                 isRefuted: isRefuted || (known?.isRefuted ?? false),
--- a/src/quarantine/promptQuarantine.ts
+++ b/src/quarantine/promptQuarantine.ts
@@ -8,6 +8,7 @@
  */
 
 import type { Clock } from "../common/clock.js";
+import { startKey } from "../engines/engineNotices.js";
 import type { EnginePort, EngineRecord } from "../engines/enginePort.js";
 import type { DecisionLog } from "../telemetry/decisionLog.js";
 import { createEvidenceTable } from "./crashEvidence.js";
@@ -120,7 +121,7 @@
 
     /** Streams of one engine break off together, so they share one check. */
     function hasEnded(engine: EngineRecord): Promise<boolean> {
-        const key = `${engine.bornMs} ${engine.id}`;
+        const key = startKey(engine);
         const running = checksByStart.get(key) ?? checkHasEnded(engine).finally(() => checksByStart.delete(key));
         checksByStart.set(key, running);
         return running;
--- a/test/responseEnds.test.ts
+++ b/test/responseEnds.test.ts
@@ -20,8 +20,10 @@
 import { createVirtualClock } from "../fakes/virtualClock.js";
 import { createEngineClient } from "../platform/engineClient.js";
 import { listenForCallers } from "../platform/ingress.js";
+import { systemClock } from "../src/common/clock.js";
 import { createEngineNotices } from "../src/engines/engineNotices.js";
 import type { BodyFraming, EnginePort } from "../src/engines/enginePort.js";
+import { createEngineRates } from "../src/engines/engineRates.js";
 import { forward } from "../src/forwarding/forward.js";
 import type { Route } from "../src/routes/desiredState.js";
 import { createPrometheusMetrics } from "../src/telemetry/prometheusMetrics.js";
@@ -185,7 +187,12 @@
 async function startEntry(engine: EngineServer, route: Route): Promise<string> {
     const clock = createVirtualClock();
     const notices = createEngineNotices(clock, silentDecisionLog);
-    const engines: EnginePort = createEngineClient({ log: silentDecisionLog, notices });
+    const engines: EnginePort = createEngineClient({
+        clock: systemClock,
+        log: silentDecisionLog,
+        notices,
+        rates: createEngineRates(systemClock, silentDecisionLog),
+    });
     const context = createTestForwardContext({ clock, notices, engines, state: desiredStateOf([route]) });
     const stage = route.services[0]?.service === "models" ? "decode" : undefined;
     context.directory.load(
