Failing test: engines that name a rate get more than that from all entries

Real entries on the fake platform: with two entries and 50 calls a second, an engine that names 2 requests a second got 72 within 4 s where other engines could take the rest, and 97 where all instances named that rate; 17 are allowed.

--- a/fakes/platformEngine.ts
+++ b/fakes/platformEngine.ts
@@ -53,6 +53,10 @@
 
 export interface FakePlatformEngine {
     readonly id: string;
+    /** Wall-clock times in ms at which requests arrived, executed or not. */
+    readonly arrivedAtMs: number[];
+    /** Sets the value of `Server-Limit` in all responses; `undefined` for none. */
+    readonly nameLimit: (value: string | undefined) => void;
     readonly stage: FakePlatformEngineOptions["stage"];
     /** IP address and port. */
     readonly address: string;
@@ -81,6 +85,8 @@
     let streams = 0;
     let lastId = 0;
     let fault: EngineFault = "none";
+    const arrivedAtMs: number[] = [];
+    let limit: string | undefined;
 
     function respond(
         response: ServerResponse,
@@ -211,6 +217,10 @@
     }
 
     async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        arrivedAtMs.push(Date.now());
+        if (limit !== undefined) {
+            response.setHeader("server-limit", limit);
+        }
         const chunks: Buffer[] = [];
         for await (const chunk of request as AsyncIterable<Buffer>) {
             chunks.push(chunk);
@@ -273,6 +283,10 @@
         address: `127.0.0.1:${port}`,
         runs,
         seen,
+        arrivedAtMs,
+        nameLimit: value => {
+            limit = value;
+        },
         held: () => reservations.size + caches.size + streams,
         setFault: next => {
             fault = next;
--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -46,6 +46,8 @@
     readonly entries: number;
     readonly events?: number;
     readonly eventMs?: number;
+    /** Number of instances of the plain service; 2 by default. */
+    readonly plainEngines?: number;
     /** Maps an engine's address to the one that entries connect to, such as that of a proxy. */
     readonly proxyEngineAddress?: (address: string) => Promise<string>;
     /** Maps the store's address to the one that an entry connects to; called once per entry. */
@@ -185,8 +187,7 @@
         engineOf("p-1", "prefill"),
         engineOf("m-1", "decode"),
         engineOf("m-2", "decode"),
-        engineOf("d-1", undefined),
-        engineOf("d-2", undefined),
+        ...Array.from({ length: options.plainEngines ?? 2 }, (unused, index) => engineOf(`d-${index + 1}`, undefined)),
     ]);
     const unproxied = async (address: string): Promise<string> => address;
     const { proxyEngineAddress = unproxied, proxyStoreAddress = unproxied } = options;
