Limit requests to engines that name a rate, over all entries together

Cause: no entry used Server-Limit; an engine with a limit got its share of the load like any other. Class: a limit that one engine states for all hosts together is applied by nobody, or could only be applied by each host alone.

Change: one entry counts the requests to an engine (src/limits/engineRateLimiter.ts), chosen by rendezvous hashing over live entries that have run for 5 s; the others take a permit there before each call: first attempts, repeats, hedges, prefills, reservations, reports, orders and releases. What an engine names, changes and ends is shared with peer synchronization. Engines without permits are passed over; if none is left, the request is refused at once as not run, with Retry-After spread at the engines' rate.

Ruled out: an equal part for each entry (ten bursts of one break 1.5 a second), usage reports (overshoot by a round), shares in the store (needs the store).

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -22,15 +22,19 @@
     SendOptions,
     Stage,
 } from "../src/engines/enginePort.js";
+import { createEngineRates } from "../src/engines/engineRates.js";
+import type { EngineRates } from "../src/engines/engineRates.js";
 import type { ForwardContext } from "../src/forwarding/context.js";
 import type { ForwardOutcome, ForwardRequest, GenerationSize } from "../src/forwarding/forwardRequest.js";
 import { createResponseTimes } from "../src/forwarding/responseTimes.js";
+import { createEngineRateLimiter } from "../src/limits/engineRateLimiter.js";
 import { createFleetQuota } from "../src/limits/fleetQuota.js";
 import { createFleetRetryBudget } from "../src/limits/fleetRetryBudget.js";
 import type { RetryBudgetSettings } from "../src/limits/fleetRetryBudget.js";
 import { createPromptQuarantine } from "../src/quarantine/promptQuarantine.js";
 import type { DesiredState, Route, RouteKind } from "../src/routes/desiredState.js";
 import { createRouteTable } from "../src/routes/routeTable.js";
+import type { RpcClient } from "../src/rpc/rpcClient.js";
 import { createDecodeScheduler, defaultDecodeSchedulerSettings } from "../src/scheduling/decodeScheduler.js";
 import type {
     DecodeScheduler,
@@ -125,6 +129,7 @@
 }
 
 export interface ForwardingHarness extends EngineCalls {
+    readonly rates: EngineRates;
     readonly context: ForwardContext;
     readonly clock: VirtualClock;
     readonly notices: EngineNotices;
@@ -187,9 +192,16 @@
     readonly budget?: RetryBudgetSettings;
     readonly entries?: () => number;
     readonly notices?: EngineNotices;
+    readonly rates?: EngineRates;
     readonly createScheduler?: (dependencies: DecodeSchedulerDependencies) => DecodeScheduler;
 }
 
+const unreachablePeers: RpcClient = {
+    call: async () => Result.err({ kind: "unreachable", delivered: "no", cause: "no peers" }),
+    stream: async () => Result.err({ kind: "unreachable", delivered: "no", cause: "no peers" }),
+    close: async () => undefined,
+};
+
 const ampleBudget: RetryBudgetSettings = { ratio: 1, slack: 100, windowMs: 10_000 };
 
 /** Creates a forward context whose engines are all in one data centre and never change their stages. */
@@ -197,10 +209,23 @@
     const { clock, engines, state, random = () => 0, budget = ampleBudget, entries = () => 1 } = options;
     const createScheduler = options.createScheduler
         ?? (dependencies => createDecodeScheduler(dependencies, defaultDecodeSchedulerSettings));
-    const { notices = createEngineNotices(clock, silentDecisionLog) } = options;
+    const {
+        notices = createEngineNotices(clock, silentDecisionLog),
+        rates = createEngineRates(clock, silentDecisionLog),
+    } = options;
     const directory = createEngineDirectory(clock, silentDecisionLog, notices);
     const health = createEngineHealth(clock);
     const loads = createEngineLoads();
+    const engineRates = createEngineRateLimiter({
+        clock,
+        random,
+        rpc: unreachablePeers,
+        log: silentDecisionLog,
+        rates,
+        url: "http://entry-0",
+        stableEntries: () => ["http://entry-0"],
+        liveFraction: () => 1,
+    });
     const metrics = createPrometheusMetrics();
     const log = silentDecisionLog;
     const view: PlacementView = {
@@ -221,7 +246,19 @@
         health,
         loads,
         engines,
-        decodeScheduler: createScheduler({ clock, view, directory, health, loads, engines, log, metrics, entries }),
+        engineRates,
+        decodeScheduler: createScheduler({
+            clock,
+            view,
+            directory,
+            health,
+            loads,
+            engines,
+            engineRates,
+            log,
+            metrics,
+            entries,
+        }),
         quota: createFleetQuota(clock, {
             burstTolerance: 0,
             limitsOf: () => undefined,
@@ -243,16 +280,18 @@
     const clock = createVirtualClock();
     const calls: string[] = [];
     const notices = createEngineNotices(clock, silentDecisionLog);
+    const rates = createEngineRates(clock, silentDecisionLog);
     const context = createTestForwardContext({
         clock,
         notices,
+        rates,
         engines: scriptedEngines(script, calls),
         state,
         budget,
         createScheduler: dependencies =>
             createDecodeScheduler(dependencies, { ...defaultDecodeSchedulerSettings, ...schedulerSettings }),
     });
-    return { context, clock, calls, notices, load: records => context.directory.load(records, "current") };
+    return { context, clock, calls, notices, rates, load: records => context.directory.load(records, "current") };
 }
 
 export const smallSize: GenerationSize = { promptTokens: 1_000, maxOutputTokens: 200, outputHintTokens: 100 };
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -15,10 +15,13 @@
 import { createEngineLoads } from "../engines/engineLoads.js";
 import type { EngineNotices } from "../engines/engineNotices.js";
 import type { EnginePort, EngineRecord, EngineRecordDecoder } from "../engines/enginePort.js";
+import type { EngineRates } from "../engines/engineRates.js";
 import type { ForwardContext } from "../forwarding/context.js";
 import { forward } from "../forwarding/forward.js";
 import type { ForwardRequest, ForwardResult } from "../forwarding/forwardRequest.js";
 import { createResponseTimes } from "../forwarding/responseTimes.js";
+import { limitControlCalls } from "../limits/controlCallLimits.js";
+import { createEngineRateLimiter } from "../limits/engineRateLimiter.js";
 import { createFleetQuota } from "../limits/fleetQuota.js";
 import { createFleetRetryBudget } from "../limits/fleetRetryBudget.js";
 import { createDesiredStateSync } from "../peerSync/desiredStateSync.js";
@@ -57,6 +60,7 @@
     readonly engines: EnginePort;
     /** What engines announce in their responses; the adapter records it. */
     readonly notices: EngineNotices;
+    readonly rates: EngineRates;
 }
 
 /** A started entry. */
@@ -122,8 +126,20 @@
     const random = createRandom(Math.trunc(clock.wallMs()) ^ Number.parseInt(startId.slice(0, 8), 16));
     const stopping = new AbortController();
     const rpc = createRpcClient();
-    const { engines, notices } = ports;
+    const { notices, rates } = ports;
     const directory = createEngineDirectory(clock, log, notices);
+    const engineRates = createEngineRateLimiter({
+        clock,
+        random,
+        rpc,
+        log,
+        rates,
+        url,
+        stableEntries: () => peerSync.stableEntries(),
+        liveFraction: () => peerSync.liveFraction(),
+    });
+    const engines = limitControlCalls(ports.engines, engineRates, directory, log);
+    rates.onChange(() => peerSync.syncNow());
     const health = createEngineHealth(clock);
     const loads = createEngineLoads();
     const quota = createFleetQuota(clock, {
@@ -165,7 +181,18 @@
         random,
     };
     const decodeScheduler = createDecodeScheduler(
-        { clock, view, directory, health, loads, engines, log, metrics, entries: () => peerSync.members() },
+        {
+            clock,
+            view,
+            directory,
+            health,
+            loads,
+            engines,
+            engineRates,
+            log,
+            metrics,
+            entries: () => peerSync.members(),
+        },
         defaultDecodeSchedulerSettings,
     );
 
@@ -214,6 +241,7 @@
         leadership.recordPeerToken(state.fencingToken);
         state.leaving.forEach(notices.recordLeaving);
         quarantine.applyEvidence(state.crashEvidence);
+        rates.apply(state.engineRates);
         void desiredState.applyPeerState(state);
     }
 
@@ -233,6 +261,7 @@
             desiredStateVersion: desiredState.version(),
             leaving: [...notices.leaving()],
             crashEvidence: [...quarantine.evidence()],
+            engineRates: [...rates.notices()],
         }),
         onState: applyPeerState,
         onUsageReport: ({ start, clientAccount, admittedCost }) =>
@@ -240,7 +269,7 @@
         onPeerRemoved: loads.forgetPeer,
     });
     const entryList = createEntryList(ports.tables, clock, log, { url, start: startId }, peerSync.addPeers);
-    const handler = createRpcHandler({ ...peerSync.methods, ...desiredState.methods });
+    const handler = createRpcHandler({ ...peerSync.methods, ...desiredState.methods, ...engineRates.methods });
     const server = await listen(
         settings.exchange.ip,
         settings.exchange.port,
@@ -297,6 +326,7 @@
         health,
         loads,
         engines,
+        engineRates,
         decodeScheduler,
         quota,
         retryBudget,
--- a/src/engines/engineRates.ts
+++ b/src/engines/engineRates.ts
@@ -7,20 +7,25 @@
  * each other.
  */
 
+import { z } from "zod";
+import { removeOldest } from "../common/bounded.js";
 import type { Clock } from "../common/clock.js";
 import type { Log } from "../telemetry/telemetry.js";
 import { startKey } from "./engineNotices.js";
 import type { EngineStart } from "./engineNotices.js";
 
 /** What an engine said last, to be shared with other entries. */
-export interface RateNotice {
-    readonly engine: string;
-    readonly bornMs: number;
-    /** Requests a second; `undefined` if the engine names no limit any more. */
-    readonly ratePerSecond?: number | undefined;
+export const rateNoticeSchema = z.object({
+    engine: z.string(),
+    /** Start of the engine in Unix milliseconds, see `EngineRecord`. */
+    bornMs: z.number(),
+    /** Requests a second; absent if the engine names no limit any more. */
+    ratePerSecond: z.number().min(0).optional(),
     /** Time since the engine said so. */
-    readonly agoMs: number;
-}
+    agoMs: z.number().min(0),
+});
+
+export type RateNotice = Readonly<z.output<typeof rateNoticeSchema>>;
 
 export interface EngineRates {
     /** Records the value of the response header with the rate. An invalid value changes nothing. */
@@ -29,6 +34,8 @@
     readonly recordUnnamed: (engine: EngineStart, sentAtMs: number) => void;
     /** Requests a second; `undefined` if the engine names no limit. */
     readonly rateOf: (engine: EngineStart) => number | undefined;
+    /** What is known of an engine's rate; nothing known counts as no limit, said long ago. */
+    readonly noticeOf: (engine: EngineStart) => RateNotice;
     /** Notices to share, the latest ones first. */
     readonly notices: () => readonly RateNotice[];
     /** Merges the notices of another entry. */
@@ -47,6 +54,8 @@
 const maxKnownStarts = 2_000;
 /** Notices in one message to another entry. */
 const maxSharedNotices = 100;
+/** A limit is shared for this long after it was last named; it is named again with each response. */
+const limitSharingMs = 600_000;
 /** The end of a limit is shared for this long: until all entries have heard of it. */
 const endSharingMs = 60_000;
 const decimalPattern = /^\d+(?:\.\d+)?$/;
@@ -70,10 +79,7 @@
         }
         known.delete(key);
         known.set(key, { start: { id: start.id, bornMs: start.bornMs }, ratePerSecond, atMs });
-        const oldest = known.size > maxKnownStarts ? known.keys().next().value : undefined;
-        if (oldest !== undefined) {
-            known.delete(oldest);
-        }
+        removeOldest(known, maxKnownStarts);
         return previous?.ratePerSecond !== ratePerSecond;
     }
 
@@ -93,6 +99,11 @@
         }
     }
 
+    function toNotice({ start, ratePerSecond, atMs }: KnownRate): RateNotice {
+        const { id: engine, bornMs } = start;
+        return { engine, bornMs, ratePerSecond, agoMs: clock.monotonicMs() - atMs };
+    }
+
     return {
         recordNamed: (engine, value) => {
             const ratePerSecond = parseRate(value);
@@ -108,19 +119,18 @@
                 recordOwn(engine, undefined);
             }
         },
+        noticeOf: engine =>
+            toNotice(known.get(startKey(engine)) ?? { start: engine, ratePerSecond: undefined, atMs: 0 }),
         rateOf: engine => known.get(startKey(engine))?.ratePerSecond,
         notices: () => {
             const nowMs = clock.monotonicMs();
             return [...known.values()]
-                .filter(({ ratePerSecond, atMs }) => ratePerSecond !== undefined || nowMs - atMs < endSharingMs)
+                .filter(({ ratePerSecond, atMs }) =>
+                    nowMs - atMs < (ratePerSecond === undefined ? endSharingMs : limitSharingMs)
+                )
                 .sort((left, right) => right.atMs - left.atMs)
                 .slice(0, maxSharedNotices)
-                .map(({ start, ratePerSecond, atMs }) => ({
-                    engine: start.id,
-                    bornMs: start.bornMs,
-                    ratePerSecond,
-                    agoMs: nowMs - atMs,
-                }));
+                .map(toNotice);
         },
         apply: notices => {
             for (const { engine, bornMs, ratePerSecond, agoMs } of notices) {
--- a/src/engines/engines.test.ts
+++ b/src/engines/engines.test.ts
@@ -13,6 +13,8 @@
 import { createEngineNotices, parseRestMs } from "./engineNotices.js";
 import type { EngineNotices } from "./engineNotices.js";
 import type { EngineRecord } from "./enginePort.js";
+import { createEngineRates } from "./engineRates.js";
+import type { EngineRates } from "./engineRates.js";
 
 const first = engineRecord("i-1", undefined, { recordSequence: 5 });
 
@@ -254,3 +256,48 @@
         expect(health.isEjected("a")).toBe(false);
     });
 });
+
+interface RateStep {
+    readonly run: (rates: EngineRates) => void;
+    /** Time to wait afterwards. */
+    readonly waitMs?: number;
+}
+
+const rateNotice = (ratePerSecond: number | undefined, agoMs: number): RateStep => ({
+    run: rates => rates.apply([{ engine: first.id, bornMs: first.bornMs, ratePerSecond, agoMs }]),
+});
+const ownRate = (value: string): RateStep => ({ run: rates => rates.recordNamed(first, value), waitMs: 100 });
+
+const rateCases: readonly { readonly name: string; readonly steps: readonly RateStep[]; readonly rate?: number; }[] = [
+    { name: "another entry's", steps: [rateNotice(3, 10)], rate: 3 },
+    { name: "another entry's later one", steps: [ownRate("2"), rateNotice(3, 50)], rate: 3 },
+    { name: "another entry's earlier one", steps: [ownRate("2"), rateNotice(3, 500)], rate: 2 },
+    { name: "ended at another entry", steps: [ownRate("2"), rateNotice(undefined, 50)] },
+    { name: "ended at another entry before", steps: [ownRate("2"), rateNotice(undefined, 500)], rate: 2 },
+    {
+        name: "none in the response to a request that was sent before",
+        steps: [ownRate("2"), { run: rates => rates.recordUnnamed(first, 900) }],
+        rate: 2,
+    },
+    {
+        name: "none in the response to a request that was sent later",
+        steps: [ownRate("2"), { run: rates => rates.recordUnnamed(first, 1_050) }],
+    },
+];
+
+describe("the rate that an engine names", () => {
+    // Responses and messages may overtake each other.
+    it.each(rateCases)("$name: $rate", async ({ steps, rate }) => {
+        const clock = createVirtualClock();
+        const rates = createEngineRates(clock, silentDecisionLog);
+        await clock.advance(1_000);
+        for (const { run, waitMs = 0 } of steps) {
+            run(rates);
+            await clock.advance(waitMs);
+        }
+        expect(rates.rateOf(first)).toBe(rate);
+        const later = createEngineRates(clock, silentDecisionLog);
+        later.apply(rates.notices());
+        expect(later.rateOf(first)).toBe(rate);
+    });
+});
--- a/src/forwarding/context.ts
+++ b/src/forwarding/context.ts
@@ -8,6 +8,7 @@
 import type { EngineHealth } from "../engines/engineHealth.js";
 import type { EngineLoads } from "../engines/engineLoads.js";
 import type { EnginePort } from "../engines/enginePort.js";
+import type { EngineRateLimiter } from "../limits/engineRateLimiter.js";
 import type { FleetQuota } from "../limits/fleetQuota.js";
 import type { FleetRetryBudget } from "../limits/fleetRetryBudget.js";
 import type { PromptQuarantine } from "../quarantine/promptQuarantine.js";
@@ -30,6 +31,7 @@
     readonly health: EngineHealth;
     readonly loads: EngineLoads;
     readonly engines: EnginePort;
+    readonly engineRates: EngineRateLimiter;
     readonly decodeScheduler: DecodeScheduler;
     readonly quota: FleetQuota;
     readonly retryBudget: FleetRetryBudget;
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -245,7 +245,8 @@
     decodeEngine: EngineRecord,
 ): Promise<PrefilledCache | undefined> {
     const { request, service, size, callBudget } = generation;
-    const engines = context.health.withoutEjected(context.view.enginesFor(service, "prefill"));
+    const engines = context.health.withoutEjected(context.view.enginesFor(service, "prefill"))
+        .filter(engine => !context.engineRates.areExhausted([engine]));
     const ranked = rankForPrefill(context.view, engines);
     for (const engine of ranked.slice(0, maxPrefillEngines)) {
         if (
@@ -258,6 +259,9 @@
         if (!callBudget.tryAcquireCall()) {
             return undefined;
         }
+        if (!await context.engineRates.acquire(engine)) {
+            continue;
+        }
         const expectedMs = (context.view.workAt(engine.id).prefillTokens + size.promptTokens)
             / minPrefillTokensPerMs;
         const timeout = context.clock.timeout(expectedMs + prefillTimeoutMarginMs);
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -54,13 +54,13 @@
 
 export async function callPlain(context: ForwardContext, routed: RoutedRequest): Promise<ForwardOutcome> {
     const state: CallState = { triedEngines: new Set(), running: new Set(), possibleRuns: 0, last: undefined };
-    startAttempt(context, routed, state);
+    await startAttempt(context, routed, state);
     let mayHedge = isRepeatable(routed);
     while (state.running.size > 0) {
         const ended = await nextEnd(context, routed, state, mayHedge);
         if (ended === undefined) {
             // The running attempt is an outlier: the call is also sent to another engine, and the first response counts.
-            mayHedge = startAttempt(context, routed, state);
+            mayHedge = await startAttempt(context, routed, state);
             if (mayHedge) {
                 context.metrics.count("hedges", routed.service);
             }
@@ -70,7 +70,7 @@
         if (isFinal(ended) || routed.request.callerDisconnected.aborted || timeLeftMs(context, routed) <= 0) {
             break;
         }
-        if (state.running.size === 0 && startAttempt(context, routed, state)) {
+        if (state.running.size === 0 && await startAttempt(context, routed, state)) {
             logRetry(context, routed, ended);
         }
     }
@@ -86,8 +86,8 @@
     return result.isOk && result.value.status < serverError;
 }
 
-/** Sends the call to the next engine; returns whether the route, the retry budget and the engines allow that. */
-function startAttempt(context: ForwardContext, routed: RoutedRequest, state: CallState): boolean {
+/** Sends the call to the next engine; resolves to whether the route, the retry budget and the engines allow that. */
+async function startAttempt(context: ForwardContext, routed: RoutedRequest, state: CallState): Promise<boolean> {
     const runs = state.possibleRuns + state.running.size;
     if (timeLeftMs(context, routed) <= 0) {
         return false;
@@ -95,7 +95,7 @@
     const mayRunAgain = runs === 0 || (isRepeatable(routed) && runs < routed.route.maxEngines);
     const attempts = state.triedEngines.size;
     const engine = mayRunAgain && attempts < maxAttempts
-        ? nextEngine(context, routed.service, state.triedEngines)
+        ? await acquireEngine(context, routed.service, state.triedEngines)
         : undefined;
     if (engine === undefined || (attempts > 0 && !context.retryBudget.take(routed.service))) {
         return false;
@@ -147,15 +147,21 @@
     return routed.deadlineMs - context.clock.monotonicMs();
 }
 
-function nextEngine(
+/** The best engine that has not been tried and accepts a request now; ejected ones are the last resort. */
+async function acquireEngine(
     context: ForwardContext,
     service: string,
     triedEngines: ReadonlySet<string>,
-): EngineRecord | undefined {
+): Promise<EngineRecord | undefined> {
     const usable = context.directory.usable(service);
-    const ranked = rankForPlain(context.view, context.health.withoutEjected(usable));
-    return ranked.find(engine => !triedEngines.has(engine.id))
-        ?? rankForPlain(context.view, usable).find(engine => !triedEngines.has(engine.id));
+    for (const engines of [context.health.withoutEjected(usable), usable]) {
+        for (const engine of rankForPlain(context.view, engines)) {
+            if (!triedEngines.has(engine.id) && await context.engineRates.acquire(engine)) {
+                return engine;
+            }
+        }
+    }
+    return undefined;
 }
 
 async function sendAttempt(
@@ -278,12 +284,21 @@
     if (last?.result.isOk) {
         return answered(last.result.value);
     }
-    const noAttemptCause = timeLeftMs(context, routed) <= 0 ? "its time was over" : "no engine is available";
+    const usable = context.directory.usable(routed.service);
+    const areExhausted = context.engineRates.areExhausted(usable);
+    const noEngineCause = areExhausted
+        ? "all engines have got as many requests as the rates that they name"
+        : "no engine is available";
+    const noAttemptCause = timeLeftMs(context, routed) <= 0 ? "its time was over" : noEngineCause;
     const cause = last?.result.isErr ? `${last.engine.id}: ${last.result.error.cause}` : noAttemptCause;
     if (possibleRuns > 0) {
         const isPastDeadline = timeLeftMs(context, routed) <= 0;
         return refuse(isPastDeadline ? 504 : 502, `the outcome is unknown: ${cause}`);
     }
+    if (areExhausted) {
+        context.metrics.count("exhausted", routed.service);
+        return refuse(503, cause, context.engineRates.retryAfterMs(routed.service, usable));
+    }
     const restMs = context.directory.allRestingMs(routed.service, undefined);
     return refuse(503, cause, restMs ?? unavailableRetryMs);
 }
--- a/src/limits/messages.ts
+++ b/src/limits/messages.ts
@@ -3,6 +3,7 @@
  */
 
 import { z } from "zod";
+import { rateNoticeSchema } from "../engines/engineRates.js";
 
 export const limitsMethods = { borrow: "limits.borrow" } as const;
 
@@ -19,3 +20,16 @@
     /** How long the borrower need not ask this lender again. */
     emptyForMs: z.number().min(0),
 });
+
+export const engineRateMethods = { acquire: "exchange.acquirePermit" } as const;
+
+/** Asks for a permit for one request to an engine, with what the caller knows of the engine's rate. */
+export const acquirePermitSchema = rateNoticeSchema.extend({
+    /** The entry that was asked first passes the call on to the one that it regards as the counter. */
+    isForwarded: z.boolean(),
+});
+
+/** `waitMs`: time until the next permit, if none is granted. */
+export const permitResponseSchema = z.object({ isGranted: z.boolean(), waitMs: z.number().min(0) });
+
+export type PermitResponse = Readonly<z.output<typeof permitResponseSchema>>;
--- a/src/peerSync/messages.ts
+++ b/src/peerSync/messages.ts
@@ -5,6 +5,7 @@
 
 import { z } from "zod";
 import type { JsonValue } from "../common/json.js";
+import { rateNoticeSchema } from "../engines/engineRates.js";
 import { unknownPosition } from "./storePosition.js";
 import type { StorePosition } from "./storePosition.js";
 import type { TableCopy } from "./tableReplica.js";
@@ -49,6 +50,10 @@
     leaving: z.array(z.object({ id: z.string(), bornMs: z.number() })).default([]),
     /** Engines that ended while a request with this part in its prompt had just started, see `CrashEvidence`. */
     crashEvidence: z.array(crashEvidenceSchema).default([]),
+    /** Time since the start of its process; entries of earlier versions send none. */
+    uptimeMs: z.number().min(0).optional(),
+    /** Rates that engines name for themselves, or have ceased to name. */
+    engineRates: z.array(rateNoticeSchema).default([]),
     /** Remaining time in ms of each engine's change to another stage, by engine. */
     reconfiguring: z.record(z.string(), z.number()),
     /** Base URLs of the peers that it has seen. */
--- a/src/peerSync/peerSync.test.ts
+++ b/src/peerSync/peerSync.test.ts
@@ -26,6 +26,7 @@
     desiredStateVersion: 0,
     leaving: [],
     crashEvidence: [],
+    engineRates: [],
 };
 
 /** A change feed whose content and failures the test sets. */
--- a/src/peerSync/peerSync.ts
+++ b/src/peerSync/peerSync.ts
@@ -4,7 +4,7 @@
  * In each round, at a fixed interval, an entry calls a bounded number of peers: those without contact for the longest
  * time, so that the age of every peer's state is bounded. Each side of a call receives the other's state, so a peer that
  * has just called is not called back. Entries send only their own state and the URLs of the peers they have seen; they do
- * not relay the states of others, except what all entries must learn: leaving engines and evidence against prompts. Peers are found through the seeds in the settings, the list in the store and other
+ * not relay the states of others, except what all entries must learn: leaving engines, the rates that engines name and evidence against prompts. Peers are found through the seeds in the settings, the list in the store and other
  * peers. A peer that was seen once remains a member until it announces its shutdown or has not been seen for
  * `memberTimeoutMs`, because it may be cut off and still admit requests. On the wire, the methods are named
  * `exchange.*`.
@@ -43,7 +43,14 @@
 /** The part of an entry's state that other modules supply. */
 export type LocalState = Pick<
     EntryState,
-    "usage" | "work" | "reconfiguring" | "fencingToken" | "desiredStateVersion" | "leaving" | "crashEvidence"
+    | "usage"
+    | "work"
+    | "reconfiguring"
+    | "fencingToken"
+    | "desiredStateVersion"
+    | "leaving"
+    | "crashEvidence"
+    | "engineRates"
 >;
 
 export interface PeerSyncDependencies {
@@ -66,6 +73,11 @@
     readonly members: () => number;
     /** Fraction of the members, including this one, that were seen recently; in (0, 1]. */
     readonly liveFraction: () => number;
+    /**
+     * Base URLs of the live entries that have been running long enough for all others to know them, this one included;
+     * of all live entries if there is none.
+     */
+    readonly stableEntries: () => readonly string[];
     /** Tells the live peers the usage of an account now, ahead of the next round. Not in fleets of many entries. */
     readonly reportUsage: (clientAccount: string, admittedCost: number) => void;
     /** Sends this entry's state to its live peers now, ahead of the next round; in fleets of many entries, to some. */
@@ -82,6 +94,8 @@
 interface Peer {
     /** Identifier of the peer's last known start; `undefined` until it has been seen. */
     start: string | undefined;
+    /** Monotonic time of that start. */
+    startedAtMs: number;
     lastSeenAtMs: number | undefined;
     readonly addedAtMs: number;
     calledAtMs: number | undefined;
@@ -98,6 +112,8 @@
  * peer arrives before this entry's next round.
  */
 const skipRecentlySeenMs = 300;
+/** By then, a new entry has called all others, directly or after they heard of it from those that it called first. */
+const stableAfterMs = 5_000;
 /** A peer counts as live if it was seen within this many of the intervals at which it is expected to be seen. */
 const liveWindowIntervals = 3;
 /** With more live peers than this, usage is not reported ahead of the rounds, so that the cost stays bounded. */
@@ -125,6 +141,7 @@
 
 export function createPeerSync(settings: PeerSyncSettings, dependencies: PeerSyncDependencies): PeerSync {
     const { clock, rpc, log, replicas } = dependencies;
+    const startedAtMs = clock.monotonicMs();
     const peers = new Map<string, Peer>();
     const lags = new Map<string, Lag>();
 
@@ -132,6 +149,7 @@
         if (url !== settings.url && !peers.has(url)) {
             peers.set(url, {
                 start: undefined,
+                startedAtMs: Number.NEGATIVE_INFINITY,
                 lastSeenAtMs: undefined,
                 addedAtMs: clock.monotonicMs(),
                 calledAtMs: undefined,
@@ -149,6 +167,7 @@
             revisions: Object.fromEntries(positions.map(([table, { revision }]) => [table, revision])),
             eras: Object.fromEntries(positions.map(([table, { era }]) => [table, era])),
             entries: seenUrls,
+            uptimeMs: clock.monotonicMs() - startedAtMs,
             ...dependencies.localState(),
         };
     }
@@ -164,6 +183,7 @@
         }
         peer.start = state.start;
         peer.lastSeenAtMs = clock.monotonicMs();
+        peer.startedAtMs = clock.monotonicMs() - (state.uptimeMs ?? Number.POSITIVE_INFINITY);
         state.entries.forEach(addPeer);
         dependencies.onState(state);
         void catchUp(state);
@@ -329,6 +349,13 @@
         },
         members,
         liveFraction: () => (1 + [...peers.values()].filter(isLive).length) / members(),
+        stableEntries: () => {
+            const livePeers = [...peers].filter(([, peer]) => isLive(peer))
+                .map(([url, peer]) => ({ url, startedAtMs: peer.startedAtMs }));
+            const live = [{ url: settings.url, startedAtMs }, ...livePeers];
+            const stable = live.filter(entry => clock.monotonicMs() - entry.startedAtMs >= stableAfterMs);
+            return (stable.length > 0 ? stable : live).map(({ url }) => url);
+        },
         addPeers: urls => urls.forEach(addPeer),
         run: async signal => {
             while (!signal.aborted) {
--- a/src/quarantine/promptQuarantine.ts
+++ b/src/quarantine/promptQuarantine.ts
@@ -7,6 +7,7 @@
  * with each further engine, then requests with it are tried again. Entries share their evidence.
  */
 
+import { removeOldest } from "../common/bounded.js";
 import type { Clock } from "../common/clock.js";
 import { startKey } from "../engines/engineNotices.js";
 import type { EnginePort, EngineRecord } from "../engines/enginePort.js";
@@ -197,12 +198,3 @@
 function isPastStart(writtenForMs: number, outputs: number): boolean {
     return writtenForMs >= startPhaseMs && outputs >= minOutputs;
 }
-
-function removeOldest(entries: Map<string, unknown> | Set<string>, maxSize: number): void {
-    for (const oldest of entries.keys()) {
-        if (entries.size <= maxSize) {
-            return;
-        }
-        entries.delete(oldest);
-    }
-}
--- a/src/scheduling/decodeScheduler.ts
+++ b/src/scheduling/decodeScheduler.ts
@@ -14,6 +14,7 @@
 import type { EnginePort, EngineRecord, Reservation } from "../engines/enginePort.js";
 import type { GenerationSize } from "../forwarding/forwardRequest.js";
 import type { GenerationRequest } from "../forwarding/routedRequest.js";
+import type { EngineRateLimiter } from "../limits/engineRateLimiter.js";
 import type { DecisionLog } from "../telemetry/decisionLog.js";
 import type { PrometheusMetrics } from "../telemetry/prometheusMetrics.js";
 import { createDecodeQueue } from "./decodeQueue.js";
@@ -25,7 +26,7 @@
 /** A slot and KV memory at one decode engine for one request. */
 export interface DecodeAllocation {
     readonly engine: EngineRecord;
-    /** `undefined` at engines that do not support reservations. */
+    /** `undefined` at engines that do not support reservations, and at those that name a rate. */
     readonly reservation: Reservation | undefined;
     /** Stops counting this work at the engine. It does not release the reservation; the engine ends that itself. */
     readonly end: () => void;
@@ -84,6 +85,7 @@
     readonly health: EngineHealth;
     readonly loads: EngineLoads;
     readonly engines: EnginePort;
+    readonly engineRates: EngineRateLimiter;
     readonly log: DecisionLog;
     readonly metrics: PrometheusMetrics;
     /** Number of entries that share the engines, including this one. */
@@ -120,6 +122,7 @@
 const maximumRetryAfterMs = 4_000;
 /** Window over which allocations are counted to estimate how fast the queue moves. */
 const allocationWindowMs = 2_000;
+const allExhaustedCause = "all decode engines have got as many requests as the rates that they name";
 const allRestingCause = "all decode engines accept no requests for some time";
 
 /** Number of output tokens that a generation is expected to produce. */
@@ -131,7 +134,7 @@
     dependencies: DecodeSchedulerDependencies,
     settings: DecodeSchedulerSettings,
 ): DecodeScheduler {
-    const { clock, view, directory, health, loads, engines, log, metrics } = dependencies;
+    const { clock, view, directory, health, loads, engines, engineRates, log, metrics } = dependencies;
     const queues = new Map<string, ServiceQueue>();
     const backoffUntilMs = new Map<string, number>();
     const durations = createStreamDurations();
@@ -195,6 +198,11 @@
         return excessTokens / Math.max(allocatedTokens / allocationWindowMs, freedTokensPerMs, 1 / allocationWindowMs);
     }
 
+    function allExhausted(service: string, decoders: readonly EngineRecord[]): AllocationRefusal {
+        metrics.count("exhausted", service);
+        return { cause: allExhaustedCause, retryAfterMs: engineRates.retryAfterMs(service, decoders) };
+    }
+
     function retryAfterMs(service: string): number {
         return Math.min(maximumRetryAfterMs, minimumRetryAfterMs + queueDelayMs(service));
     }
@@ -208,10 +216,14 @@
 
     /**
      * Asks one engine for a reservation; `undefined` if it refuses or does not respond. An engine that does not support
-     * reservations is used without asking.
+     * reservations is used without asking, and so is one that names a rate: a reservation would count as a request.
      */
     async function tryAllocateAt(item: QueuedGeneration, engine: EngineRecord): Promise<DecodeAllocation | undefined> {
         const { size, engineSpec, request, service } = item.generation;
+        const isLimited = engineRates.isLimited(engine);
+        if (isLimited && !await engineRates.acquire(engine)) {
+            return undefined;
+        }
         const requestedTokens = size.promptTokens
             + Math.ceil(expectedOutputTokens(size) * settings.reservedOutputFraction);
         const startedAtMs = clock.monotonicMs();
@@ -220,7 +232,7 @@
             endWork();
             durations.record(service, clock.monotonicMs() - startedAtMs, expectedOutputTokens(size));
         };
-        if (engineSpec.maxReservationMs === 0) {
+        if (isLimited || engineSpec.maxReservationMs === 0) {
             return { engine, reservation: undefined, end };
         }
         const reservationTtlMs = Math.min(
@@ -255,7 +267,8 @@
         const { service, engineSpec, request } = item.generation;
         const maxKvTokens = engineSpec.kvTokens * settings.maxKvUtilization;
         const enginesWithCapacity = decodeEngines(service).filter(engine =>
-            !isInBackoff(engine) && view.workAt(engine.id).kvTokens + item.tokens <= maxKvTokens
+            !isInBackoff(engine) && !engineRates.areExhausted([engine])
+            && view.workAt(engine.id).kvTokens + item.tokens <= maxKvTokens
         );
         const queue = queueOf(service);
         for (
@@ -291,6 +304,13 @@
 
     /** Refuses the requests that can get no allocation before their queue deadline. */
     function refuseExpired(queue: ServiceQueue, service: string): void {
+        const decoders = decodeEngines(service);
+        if (engineRates.areExhausted(decoders)) {
+            for (const item of queue.pending.takeExpired(Number.POSITIVE_INFINITY)) {
+                item.resolve(Result.err(allExhausted(service, decoders)));
+            }
+            return;
+        }
         const restMs = directory.allRestingMs(service, "decode");
         const nextAllocationMs = clock.monotonicMs() + (restMs ?? 0);
         for (const item of queue.pending.takeExpired(nextAllocationMs)) {
@@ -316,7 +336,11 @@
                 canPrefill(item.generation)
             );
             const results = await Promise.all(candidates.map(tryAllocate));
-            if (!results.includes(true) && queue.pending.size() > 0) {
+            if (results.includes(true)) {
+                continue;
+            }
+            refuseExpired(queue, service);
+            if (queue.pending.size() > 0) {
                 const wakeController = new AbortController();
                 queue.wake = () => wakeController.abort();
                 await clock.sleep(queuePollMs, wakeController.signal);
@@ -355,8 +379,12 @@
                     retryAfterMs: maximumRetryAfterMs,
                 });
             }
+            const decoders = decodeEngines(service);
+            if (engineRates.areExhausted(decoders)) {
+                return Result.err(allExhausted(service, decoders));
+            }
             const restMs = directory.allRestingMs(service, "decode");
-            if (decodeEngines(service).length === 0 && restMs === undefined) {
+            if (decoders.length === 0 && restMs === undefined) {
                 return Result.err({ cause: "no decode engine is available", retryAfterMs: minimumRetryAfterMs });
             }
             const queue = queueOf(service);
--- a/src/telemetry/prometheusMetrics.ts
+++ b/src/telemetry/prometheusMetrics.ts
@@ -13,6 +13,7 @@
     prefillsDiscarded: "prefills whose result was not used",
     callersGone: "requests whose callers went away",
     quarantined: "requests refused because engines ended under a part of their prompts",
+    exhausted: "requests refused because all engines have got as many as the rates that they name",
     storeCalls: "calls to the platform's store by outcome",
     ordersSent: "orders to engines by outcome",
 } as const;
