Place requests without waiting at engines without a rate; bundle the rate limiter

Cause: an await between the choice of an engine and the count of its load, at engines without a rate too, so that requests of one moment were placed by the same figures.

The choice of the counting entry has a hash of its own kind, remembered for each engine.

--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -259,7 +259,8 @@
         if (!callBudget.tryAcquireCall()) {
             return undefined;
         }
-        if (!await context.engineRates.acquire(engine)) {
+        // No await otherwise: the engine's load is to be counted before another request is placed.
+        if (context.engineRates.isLimited(engine) && !await context.engineRates.acquire(engine)) {
             continue;
         }
         const expectedMs = (context.view.workAt(engine.id).prefillTokens + size.promptTokens)
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -94,12 +94,24 @@
     }
     const mayRunAgain = runs === 0 || (isRepeatable(routed) && runs < routed.route.maxEngines);
     const attempts = state.triedEngines.size;
-    const engine = mayRunAgain && attempts < maxAttempts
-        ? await acquireEngine(context, routed.service, state.triedEngines)
-        : undefined;
-    if (engine === undefined || (attempts > 0 && !context.retryBudget.take(routed.service))) {
+    if (!mayRunAgain || attempts >= maxAttempts) {
         return false;
     }
+    for (const engine of enginesInOrder(context, routed.service, state.triedEngines)) {
+        // No await otherwise: the engine's load is to be counted before another call is placed.
+        if (context.engineRates.isLimited(engine) && !await context.engineRates.acquire(engine)) {
+            continue;
+        }
+        if (attempts > 0 && !context.retryBudget.take(routed.service)) {
+            return false;
+        }
+        sendTo(context, routed, state, engine);
+        return true;
+    }
+    return false;
+}
+
+function sendTo(context: ForwardContext, routed: RoutedRequest, state: CallState, engine: EngineRecord): void {
     state.triedEngines.add(engine.id);
     const overtaken = new AbortController();
     const attempt: RunningAttempt = {
@@ -108,7 +120,6 @@
         cancel: () => overtaken.abort(),
     };
     state.running.add(attempt);
-    return true;
 }
 
 /** Resolves to the next attempt that ends, or to `undefined` if `mayHedge` and none ends soon. */
@@ -147,21 +158,16 @@
     return routed.deadlineMs - context.clock.monotonicMs();
 }
 
-/** The best engine that has not been tried and accepts a request now; ejected ones are the last resort. */
-async function acquireEngine(
+/** The engines that have not been tried, the best ones first; ejected ones are the last resort. */
+function* enginesInOrder(
     context: ForwardContext,
     service: string,
     triedEngines: ReadonlySet<string>,
-): Promise<EngineRecord | undefined> {
+): Generator<EngineRecord> {
     const usable = context.directory.usable(service);
     for (const engines of [context.health.withoutEjected(usable), usable]) {
-        for (const engine of rankForPlain(context.view, engines)) {
-            if (!triedEngines.has(engine.id) && await context.engineRates.acquire(engine)) {
-                return engine;
-            }
-        }
+        yield* rankForPlain(context.view, engines).filter(engine => !triedEngines.has(engine.id));
     }
-    return undefined;
 }
 
 async function sendAttempt(
--- a/src/limits/defaultHolders.ts
+++ b/src/limits/defaultHolders.ts
@@ -18,20 +18,7 @@
 
 /** Sorts entries by their rendezvous hash with the account, lowest first; every entry computes the same order. */
 export function rankByRendezvousHash(clientAccount: string, urls: readonly string[]): readonly string[] {
-    return [...urls].sort((left, right) => rendezvousRank(clientAccount, left) - rendezvousRank(clientAccount, right));
-}
-
-/** The first of the entries in that order; `undefined` if there are none. */
-export function firstByRendezvousHash(key: string, urls: readonly string[]): string | undefined {
-    const ranked = urls.map(url => ({ url, rank: rendezvousRank(key, url) }));
-    return ranked.reduce<typeof ranked[number] | undefined>(
-        (first, next) => first === undefined || next.rank < first.rank ? next : first,
-        undefined,
-    )?.url;
-}
-
-function rendezvousRank(key: string, url: string): number {
-    return hash32(`${key}|${url}`);
+    return [...urls].sort((left, right) => hash32(`${clientAccount}|${left}`) - hash32(`${clientAccount}|${right}`));
 }
 
 /** Caches the last result: hashing every account with every entry is expensive, and the input rarely changes. */
--- a/src/limits/engineRateLimiter.ts
+++ b/src/limits/engineRateLimiter.ts
@@ -16,6 +16,7 @@
 import type { Clock } from "../common/clock.js";
 import { checkValue } from "../common/json.js";
 import type { Random } from "../common/random.js";
+import { chooseByRendezvous } from "../common/rendezvous.js";
 import { startKey } from "../engines/engineNotices.js";
 import type { EngineStart } from "../engines/engineNotices.js";
 import type { EngineRates } from "../engines/engineRates.js";
@@ -25,7 +26,6 @@
 import type { Log } from "../telemetry/telemetry.js";
 import { createBucket } from "./bucket.js";
 import type { BucketLimits, TokenBucket } from "./bucket.js";
-import { firstByRendezvousHash } from "./defaultHolders.js";
 import { acquirePermitSchema, engineRateMethods, permitResponseSchema } from "./messages.js";
 import type { PermitResponse } from "./messages.js";
 import { createRetryPacing } from "./retryPacing.js";
@@ -80,6 +80,8 @@
     const { clock, random, rpc, log, rates, url, stableEntries, liveFraction } = dependencies;
     const buckets = new Map<string, TokenBucket>();
     const exhaustedUntilMs = new Map<string, number>();
+    /** The choice for each engine, and the entries from which it was made: hashing hundreds of them takes time. */
+    const counters = new Map<string, { readonly entryList: string; readonly counter: string; }>();
     const pendingCalls = new Map<string, number>();
     const suspectedUntilMs = new Map<string, number>();
     const pacing = createRetryPacing(clock, random);
@@ -87,7 +89,16 @@
     function counterOf(engine: EngineStart): string {
         const nowMs = clock.monotonicMs();
         const entries = stableEntries().filter(entry => (suspectedUntilMs.get(entry) ?? 0) <= nowMs);
-        return firstByRendezvousHash(startKey(engine), entries) ?? url;
+        const key = startKey(engine);
+        const entryList = entries.join(" ");
+        const known = counters.get(key);
+        if (known?.entryList === entryList) {
+            return known.counter;
+        }
+        const counter = chooseByRendezvous(key, entries) ?? url;
+        counters.set(key, { entryList, counter });
+        removeOldest(counters, maxTrackedStarts);
+        return counter;
     }
 
     function effectiveRate(engine: EngineStart): number {
--- a/src/scheduling/decodeScheduler.ts
+++ b/src/scheduling/decodeScheduler.ts
@@ -304,13 +304,6 @@
 
     /** Refuses the requests that can get no allocation before their queue deadline. */
     function refuseExpired(queue: ServiceQueue, service: string): void {
-        const decoders = decodeEngines(service);
-        if (engineRates.areExhausted(decoders)) {
-            for (const item of queue.pending.takeExpired(Number.POSITIVE_INFINITY)) {
-                item.resolve(Result.err(allExhausted(service, decoders)));
-            }
-            return;
-        }
         const restMs = directory.allRestingMs(service, "decode");
         const nextAllocationMs = clock.monotonicMs() + (restMs ?? 0);
         for (const item of queue.pending.takeExpired(nextAllocationMs)) {
@@ -323,6 +316,16 @@
         }
     }
 
+    /** Refuses all queued requests if no engine may take one, by the rates that the engines name. */
+    function refuseIfExhausted(queue: ServiceQueue, service: string): void {
+        const decoders = decodeEngines(service);
+        if (engineRates.areExhausted(decoders)) {
+            for (const item of queue.pending.takeExpired(Number.POSITIVE_INFINITY)) {
+                item.resolve(Result.err(allExhausted(service, decoders)));
+            }
+        }
+    }
+
     /** Processes a service's queue until it is empty; one loop runs at a time, and a further call wakes it. */
     async function processQueue(service: string, queue: ServiceQueue): Promise<void> {
         if (queue.isProcessing) {
@@ -336,11 +339,8 @@
                 canPrefill(item.generation)
             );
             const results = await Promise.all(candidates.map(tryAllocate));
-            if (results.includes(true)) {
-                continue;
-            }
-            refuseExpired(queue, service);
-            if (queue.pending.size() > 0) {
+            refuseIfExhausted(queue, service);
+            if (!results.includes(true) && queue.pending.size() > 0) {
                 const wakeController = new AbortController();
                 queue.wake = () => wakeController.abort();
                 await clock.sleep(queuePollMs, wakeController.signal);
