Log calls that break off, with a fingerprint of the request

Change: each one is logged with its engine's start, its duration and a fingerprint of method, host, path, account and body; failed prefills and broken streams too.

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -77,7 +77,11 @@
         options: SendOptions,
         request: EngineRequest,
     ) => Promise<Result<EngineResponse, EngineError>>;
-    readonly prefill?: (engine: EngineRecord, options: SendOptions) => Promise<Result<PrefilledCache, EngineError>>;
+    readonly prefill?: (
+        engine: EngineRecord,
+        options: SendOptions,
+        request: EngineRequest,
+    ) => Promise<Result<PrefilledCache, EngineError>>;
     readonly reserve?: (engine: EngineRecord, tokens: number) => Promise<Result<Reservation, EngineError>>;
     readonly report?: (engine: EngineRecord) => Promise<Result<EngineReport, EngineError>>;
 }
@@ -111,7 +115,8 @@
         },
         prefill: async (engine, request, options) => {
             calls.push(`prefill ${engine.id}`);
-            return script.prefill?.(engine, options) ?? Result.ok({ address: engine.address, handle: "h", tokens: 10 });
+            return script.prefill?.(engine, options, request)
+                ?? Result.ok({ address: engine.address, handle: "h", tokens: 10 });
         },
         reserve: async (engine, tokens) => {
             calls.push(`reserve ${engine.id}`);
--- a/fakes/platformEngine.ts
+++ b/fakes/platformEngine.ts
@@ -13,7 +13,7 @@
  * not resumed, `endInEvent` sends streams without a length or chunks and closes the connection in order in the middle of
  * one, `lost` executes the request and resets without a response, `error` responds to plain calls with status 500,
  * `endOnPart` ends the engine when it begins to write on a prompt with `deadlyPromptPart`, and starts it again soon after,
- * `rest` rejects requests and asks for a pause, `leaving` announces in all responses that the engine is leaving, and
+ * `endOnBody` does so when it begins to run a request with `deadlyBody`, `rest` rejects requests and asks for a pause, `leaving` announces in all responses that the engine is leaving, and
  * `endless` sends bytes that are no response until the connection is closed.
  */
 export type EngineFault =
@@ -26,6 +26,7 @@
     | "endInEvent"
     | "lost"
     | "endOnPart"
+    | "endOnBody"
     | "error"
     | "rest"
     | "leaving"
@@ -70,7 +71,10 @@
 }
 
 export const deadlyPromptPart = "dead";
+export const deadlyBody = "deadly";
 const restartMs = 300;
+/** How long a request with `deadlyBody` runs before it ends the engine. */
+const deadlyRunMs = 20;
 const headerPrefix = "x-gooseberrywell-";
 const cacheLifetimeMs = 500;
 const restS = 0.8;
@@ -206,6 +210,10 @@
             endAndRestart();
             return;
         }
+        if (fault === "endOnBody" && body === deadlyBody) {
+            setTimeout(endAndRestart, deadlyRunMs).unref();
+            return;
+        }
         if (options.stage === "decode") {
             stream(request, response, requestId, Number(header("last-event-id") || 0));
             return;
@@ -270,6 +278,9 @@
     const { port } = server.address() as AddressInfo;
 
     function endAndRestart(): void {
+        if (!server.listening) {
+            return;
+        }
         server.close();
         sockets.forEach(socket => socket.destroy());
         reservations.clear();
--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -307,6 +307,7 @@
     key: string = siteKey,
     signal?: AbortSignal,
     promptPrefix?: string,
+    requestBody?: string,
 ): Promise<SiteResponse> {
     lastRequestNumber += 1;
     const requestId = `r-${lastRequestNumber}`;
@@ -321,7 +322,7 @@
             ...isGeneration ? { "x-gooseberrywell-token-usage": "1000,100" } : {},
             ...promptPrefix === undefined ? {} : { "x-gooseberrywell-prompt-prefix": promptPrefix },
         },
-        body: `body of ${requestId}`,
+        body: requestBody ?? `body of ${requestId}`,
         ...signal === undefined ? {} : { signal },
     });
     const body = await response.body.text().catch(() => undefined);
--- a/src/common/digest.ts
+++ b/src/common/digest.ts
@@ -4,9 +4,11 @@
 
 import { createHash, timingSafeEqual } from "node:crypto";
 
-/** The SHA-256 digest of `text` in lowercase hexadecimal. */
-export function sha256Hex(text: string): string {
-    return createHash("sha256").update(text).digest("hex");
+/** The SHA-256 digest of the concatenated `chunks` in lowercase hexadecimal. */
+export function sha256Hex(...chunks: readonly (string | Buffer)[]): string {
+    const hash = createHash("sha256");
+    chunks.forEach(chunk => hash.update(chunk));
+    return hash.digest("hex");
 }
 
 /** Compares two hexadecimal digests in constant time. */
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -3,6 +3,7 @@
  * states its cause.
  */
 
+import { fingerprintOf } from "../quarantine/requestFingerprint.js";
 import type { ClientAccount, Route } from "../routes/desiredState.js";
 import { pickService } from "../routes/routeTable.js";
 import type { RouteTable } from "../routes/routeTable.js";
@@ -96,6 +97,7 @@
         request: { ...request, clientAccount: account?.name },
         route,
         service,
+        fingerprint: fingerprintOf({ ...request, clientAccount: account?.name }),
         deadlineMs: request.receivedAtMs + effectiveTimeoutMs,
     };
     const outcome = await dispatch(context, table, routed);
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -292,6 +292,8 @@
         context.log.decision("the prefill failed", {
             requestId: request.requestId,
             engine: engine.id,
+            bornMs: engine.bornMs,
+            fingerprint: generation.fingerprint,
             cause: result.error.cause,
         });
     }
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -192,6 +192,16 @@
         context.responseTimes.record(routed.service, context.clock.monotonicMs() - sentAtMs);
     }
     recordHealth(context, engine, result, timeout.aborted, request.callerDisconnected.aborted);
+    if (result.isErr && result.error.kind === "interrupted" && !request.callerDisconnected.aborted) {
+        context.log.decision("a call broke off at its engine", {
+            requestId: request.requestId,
+            engine: engine.id,
+            bornMs: engine.bornMs,
+            sinceStartMs: Math.round(context.clock.monotonicMs() - sentAtMs),
+            fingerprint: routed.fingerprint,
+            cause: result.error.cause,
+        });
+    }
     return timeout.aborted && result.isErr && result.error.kind === "cancelled"
         ? Result.err({ kind: "timeout", cause: "no whole answer in time" })
         : result;
--- a/src/forwarding/routedRequest.ts
+++ b/src/forwarding/routedRequest.ts
@@ -13,6 +13,8 @@
     readonly service: string;
     /** Monotonic deadline for the complete response. */
     readonly deadlineMs: number;
+    /** See `fingerprintOf`. */
+    readonly fingerprint: string;
 }
 
 /** A request for output tokens from a service of model engines. */
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -119,7 +119,7 @@
 
 function logBreak(
     context: ForwardContext,
-    { request }: GenerationRequest,
+    { request, fingerprint }: GenerationRequest,
     { engine, startedAtMs }: RunningStream,
     failure: Error,
 ): void {
@@ -132,6 +132,7 @@
         bornMs: engine.bornMs,
         sinceStartMs: Math.round(context.clock.monotonicMs() - startedAtMs),
         sharedPromptParts: request.sharedPromptParts.slice(0, maxLoggedParts),
+        fingerprint,
         cause: failure.message,
     });
 }
