--- a/test/platformPath.test.ts
+++ b/test/platformPath.test.ts
@@ -4,6 +4,7 @@
  */
 
 import { afterEach, describe, expect, it } from "vitest";
+import { deadlyBody } from "../fakes/platformEngine.js";
 import { callSite, expectedStream, isReady, siteKey, startPlatformSite, until } from "../fakes/platformSite.js";
 import type { EntryProcess, PlatformSite, PlatformSiteOptions } from "../fakes/platformSite.js";
 
@@ -236,3 +237,29 @@
         await until("the second entry serves", async () => await call(1, `shared:10,own-${number++}:5`) === 200);
     });
 });
+
+describe("a request that ends engines and comes again", () => {
+    // Each copy of the request ended one more engine, at any entry, and each repeat another.
+    it.each(["/look/x", "/pay/x"])(
+        "%s: is refused by every entry after few ends; sound requests with its path and account are served",
+        async path => {
+            await start({ entries: 2, plainEngines: 4 });
+            site.engines.forEach(engine => engine.setFault("endOnBody"));
+            const callDeadly = (index: number): Promise<number> =>
+                callSite(entry(index), path, siteKey, undefined, undefined, deadlyBody).then(({ status }) => status);
+            const deadlyRuns = (): number =>
+                site.engines.flatMap(engine => engine.runs).filter(run => run.body === deadlyBody).length;
+            for (let copy = 0; copy < 12; copy++) {
+                await callDeadly(copy % 2);
+                await until(
+                    "a sound call is served",
+                    async () => (await callSite(entry(copy % 2), path)).status === 200,
+                );
+            }
+            expect(deadlyRuns()).toBeLessThanOrEqual(5);
+            expect([await callDeadly(0), await callDeadly(1)]).toEqual([503, 503]);
+            const sound = await Promise.all([0, 1, 0, 1].map(index => callSite(entry(index), path)));
+            expect(sound.map(({ status }) => status)).toEqual([200, 200, 200, 200]);
+        },
+    );
+});
