Quarantine whole requests under which engines end, in calls and prefills too

Cause: calls to plain services and prefills left no evidence, and evidence was kept against shared parts of prompts only. Class: a failure that belongs to the request is charged to the engine that served it.

Change: src/quarantine/requestQuarantine.ts keeps evidence against whole requests, by a fingerprint of method, host, path, account and body, beside parts of prompts; the same table, messages between entries and rows in the store. Calls, prefills and streams record runs there. A call whose engine has ended under it isn't repeated, and a suspected one isn't hedged. An engine that can't be asked is found to have ended once another start has its address.

Ruled out: repeating a suspected lookup once. With three instances, two copies could end all.

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -31,7 +31,7 @@
 import { createFleetQuota } from "../src/limits/fleetQuota.js";
 import { createFleetRetryBudget } from "../src/limits/fleetRetryBudget.js";
 import type { RetryBudgetSettings } from "../src/limits/fleetRetryBudget.js";
-import { createPromptQuarantine } from "../src/quarantine/promptQuarantine.js";
+import { createRequestQuarantine } from "../src/quarantine/requestQuarantine.js";
 import type { DesiredState, Route, RouteKind } from "../src/routes/desiredState.js";
 import { createRouteTable } from "../src/routes/routeTable.js";
 import type { RpcClient } from "../src/rpc/rpcClient.js";
@@ -270,7 +270,13 @@
             reportEarly: () => undefined,
         }),
         retryBudget: createFleetRetryBudget(clock, budget),
-        quarantine: createPromptQuarantine({ clock, log, report: engines.report, onEvidence: () => undefined }),
+        quarantine: createRequestQuarantine({
+            clock,
+            log,
+            report: engines.report,
+            isReplaced: () => false,
+            onEvidence: () => undefined,
+        }),
         responseTimes: createResponseTimes(),
         shutdownDeadlineMs: () => undefined,
     };
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -32,7 +32,7 @@
 import type { CopyOrigin, TableCopy, TableFeed } from "../peerSync/tableReplica.js";
 import type { TableService } from "../platform/ports.js";
 import { createEvidenceStore } from "../quarantine/evidenceStore.js";
-import { createPromptQuarantine } from "../quarantine/promptQuarantine.js";
+import { createRequestQuarantine } from "../quarantine/requestQuarantine.js";
 import type { CallerLimits, DesiredState } from "../routes/desiredState.js";
 import { listen } from "../rpc/httpServer.js";
 import { createRpcClient } from "../rpc/rpcClient.js";
@@ -148,10 +148,12 @@
         reportEarly: (clientAccount, admittedCost) => peerSync.reportUsage(clientAccount, admittedCost),
     });
     const retryBudget = createFleetRetryBudget(clock, settings.retryBudget);
-    const quarantine = createPromptQuarantine({
+    const quarantine = createRequestQuarantine({
         clock,
         log,
         report: engines.report,
+        isReplaced: ({ address, id, bornMs }) =>
+            directory.known().some(other => other.address === address && (other.id !== id || other.bornMs > bornMs)),
         onEvidence: () => peerSync.syncNow(),
     });
     let shutdownDeadlineMs: number | undefined;
--- a/src/forwarding/context.ts
+++ b/src/forwarding/context.ts
@@ -11,7 +11,7 @@
 import type { EngineRateLimiter } from "../limits/engineRateLimiter.js";
 import type { FleetQuota } from "../limits/fleetQuota.js";
 import type { FleetRetryBudget } from "../limits/fleetRetryBudget.js";
-import type { PromptQuarantine } from "../quarantine/promptQuarantine.js";
+import type { RequestQuarantine } from "../quarantine/requestQuarantine.js";
 import type { RouteTable } from "../routes/routeTable.js";
 import type { DecodeScheduler } from "../scheduling/decodeScheduler.js";
 import type { PlacementView } from "../scheduling/placement.js";
@@ -35,7 +35,7 @@
     readonly decodeScheduler: DecodeScheduler;
     readonly quota: FleetQuota;
     readonly retryBudget: FleetRetryBudget;
-    readonly quarantine: PromptQuarantine;
+    readonly quarantine: RequestQuarantine;
     readonly responseTimes: ResponseTimes;
     /** Monotonic time at which draining ends at the latest; `undefined` unless this process is shutting down. */
     readonly shutdownDeadlineMs: () => number | undefined;
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -11,8 +11,9 @@
 import { createEngineCallBudget } from "./engineCallBudget.js";
 import { refuse } from "./forwardRequest.js";
 import type { ForwardOutcome, ForwardRequest, ForwardResult } from "./forwardRequest.js";
-import { generate, refuseQuarantined } from "./generation.js";
+import { generate } from "./generation.js";
 import { callPlain } from "./plainCall.js";
+import { refuseQuarantined } from "./quarantineChecks.js";
 import type { RoutedRequest } from "./routedRequest.js";
 
 /** Retry delay for callers while this entry has no usable desired state: it is starting or cut off. */
@@ -72,7 +73,8 @@
     ) {
         return refuse(503, "this entry is shutting down", shutdownRetryMs);
     }
-    const quarantined = refuseQuarantined(context, request, service);
+    const fingerprint = fingerprintOf({ ...request, clientAccount: account?.name });
+    const quarantined = refuseQuarantined(context, { request, service, fingerprint });
     if (quarantined !== undefined) {
         return quarantined;
     }
@@ -97,7 +99,7 @@
         request: { ...request, clientAccount: account?.name },
         route,
         service,
-        fingerprint: fingerprintOf({ ...request, clientAccount: account?.name }),
+        fingerprint,
         deadlineMs: request.receivedAtMs + effectiveTimeoutMs,
     };
     const outcome = await dispatch(context, table, routed);
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -9,13 +9,15 @@
 import { Result } from "true-myth";
 import { provesNotRun } from "../engines/enginePort.js";
 import type { EngineError, EngineRecord, EngineResponse, PrefilledCache } from "../engines/enginePort.js";
-import type { PromptRun } from "../quarantine/promptQuarantine.js";
+import type { EngineRun } from "../quarantine/requestQuarantine.js";
 import type { DecodeAllocation } from "../scheduling/decodeScheduler.js";
 import { allowsLocalPrefill, isLocalPrefillFaster, rankForPrefill } from "../scheduling/placement.js";
 import type { ForwardContext } from "./context.js";
 import type { EngineCallBudget } from "./engineCallBudget.js";
 import { answered, refuse } from "./forwardRequest.js";
-import type { ForwardOutcome, ForwardRequest } from "./forwardRequest.js";
+import type { ForwardOutcome } from "./forwardRequest.js";
+import { endBrokenRun, isQuarantined, refuseQuarantined } from "./quarantineChecks.js";
+import { suspectsOf } from "./routedRequest.js";
 import type { GenerationRequest } from "./routedRequest.js";
 import { relayStream } from "./streamRelay.js";
 
@@ -25,7 +27,7 @@
     readonly response: EngineResponse;
     /** Monotonic time at which its engine returned the response's headers. */
     readonly startedAtMs: number;
-    readonly run: PromptRun;
+    readonly run: EngineRun;
     /** Ends the load accounting of the allocation. */
     readonly end: () => void;
 }
@@ -51,7 +53,7 @@
 const fastResponseFactor = 0.5;
 const serverError = 500;
 const firstAttempt = 0;
-const quarantinedCause = "engines ended under a part of its prompt";
+const quarantinedCause = "engines ended under it meanwhile";
 
 export async function generate(context: ForwardContext, generation: GenerationRequest): Promise<ForwardOutcome> {
     const { lastEventId } = generation.request;
@@ -66,21 +68,6 @@
     return answered(relayStream(context, generation, started.stream));
 }
 
-/** The refusal of a request with a part of its prompt in quarantine; `undefined` for any other request. */
-export function refuseQuarantined(
-    context: ForwardContext,
-    { requestId, sharedPromptParts }: ForwardRequest,
-    service: string,
-): ForwardOutcome | undefined {
-    const quarantined = context.quarantine.find(sharedPromptParts);
-    if (quarantined === undefined) {
-        return undefined;
-    }
-    context.metrics.count("quarantined", service);
-    context.log.decision("a part of the prompt is in quarantine", { requestId, ...quarantined });
-    return refuse(503, quarantinedCause, quarantined.remainingMs);
-}
-
 /** Starts a stream, or resumes one after `lastEventId`. */
 export async function startStream(
     context: ForwardContext,
@@ -90,7 +77,7 @@
     const { request, service } = generation;
     let outcome: ForwardOutcome = refuse(503, "no engine is available", retryAfterMs(context, generation));
     for (let attempt = firstAttempt; attempt < maxAttempts; attempt++) {
-        const quarantined = refuseQuarantined(context, request, service);
+        const quarantined = refuseQuarantined(context, generation);
         if (quarantined !== undefined) {
             return { kind: "refused", outcome: quarantined };
         }
@@ -132,10 +119,6 @@
     return { kind: "refused", outcome };
 }
 
-function isQuarantined(context: ForwardContext, { request }: GenerationRequest): boolean {
-    return context.quarantine.find(request.sharedPromptParts) !== undefined;
-}
-
 function canCompleteInTime(context: ForwardContext, generation: GenerationRequest): boolean {
     const expectedMs = context.decodeScheduler.expectedResponseMs(generation.service, generation.size);
     return expectedMs === undefined || expectedMs * fastResponseFactor <= timeLeftMs(context, generation);
@@ -192,7 +175,7 @@
         releaseResources(context, allocation, cache);
         return Result.err({ kind: "unreachable", cause: "the retry budget is used up" });
     }
-    const run = context.quarantine.startRun(allocation.engine, request.sharedPromptParts);
+    const run = context.quarantine.startRun(allocation.engine, suspectsOf(generation));
     const sent = await context.engines.send(allocation.engine, request, {
         remainingMs: Math.max(1, timeLeftMs(context, generation)),
         signal: AbortSignal.any([request.callerDisconnected, context.clock.timeout(timeLeftMs(context, generation))]),
@@ -268,6 +251,7 @@
         const timeout = context.clock.timeout(expectedMs + prefillTimeoutMarginMs);
         const endLoad = context.loads.start(engine.id, { requests: 1, kvTokens: 0, prefillTokens: size.promptTokens });
         const sentAtMs = context.clock.monotonicMs();
+        const run = context.quarantine.startRun(engine, suspectsOf(generation));
         const result = await context.engines.prefill(engine, request, {
             remainingMs: Math.max(1, timeLeftMs(context, generation)),
             signal: AbortSignal.any([request.callerDisconnected, timeout]),
@@ -288,6 +272,9 @@
         if (request.callerDisconnected.aborted || timeLeftMs(context, generation) <= 0) {
             return undefined;
         }
+        if (result.error.kind === "interrupted" || result.error.kind === "timeout") {
+            await endBrokenRun(context, run);
+        }
         context.health.recordOutcome(engine.id, result.error.kind === "notExecuted" ? "failed" : "unresponsive");
         context.log.decision("the prefill failed", {
             requestId: request.requestId,
@@ -296,6 +283,9 @@
             fingerprint: generation.fingerprint,
             cause: result.error.cause,
         });
+        if (isQuarantined(context, generation)) {
+            return undefined;
+        }
     }
     return undefined;
 }
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -12,6 +12,7 @@
 import { Result } from "true-myth";
 import { provesNotRun } from "../engines/enginePort.js";
 import type { BodyFraming, EngineError, EngineRecord, EngineResponse } from "../engines/enginePort.js";
+import type { EngineRun } from "../quarantine/requestQuarantine.js";
 import type { RouteKind } from "../routes/desiredState.js";
 import { rankForPlain } from "../scheduling/placement.js";
 import type { ForwardContext } from "./context.js";
@@ -19,6 +20,8 @@
 import type { EventBoundaryTracker } from "./eventStream.js";
 import { answered, refuse } from "./forwardRequest.js";
 import type { ForwardOutcome } from "./forwardRequest.js";
+import { endBrokenRun, isQuarantined } from "./quarantineChecks.js";
+import { suspectsOf } from "./routedRequest.js";
 import type { RoutedRequest } from "./routedRequest.js";
 
 /** Maximum attempts of one call, the first included, before the caller is asked to retry. */
@@ -33,6 +36,8 @@
 interface Attempt {
     readonly engine: EngineRecord;
     readonly result: Result<EngineResponse, EngineError>;
+    /** Its engine ended with it, so that the call may be the cause. */
+    readonly isSuspected: boolean;
 }
 
 /** An attempt that has no result yet. */
@@ -48,14 +53,22 @@
     readonly running: Set<RunningAttempt>;
     /** Ended attempts that may have run. */
     possibleRuns: number;
+    /** An engine has ended under an attempt: the call is not sent again. */
+    isSuspected: boolean;
     /** The attempt that decides the outcome if no other succeeds. */
     last: Attempt | undefined;
 }
 
 export async function callPlain(context: ForwardContext, routed: RoutedRequest): Promise<ForwardOutcome> {
-    const state: CallState = { triedEngines: new Set(), running: new Set(), possibleRuns: 0, last: undefined };
+    const state: CallState = {
+        triedEngines: new Set(),
+        running: new Set(),
+        possibleRuns: 0,
+        isSuspected: false,
+        last: undefined,
+    };
     await startAttempt(context, routed, state);
-    let mayHedge = isRepeatable(routed);
+    let mayHedge = isRepeatable(routed) && !context.quarantine.isSuspected(suspectsOf(routed));
     while (state.running.size > 0) {
         const ended = await nextEnd(context, routed, state, mayHedge);
         if (ended === undefined) {
@@ -89,7 +102,7 @@
 /** Sends the call to the next engine; resolves to whether the route, the retry budget and the engines allow that. */
 async function startAttempt(context: ForwardContext, routed: RoutedRequest, state: CallState): Promise<boolean> {
     const runs = state.possibleRuns + state.running.size;
-    if (timeLeftMs(context, routed) <= 0) {
+    if (timeLeftMs(context, routed) <= 0 || state.isSuspected || isQuarantined(context, routed)) {
         return false;
     }
     const mayRunAgain = runs === 0 || (isRepeatable(routed) && runs < routed.route.maxEngines);
@@ -116,7 +129,7 @@
     const overtaken = new AbortController();
     const attempt: RunningAttempt = {
         engine,
-        result: sendAttempt(context, routed, engine, overtaken.signal).then(result => ({ engine, result })),
+        result: sendAttempt(context, routed, engine, overtaken.signal),
         cancel: () => overtaken.abort(),
     };
     state.running.add(attempt);
@@ -147,6 +160,7 @@
             state.running.delete(attempt);
         }
     }
+    state.isSuspected ||= ended.isSuspected;
     state.possibleRuns += ended.result.isOk || !provesNotRun(ended.result.error) ? 1 : 0;
     // A response that reports a failure is better than none.
     if (ended.result.isOk || state.last === undefined || state.last.result.isErr) {
@@ -175,12 +189,13 @@
     routed: RoutedRequest,
     engine: EngineRecord,
     overtaken: AbortSignal,
-): Promise<Result<EngineResponse, EngineError>> {
+): Promise<Attempt> {
     const { request } = routed;
     const remainingMs = Math.max(1, timeLeftMs(context, routed));
     const timeout = context.clock.timeout(remainingMs);
     const sentAtMs = context.clock.monotonicMs();
     const endLoad = context.loads.start(engine.id, { requests: 1, kvTokens: 0, prefillTokens: 0 });
+    const run = context.quarantine.startRun(engine, suspectsOf(routed));
     const sent = await context.engines.send(engine, request, {
         remainingMs,
         ...request.lastEventId === undefined ? {} : { lastEventId: request.lastEventId },
@@ -192,7 +207,8 @@
         context.responseTimes.record(routed.service, context.clock.monotonicMs() - sentAtMs);
     }
     recordHealth(context, engine, result, timeout.aborted, request.callerDisconnected.aborted);
-    if (result.isErr && result.error.kind === "interrupted" && !request.callerDisconnected.aborted) {
+    const isCancelled = overtaken.aborted || request.callerDisconnected.aborted;
+    if (result.isErr && result.error.kind === "interrupted" && !isCancelled) {
         context.log.decision("a call broke off at its engine", {
             requestId: request.requestId,
             engine: engine.id,
@@ -202,9 +218,34 @@
             cause: result.error.cause,
         });
     }
-    return timeout.aborted && result.isErr && result.error.kind === "cancelled"
-        ? Result.err({ kind: "timeout", cause: "no whole answer in time" })
-        : result;
+    return {
+        engine,
+        result: timeout.aborted && result.isErr && result.error.kind === "cancelled"
+            ? Result.err({ kind: "timeout", cause: "no whole answer in time" })
+            : result,
+        isSuspected: await endRun(context, run, result, isCancelled),
+    };
+}
+
+/** Ends the run of an attempt; resolves to whether its engine ended with it. */
+async function endRun(
+    context: ForwardContext,
+    run: EngineRun,
+    result: Result<EngineResponse, EngineError>,
+    isCancelled: boolean,
+): Promise<boolean> {
+    if (result.isOk) {
+        return run.end("completed");
+    }
+    if (isCancelled || provesNotRun(result.error)) {
+        return run.end("abandoned");
+    }
+    if (result.error.kind !== "interrupted") {
+        // The call's time is over, so nothing waits for the check of the engine.
+        void run.end("broken");
+        return false;
+    }
+    return endBrokenRun(context, run);
 }
 
 function recordHealth(
--- a/src/forwarding/routedRequest.ts
+++ b/src/forwarding/routedRequest.ts
@@ -17,6 +17,13 @@
     readonly fingerprint: string;
 }
 
+/** What may be to blame if engines end under a request: the request itself, or shared parts of its prompt. */
+export function suspectsOf(
+    { fingerprint, request }: Pick<RoutedRequest, "fingerprint" | "request">,
+): readonly string[] {
+    return [fingerprint, ...request.sharedPromptParts];
+}
+
 /** A request for output tokens from a service of model engines. */
 export interface GenerationRequest extends RoutedRequest {
     readonly size: GenerationSize;
--- a/src/limits/controlCallLimits.ts
+++ b/src/limits/controlCallLimits.ts
@@ -11,6 +11,7 @@
 import type { EngineRateLimiter } from "./engineRateLimiter.js";
 
 const statusTooManyRequests = 429;
+const cause = "the engine accepts no request now, by the rate that it names";
 
 /** Wraps `engines` so that control calls beyond an engine's rate are not sent. */
 export function limitControlCalls(
@@ -33,7 +34,9 @@
         reserve: async (engine, tokens, ttlMs, timeoutMs) =>
             await rates.acquire(engine) ? engines.reserve(engine, tokens, ttlMs, timeoutMs) : rejected(),
         report: async (engine, timeoutMs) =>
-            await rates.acquire(engine) ? engines.report(engine, timeoutMs) : rejected(),
+            await rates.acquire(engine)
+                ? engines.report(engine, timeoutMs)
+                : Result.err({ kind: "unreachable", cause }),
         orderStage: async (engine, order, timeoutMs) =>
             await rates.acquire(engine) ? engines.orderStage(engine, order, timeoutMs) : "rejected",
         releaseReservation: (engine, reservation) =>
@@ -46,6 +49,5 @@
 }
 
 function rejected(): Result<never, EngineError> {
-    const cause = "the engine accepts no request now, by the rate that it names";
     return Result.err({ kind: "notExecuted", status: statusTooManyRequests, cause });
 }
--- a/src/quarantine/evidenceStore.ts
+++ b/src/quarantine/evidenceStore.ts
@@ -11,7 +11,7 @@
 import type { Log } from "../telemetry/telemetry.js";
 import { evidenceLifetimeMs } from "./crashEvidence.js";
 import type { CrashEvidence } from "./crashEvidence.js";
-import type { PromptQuarantine } from "./promptQuarantine.js";
+import type { RequestQuarantine } from "./requestQuarantine.js";
 
 export interface EvidenceStore {
     /** Loads the rows, then writes changes until `signal` aborts. */
@@ -33,7 +33,7 @@
     tables: TableService,
     clock: Clock,
     log: Log,
-    quarantine: Pick<PromptQuarantine, "evidence" | "applyEvidence" | "hasOwnEvidence">,
+    quarantine: Pick<RequestQuarantine, "evidence" | "applyEvidence" | "hasOwnEvidence">,
 ): EvidenceStore {
     /** Number of engines in each row that this entry has read or written. */
     const savedCounts = new Map<string, number>();
--- a/src/quarantine/requestFingerprint.ts
+++ b/src/quarantine/requestFingerprint.ts
@@ -21,6 +21,11 @@
 /** Characters of the digest; two requests of a day have the same ones with negligible probability. */
 const digestLength = 32;
 
+/** Whether a part of a request is the fingerprint of a whole one, and not a part of a prompt. */
+export function isFingerprint(part: string): boolean {
+    return part.startsWith(prefix);
+}
+
 export function fingerprintOf({ method, host, target, clientAccount, body }: RequestContent): string {
     const head = JSON.stringify([method, host.toLowerCase(), target, clientAccount ?? null]);
     return `${prefix}${sha256Hex(head, body).slice(0, digestLength)}`;
--- a/src/quarantine/promptQuarantine.ts
+++ b/src/quarantine/requestQuarantine.ts
@@ -1,8 +1,8 @@
 /**
- * Keeps requests from engines that would crash on a part of their prompts ("queries of death").
+ * Keeps requests from engines that would crash on them ("queries of death").
  *
- * When an engine ends while a request has just started on it, the shared parts of that request's prompt are suspected,
- * except those with which other requests have run lately. The request is not repeated at another engine. Once a second
+ * When an engine ends while a request has just started on it, that request is suspected, by its fingerprint, and so are
+ * the shared parts of its prompt, if it has one; parts with which other requests have run lately are not. Once a second
  * engine has ended under the same part, requests with it are refused as not run. The quarantine of a part lasts longer
  * with each further engine, then requests with it are tried again. Entries share their evidence.
  */
@@ -18,17 +18,20 @@
 /** How a run ended. `abandoned` proves nothing: it was cancelled, or its engine did not accept it. */
 export type RunEnd = "completed" | "broken" | "abandoned";
 
-/** A request that was sent to an engine to be run. */
-export interface PromptRun {
+/** A request, or the prefill of one, that was sent to an engine. */
+export interface EngineRun {
     /** Records that the engine has written something. */
     readonly recordOutput: () => void;
-    /** Ends the run; resolves to whether its engine ended with it, so that its prompt is suspected. */
+    /** Ends the run; resolves to whether its engine is known to have ended with it, so that its parts are suspected. */
     readonly end: (how: RunEnd) => Promise<boolean>;
 }
 
+/** What is known of an engine that broke off a response. */
+type EngineCheck = "ended" | "running" | "unknown";
+
 /** Why a request is refused. */
 export interface QuarantineReason {
-    /** Parts of its prompt under which engines ended: one, or several that were always together. */
+    /** Its parts under which engines ended: one, or several that were always together. */
     readonly blamedParts: readonly string[];
     /** Number of engines that ended. */
     readonly crashes: number;
@@ -36,10 +39,12 @@
     readonly remainingMs: number;
 }
 
-export interface PromptQuarantine {
+export interface RequestQuarantine {
     /** Why requests with these parts are refused; `undefined` if they may be sent to engines. */
     readonly find: (parts: readonly string[]) => QuarantineReason | undefined;
-    readonly startRun: (engine: EngineRecord, parts: readonly string[]) => PromptRun;
+    /** Whether an engine has ended under one of these parts. */
+    readonly isSuspected: (parts: readonly string[]) => boolean;
+    readonly startRun: (engine: EngineRecord, parts: readonly string[]) => EngineRun;
     /** Evidence to share with other entries. */
     readonly evidence: () => readonly CrashEvidence[];
     /** Whether an engine ended under a request of this entry with the part. */
@@ -48,10 +53,12 @@
     readonly applyEvidence: (evidence: readonly CrashEvidence[]) => void;
 }
 
-export interface PromptQuarantineDependencies {
+export interface RequestQuarantineDependencies {
     readonly clock: Clock;
     readonly log: DecisionLog;
     readonly report: EnginePort["report"];
+    /** Whether another start of an engine is registered at the engine's address. */
+    readonly isReplaced: (engine: EngineRecord) => boolean;
     /** Called when this entry has new evidence, which other entries should learn soon. */
     readonly onEvidence: () => void;
 }
@@ -77,14 +84,17 @@
 /** An engine that is ending may still accept a connection and reset it. */
 const maxReports = 3;
 const reportPauseMs = 100;
+/** An engine that ended silently is replaced by another start within this time, or found at its next report. */
+const replacementTimeoutMs = 6_000;
+const replacementPollMs = 500;
 
-export function createPromptQuarantine(dependencies: PromptQuarantineDependencies): PromptQuarantine {
+export function createRequestQuarantine(dependencies: RequestQuarantineDependencies): RequestQuarantine {
     const { clock, log, report, onEvidence } = dependencies;
     const table = createEvidenceTable(clock);
     /** When a request with a part was last seen running, the latest ones last. */
     const soundAtMs = new Map<string, number>();
     const ownParts = new Set<string>();
-    const checksByStart = new Map<string, Promise<boolean>>();
+    const checksByStart = new Map<string, Promise<EngineCheck>>();
 
     const trackedParts = (parts: readonly string[]): readonly string[] =>
         [...new Set(parts)].filter(part => part.length <= maxPartLength).slice(0, maxPartsPerRequest);
@@ -97,6 +107,7 @@
                 log.info("a request with a suspected part of a prompt has run", { part });
             }
         }
+        removeExpired(soundAtMs, clock.monotonicMs() - soundWindowMs);
         removeOldest(soundAtMs, maxTrackedParts);
     }
 
@@ -104,26 +115,30 @@
         return (soundAtMs.get(part) ?? Number.NEGATIVE_INFINITY) > atMs - soundWindowMs;
     }
 
-    /** Whether an engine that broke off a response has ended: nothing listens there, or another start of it does. */
-    async function checkHasEnded(engine: EngineRecord): Promise<boolean> {
+    /** Checks an engine that broke off a response: it has ended if nothing listens there, or another start of it does. */
+    async function check(engine: EngineRecord): Promise<EngineCheck> {
         for (let attempt = 1; attempt <= maxReports; attempt++) {
             const reported = await report(engine, reportTimeoutMs);
             if (reported.isOk) {
                 const { bornMs } = reported.value;
-                return bornMs > 0 && engine.bornMs > 0 && bornMs !== engine.bornMs;
+                return bornMs > 0 && engine.bornMs > 0 && bornMs !== engine.bornMs ? "ended" : "running";
+            }
+            if (reported.error.kind === "notExecuted") {
+                return "running";
             }
             if (reported.error.kind !== "interrupted") {
-                return reported.error.kind === "unreachable" && reported.error.isConnectionRefused === true;
+                const isRefused = reported.error.kind === "unreachable" && reported.error.isConnectionRefused === true;
+                return isRefused ? "ended" : "unknown";
             }
             await clock.sleep(reportPauseMs);
         }
-        return false;
+        return "unknown";
     }
 
     /** Streams of one engine break off together, so they share one check. */
-    function hasEnded(engine: EngineRecord): Promise<boolean> {
+    function checkOnce(engine: EngineRecord): Promise<EngineCheck> {
         const key = startKey(engine);
-        const running = checksByStart.get(key) ?? checkHasEnded(engine).finally(() => checksByStart.delete(key));
+        const running = checksByStart.get(key) ?? check(engine).finally(() => checksByStart.delete(key));
         checksByStart.set(key, running);
         return running;
     }
@@ -132,10 +147,30 @@
     async function recordBreak(engine: EngineRecord, parts: readonly string[]): Promise<boolean> {
         const brokenAtMs = clock.monotonicMs();
         const suspected = parts.filter(part => !wasSound(part, brokenAtMs));
-        if (suspected.length === 0 || !await hasEnded(engine)) {
+        if (suspected.length === 0) {
             return false;
         }
-        const { id, bornMs } = engine;
+        const result = await checkOnce(engine);
+        if (result === "unknown") {
+            void awaitReplacement(engine).then(isReplaced => isReplaced && recordEnd(engine, suspected, brokenAtMs));
+        }
+        if (result === "ended") {
+            recordEnd(engine, suspected, brokenAtMs);
+        }
+        return result === "ended";
+    }
+
+    async function awaitReplacement(engine: EngineRecord): Promise<boolean> {
+        for (let waitedMs = 0; waitedMs < replacementTimeoutMs; waitedMs += replacementPollMs) {
+            if (dependencies.isReplaced(engine)) {
+                return true;
+            }
+            await clock.sleep(replacementPollMs);
+        }
+        return false;
+    }
+
+    function recordEnd({ id, bornMs }: EngineRecord, suspected: readonly string[], brokenAtMs: number): void {
         log.decision("an engine ended while a request had just started", { engine: id, bornMs, suspected });
         addEvidence(suspected.map(part => ({
             part,
@@ -147,7 +182,6 @@
         suspected.forEach(part => ownParts.add(part));
         removeOldest(ownParts, maxTrackedParts);
         onEvidence();
-        return true;
     }
 
     function addEvidence(items: readonly CrashEvidence[]): void {
@@ -169,6 +203,7 @@
                 ? { blamedParts, crashes, remainingMs: durationMs - sinceLastMs }
                 : undefined;
         },
+        isSuspected: parts => table.blame(parts, 1) !== undefined,
         startRun: (engine, allParts) => {
             const parts = trackedParts(allParts);
             let outputAtMs: number | undefined;
@@ -195,6 +230,16 @@
     };
 }
 
+/** Removes times up to `untilMs` from a map in the order of its times. */
+function removeExpired(times: Map<string, number>, untilMs: number): void {
+    for (const [key, atMs] of times) {
+        if (atMs > untilMs) {
+            return;
+        }
+        times.delete(key);
+    }
+}
+
 function isPastStart(writtenForMs: number, outputs: number): boolean {
     return writtenForMs >= startPhaseMs && outputs >= minOutputs;
 }
