Failing tests: requests that end endpoints on sites with agents come again

Lookups, payments and generations, in the prefill and while decoding: ten copies at two entries end all seven endpoints of the role, where six may end.

--- a/fakes/engine.ts
+++ b/fakes/engine.ts
@@ -42,6 +42,8 @@
     /** After each token but the first, sends the previous index with a wrong text and then the token again. */
     readonly crossTokens?: boolean;
     readonly prefillDelayMs?: number;
+    /** Ends this process when it begins to work on a prompt that contains this text. */
+    readonly endOn?: string;
 }
 
 /** Counters and received requests, as in the response to `/record`. */
@@ -170,6 +172,9 @@
             readonly attempt: number;
             readonly prompt: string;
         };
+        if (faults.endOn !== undefined && prompt.includes(faults.endOn)) {
+            process.exit(1);
+        }
         if (faults.refusePrefill === true) {
             sendJson(response, 503, { error: "prefill refused" });
             return;
@@ -275,6 +280,9 @@
             return;
         }
         response.write(formatEvent({ type: "imported" }));
+        if (faults.endOn !== undefined && kv.prompt.includes(faults.endOn)) {
+            process.exit(1);
+        }
         // The prompt of a resumed request ends with the text that the caller has already received.
         const sentTokens = body.emittedTokens;
         const basePrompt = sentTokens === 0 ? kv.prompt : stripOutput(kv.prompt, sentTokens);
--- a/fakes/service.ts
+++ b/fakes/service.ts
@@ -10,6 +10,8 @@
     /** Executes the call, then closes the connection without a response. */
     readonly loseAnswer?: boolean;
     readonly delayMs?: number;
+    /** Ends this process when it runs a call whose path or body contains this text. */
+    readonly endOn?: string;
 }
 
 /** One executed call. */
@@ -49,6 +51,9 @@
             return;
         }
         runs.push({ method, path: request.url ?? path, headers: JSON.stringify(request.headers), body: text });
+        if (faults.endOn !== undefined && `${request.url} ${text}`.includes(faults.endOn)) {
+            process.exit(1);
+        }
         await delay(faults.delayMs ?? 0);
         if (faults.loseAnswer === true) {
             response.destroy();
