Quarantine requests under which endpoints end on sites with agents

Callers saw pools without endpoints: copies of one request, and the attempts of each copy, ended one endpoint after the other.

Change: an agent whose work broke off checks whether its endpoint still listens and says so in its response; entries record that as evidence against the request's fingerprint, exchange it (quarantine.evidence), keep it in the store, and refuse the request as not run after two endpoints. A call isn't sent again after its endpoint has ended; a generation is sent once more, since it is owed a whole response.

The quarantine is split: decisions from evidence (requestQuarantine.ts), and runs at engines that are asked whether they ended (engineRuns.ts), which sites with agents don't need.

Ruled out: giving generations up after the first end, which breaks the promise of a whole response to those that were there by chance.

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -31,6 +31,7 @@
 import { createFleetQuota } from "../src/limits/fleetQuota.js";
 import { createFleetRetryBudget } from "../src/limits/fleetRetryBudget.js";
 import type { RetryBudgetSettings } from "../src/limits/fleetRetryBudget.js";
+import { createEngineRuns } from "../src/quarantine/engineRuns.js";
 import { createRequestQuarantine } from "../src/quarantine/requestQuarantine.js";
 import type { DesiredState, Route, RouteKind } from "../src/routes/desiredState.js";
 import { createRouteTable } from "../src/routes/routeTable.js";
@@ -233,6 +234,7 @@
     });
     const metrics = createPrometheusMetrics();
     const log = silentDecisionLog;
+    const quarantine = createRequestQuarantine({ clock, log, onEvidence: () => undefined });
     const view: PlacementView = {
         dataCentre: "a",
         workAt: loads.total,
@@ -270,13 +272,8 @@
             reportEarly: () => undefined,
         }),
         retryBudget: createFleetRetryBudget(clock, budget),
-        quarantine: createRequestQuarantine({
-            clock,
-            log,
-            report: engines.report,
-            isReplaced: () => false,
-            onEvidence: () => undefined,
-        }),
+        quarantine,
+        engineRuns: createEngineRuns({ clock, quarantine, report: engines.report, isReplaced: () => false }),
         responseTimes: createResponseTimes(),
         shutdownDeadlineMs: () => undefined,
     };
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -19,6 +19,9 @@
 import { createHostDirectory } from "../membership/hosts.js";
 import { createOperatorMethods } from "../operators/operatorMethods.js";
 import type { HostRecord, Platform } from "../platform/ports.js";
+import { createEvidenceExchange } from "../quarantine/evidenceExchange.js";
+import { createEvidenceStore } from "../quarantine/evidenceStore.js";
+import { createRequestQuarantine } from "../quarantine/requestQuarantine.js";
 import { defaultTimeouts } from "../requests/context.js";
 import type { RequestContext, RequestTimeouts } from "../requests/context.js";
 import { createIdempotentCalls } from "../requests/idempotency.js";
@@ -185,6 +188,12 @@
     });
     keyring.onWithdrawal(keyUses.endAll);
 
+    const quarantine = createRequestQuarantine({
+        clock,
+        log: { info: log.info, decision: log.info },
+        onEvidence: () => evidenceExchange.send(),
+    });
+    const evidenceExchange = createEvidenceExchange(rpc, clock, () => peersOf(undefined), quarantine);
     const retryBudget = createRetryBudget();
     const loads = createLoadView(clock);
     const prefixes = createPrefixIndex();
@@ -201,6 +210,7 @@
             loads,
             prefixes,
             retryBudget,
+            quarantine,
             timeouts: options.timeouts ?? defaultTimeouts,
             reportFailure: hosts.reportFailure,
             reportSuccess: hosts.reportSuccess,
@@ -213,6 +223,7 @@
         distribution.methods,
         withdrawals.methods,
         limitsMethods,
+        evidenceExchange.methods,
         createOperatorMethods({
             host: settings.host,
             url: server.url,
@@ -279,6 +290,8 @@
     void initialize().then(() => {
         void distribution.follow(stopping.signal);
         void withdrawals.run(stopping.signal);
+        void evidenceExchange.run(stopping.signal);
+        void createEvidenceStore(platform.tables, clock, log, quarantine).run(stopping.signal);
         void runPeriodically(settings.hostListPollMs, hosts.refresh);
         void runPeriodically(idempotencySweepMs, idempotentCalls.deleteExpired);
         void runPeriodically(settings.limitsLeaseMs / leaseRenewalsPerLease, lease.renew);
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -31,6 +31,7 @@
 import { createTableReplica } from "../peerSync/tableReplica.js";
 import type { CopyOrigin, TableCopy, TableFeed } from "../peerSync/tableReplica.js";
 import type { TableService } from "../platform/ports.js";
+import { createEngineRuns } from "../quarantine/engineRuns.js";
 import { createEvidenceStore } from "../quarantine/evidenceStore.js";
 import { createRequestQuarantine } from "../quarantine/requestQuarantine.js";
 import type { CallerLimits, DesiredState } from "../routes/desiredState.js";
@@ -148,13 +149,13 @@
         reportEarly: (clientAccount, admittedCost) => peerSync.reportUsage(clientAccount, admittedCost),
     });
     const retryBudget = createFleetRetryBudget(clock, settings.retryBudget);
-    const quarantine = createRequestQuarantine({
+    const quarantine = createRequestQuarantine({ clock, log, onEvidence: () => peerSync.syncNow() });
+    const engineRuns = createEngineRuns({
         clock,
-        log,
+        quarantine,
         report: engines.report,
         isReplaced: ({ address, id, bornMs }) =>
             directory.known().some(other => other.address === address && (other.id !== id || other.bornMs > bornMs)),
-        onEvidence: () => peerSync.syncNow(),
     });
     let shutdownDeadlineMs: number | undefined;
 
@@ -333,6 +334,7 @@
         quota,
         retryBudget,
         quarantine,
+        engineRuns,
         responseTimes: createResponseTimes(),
         shutdownDeadlineMs: () => shutdownDeadlineMs,
     };
--- a/src/endpoint/agent.ts
+++ b/src/endpoint/agent.ts
@@ -74,8 +74,15 @@
         counters,
         stopped: stopping.signal,
         onEngineError: error => health.recordError(error),
+        checkEnded: () => health.checkEnded(),
     });
-    const services = createServiceCalls(settings.endpointUrl, queue, clock, counters);
+    const services = createServiceCalls(
+        settings.endpointUrl,
+        queue,
+        clock,
+        counters,
+        () => health.checkEnded(),
+    );
     const rpc = createRpcClient();
     const health = createEndpointHealth(engine, clock, stopping.signal, () => applyAvailability());
     let shuttingDown = false;
@@ -190,6 +197,12 @@
         if (result.isErr) {
             counters.add("endpoint.prefillFailed");
             health.recordError(result.error);
+            const endpointEndedAtMs = result.error.kind === "failed" && !call.signal.aborted
+                ? await health.checkEnded()
+                : undefined;
+            if (endpointEndedAtMs !== undefined) {
+                return { kind: "engineFailed", cause: result.error.cause, endpointEndedAtMs, load: queue.load() };
+            }
             if (result.error.kind === "failed") {
                 await cancelAtEngine(engine, clock, counters, prefill, stopped);
             }
--- a/src/endpoint/decodeStreams.ts
+++ b/src/endpoint/decodeStreams.ts
@@ -9,6 +9,7 @@
 import { disconnectSignal } from "../rpc/httpServer.js";
 import type { Counters } from "../telemetry/telemetry.js";
 import { cancelAtEngine } from "./cancellation.js";
+import type { EndpointHealth } from "./endpointHealth.js";
 import type { EngineClient, EngineError } from "./engineClient.js";
 import { attemptKey, formatEvent } from "./messages.js";
 import type { ReserveDecodeRequest, StartDecodeRequest, StartDecodeResponse } from "./messages.js";
@@ -21,6 +22,7 @@
     readonly counters: Counters;
     readonly stopped: AbortSignal;
     readonly onEngineError: (error: EngineError) => void;
+    readonly checkEnded: EndpointHealth["checkEnded"];
 }
 
 export interface DecodeStreams {
@@ -66,7 +68,11 @@
         if (engineResponse.isErr) {
             counters.add("endpoint.decodeFailed");
             dependencies.onEngineError(engineResponse.error);
-            response.write(formatEvent({ type: "failed", stage: "import", cause: engineResponse.error.cause }));
+            const endpointEndedAtMs = engineResponse.error.kind === "failed" && !disconnected.aborted
+                ? await dependencies.checkEnded()
+                : undefined;
+            const { cause } = engineResponse.error;
+            response.write(formatEvent({ type: "failed", stage: "import", cause, endpointEndedAtMs }));
             await cancelAtEngine(engine, clock, counters, request, stopped);
             return 0;
         }
@@ -85,6 +91,11 @@
         engineReadAbort.abort();
         if (!scanner.ended()) {
             counters.add("endpoint.decodeBroken");
+            const endpointEndedAtMs = disconnected.aborted ? undefined : await dependencies.checkEnded();
+            if (endpointEndedAtMs !== undefined) {
+                const cause = "the endpoint ended";
+                response.write(formatEvent({ type: "failed", stage: "decode", cause, endpointEndedAtMs }));
+            }
             await cancelAtEngine(engine, clock, counters, request, stopped);
         }
         return scanner.tokens();
--- a/src/endpoint/endpointHealth.ts
+++ b/src/endpoint/endpointHealth.ts
@@ -10,6 +10,11 @@
     readonly isDown: () => boolean;
     /** Records a failed call; an unreachable engine is considered down until a probe succeeds. */
     readonly recordError: (error: EngineError) => void;
+    /**
+     * Checks whether the engine has ended; called after work that broke off. Resolves to the wall-clock time in ms at which
+     * that was found, the same one until the engine is reachable again, or to `undefined` if it is reachable.
+     */
+    readonly checkEnded: () => Promise<number | undefined>;
 }
 
 const probeIntervalMs = 500;
@@ -21,6 +26,7 @@
     onChange: () => void,
 ): EndpointHealth {
     let down = false;
+    let downSinceMs: number | undefined;
 
     async function probe(): Promise<void> {
         while (down && !stopped.aborted) {
@@ -28,19 +34,30 @@
             const response = await engine.running();
             if (response.isOk) {
                 down = false;
+                downSinceMs = undefined;
                 onChange();
             }
         }
     }
 
+    function recordError(error: EngineError): void {
+        if (error.kind === "unreachable" && !down) {
+            down = true;
+            downSinceMs = clock.wallMs();
+            onChange();
+            void probe();
+        }
+    }
+
     return {
         isDown: () => down,
-        recordError: error => {
-            if (error.kind === "unreachable" && !down) {
-                down = true;
-                onChange();
-                void probe();
+        recordError,
+        checkEnded: async () => {
+            const running = down ? undefined : await engine.running();
+            if (running?.isErr) {
+                recordError(running.error);
             }
+            return downSinceMs;
         },
     };
 }
--- a/src/endpoint/messages.ts
+++ b/src/endpoint/messages.ts
@@ -80,6 +80,12 @@
     "stale",
 ]);
 
+/**
+ * Set if the endpoint has ended with the failed work: when it was found to have ended, in Unix milliseconds of the
+ * agent's host. All work that failed with one end has the same value.
+ */
+const endpointEndedAtMs = z.number().optional();
+
 const refusedSchema = z.object({ kind: z.literal("refused"), reason: refusalReasonSchema, load: loadSchema });
 
 export const prefillResponseSchema = z.discriminatedUnion("kind", [
@@ -94,7 +100,7 @@
         load: loadSchema,
     }),
     refusedSchema,
-    z.object({ kind: z.literal("engineFailed"), cause: z.string(), load: loadSchema }),
+    z.object({ kind: z.literal("engineFailed"), cause: z.string(), endpointEndedAtMs, load: loadSchema }),
 ]);
 
 export const startDecodeResponseSchema = z.discriminatedUnion("kind", [
@@ -114,7 +120,7 @@
     /** The service could not be reached, so the call was not run. */
     z.object({ kind: z.literal("unreachable"), cause: z.string(), load: loadSchema }),
     /** The call was sent but no complete response arrived, so it may have run. */
-    z.object({ kind: z.literal("unknown"), cause: z.string(), load: loadSchema }),
+    z.object({ kind: z.literal("unknown"), cause: z.string(), endpointEndedAtMs, load: loadSchema }),
 ]);
 
 /** Events of a decode stream. After `reserved`, the engine's events are forwarded unchanged. */
@@ -128,7 +134,7 @@
         finishReason: z.enum(["stop", "length"]),
         completionTokens: nonNegativeInteger,
     }),
-    z.object({ type: z.literal("failed"), stage: z.enum(["import", "decode"]), cause: z.string() }),
+    z.object({ type: z.literal("failed"), stage: z.enum(["import", "decode"]), cause: z.string(), endpointEndedAtMs }),
 ]);
 
 export type EndpointLoad = Readonly<z.output<typeof loadSchema>>;
--- a/src/endpoint/serviceCalls.test.ts
+++ b/src/endpoint/serviceCalls.test.ts
@@ -62,7 +62,7 @@
             set: () => undefined,
             snapshot: () => ({}),
             close: () => undefined,
-        });
+        }, async () => undefined);
         const outcome = await services.call({
             requestId: "r-1",
             attempt: 1,
--- a/src/endpoint/serviceCalls.ts
+++ b/src/endpoint/serviceCalls.ts
@@ -6,6 +6,7 @@
 import type { Clock } from "../common/clock.js";
 import { createResetDetectingConnector } from "../rpc/resetDetectingConnector.js";
 import type { Counters } from "../telemetry/telemetry.js";
+import type { EndpointHealth } from "./endpointHealth.js";
 import type { ServiceCall, ServiceResponse } from "./messages.js";
 import type { WorkQueue } from "./workQueue.js";
 
@@ -28,6 +29,7 @@
     queue: WorkQueue,
     clock: Clock,
     counters: Counters,
+    checkEnded: EndpointHealth["checkEnded"],
 ): ServiceCalls {
     const dispatcher = new Agent({
         connections: maxServiceConnections,
@@ -76,7 +78,10 @@
                 sentAtMs.delete(call.requestId);
             }
             counters.add(`endpoint.serviceCalls.${kind}`);
-            return { kind, cause, load: queue.load() };
+            if (kind === "unreachable" || callSignal.aborted) {
+                return { kind, cause, load: queue.load() };
+            }
+            return { kind, cause, endpointEndedAtMs: await checkEnded(), load: queue.load() };
         }
     }
 
--- a/src/forwarding/context.ts
+++ b/src/forwarding/context.ts
@@ -11,6 +11,7 @@
 import type { EngineRateLimiter } from "../limits/engineRateLimiter.js";
 import type { FleetQuota } from "../limits/fleetQuota.js";
 import type { FleetRetryBudget } from "../limits/fleetRetryBudget.js";
+import type { EngineRuns } from "../quarantine/engineRuns.js";
 import type { RequestQuarantine } from "../quarantine/requestQuarantine.js";
 import type { RouteTable } from "../routes/routeTable.js";
 import type { DecodeScheduler } from "../scheduling/decodeScheduler.js";
@@ -36,6 +37,7 @@
     readonly quota: FleetQuota;
     readonly retryBudget: FleetRetryBudget;
     readonly quarantine: RequestQuarantine;
+    readonly engineRuns: EngineRuns;
     readonly responseTimes: ResponseTimes;
     /** Monotonic time at which draining ends at the latest; `undefined` unless this process is shutting down. */
     readonly shutdownDeadlineMs: () => number | undefined;
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -9,7 +9,7 @@
 import { Result } from "true-myth";
 import { provesNotRun } from "../engines/enginePort.js";
 import type { EngineError, EngineRecord, EngineResponse, PrefilledCache } from "../engines/enginePort.js";
-import type { EngineRun } from "../quarantine/requestQuarantine.js";
+import type { EngineRun } from "../quarantine/engineRuns.js";
 import type { DecodeAllocation } from "../scheduling/decodeScheduler.js";
 import { allowsLocalPrefill, isLocalPrefillFaster, rankForPrefill } from "../scheduling/placement.js";
 import type { ForwardContext } from "./context.js";
@@ -175,7 +175,7 @@
         releaseResources(context, allocation, cache);
         return Result.err({ kind: "unreachable", cause: "the retry budget is used up" });
     }
-    const run = context.quarantine.startRun(allocation.engine, suspectsOf(generation));
+    const run = context.engineRuns.start(allocation.engine, suspectsOf(generation));
     const sent = await context.engines.send(allocation.engine, request, {
         remainingMs: Math.max(1, timeLeftMs(context, generation)),
         signal: AbortSignal.any([request.callerDisconnected, context.clock.timeout(timeLeftMs(context, generation))]),
@@ -251,7 +251,7 @@
         const timeout = context.clock.timeout(expectedMs + prefillTimeoutMarginMs);
         const endLoad = context.loads.start(engine.id, { requests: 1, kvTokens: 0, prefillTokens: size.promptTokens });
         const sentAtMs = context.clock.monotonicMs();
-        const run = context.quarantine.startRun(engine, suspectsOf(generation));
+        const run = context.engineRuns.start(engine, suspectsOf(generation));
         const result = await context.engines.prefill(engine, request, {
             remainingMs: Math.max(1, timeLeftMs(context, generation)),
             signal: AbortSignal.any([request.callerDisconnected, timeout]),
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -12,7 +12,7 @@
 import { Result } from "true-myth";
 import { provesNotRun } from "../engines/enginePort.js";
 import type { BodyFraming, EngineError, EngineRecord, EngineResponse } from "../engines/enginePort.js";
-import type { EngineRun } from "../quarantine/requestQuarantine.js";
+import type { EngineRun } from "../quarantine/engineRuns.js";
 import type { RouteKind } from "../routes/desiredState.js";
 import { rankForPlain } from "../scheduling/placement.js";
 import type { ForwardContext } from "./context.js";
@@ -195,7 +195,7 @@
     const timeout = context.clock.timeout(remainingMs);
     const sentAtMs = context.clock.monotonicMs();
     const endLoad = context.loads.start(engine.id, { requests: 1, kvTokens: 0, prefillTokens: 0 });
-    const run = context.quarantine.startRun(engine, suspectsOf(routed));
+    const run = context.engineRuns.start(engine, suspectsOf(routed));
     const sent = await context.engines.send(engine, request, {
         remainingMs,
         ...request.lastEventId === undefined ? {} : { lastEventId: request.lastEventId },
--- a/src/forwarding/quarantineChecks.ts
+++ b/src/forwarding/quarantineChecks.ts
@@ -2,8 +2,8 @@
  * What forwarding asks of the quarantine: whether a request may be sent, and whether its engine has ended under it.
  */
 
+import type { EngineRun } from "../quarantine/engineRuns.js";
 import { isFingerprint } from "../quarantine/requestFingerprint.js";
-import type { EngineRun } from "../quarantine/requestQuarantine.js";
 import type { ForwardContext } from "./context.js";
 import { refuse } from "./forwardRequest.js";
 import type { ForwardOutcome } from "./forwardRequest.js";
--- a/src/peerSync/messages.ts
+++ b/src/peerSync/messages.ts
@@ -20,7 +20,7 @@
 
 const workSchema = z.object({ requests: z.number(), kvTokens: z.number(), prefillTokens: z.number() });
 
-const crashEvidenceSchema = z.object({
+export const crashEvidenceSchema = z.object({
     part: z.string(),
     engine: z.string(),
     bornMs: z.number(),
--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -32,6 +32,8 @@
      * `undefined` unless at least `minCrashes` engines ended under one of them.
      */
     readonly blame: (parts: readonly string[], minCrashes: number) => Blame | undefined;
+    /** Whether there is evidence against a part that is not refuted. */
+    readonly isSuspected: (part: string) => boolean;
     /** The items to share with other entries: new ones, and those against parts under which several engines ended. */
     readonly items: () => readonly CrashEvidence[];
 }
@@ -132,6 +134,7 @@
                 sinceLastMs: clock.monotonicMs() - lastMs,
             };
         },
+        isSuspected: part => itemsAgainst(part).size > 0,
         items: () => {
             removeExpired();
             const nowMs = clock.monotonicMs();
--- /dev/null
+++ b/src/quarantine/engineRuns.ts
@@ -0,0 +1,140 @@
+/**
+ * Runs of requests at engines, from which the quarantine learns: which engines ended under them, and which requests ran.
+ *
+ * An engine that broke off a response has ended if nothing listens at its address any more, or if another start of an
+ * engine does. If it can't be asked, it has ended once another start is registered at its address.
+ */
+
+import type { Clock } from "../common/clock.js";
+import { startKey } from "../engines/engineNotices.js";
+import type { EnginePort, EngineRecord } from "../engines/enginePort.js";
+import type { RequestQuarantine } from "./requestQuarantine.js";
+
+/** How a run ended. `abandoned` proves nothing: it was cancelled, or its engine did not accept it. */
+export type RunEnd = "completed" | "broken" | "abandoned";
+
+/** A request, or the prefill of one, that was sent to an engine. */
+export interface EngineRun {
+    /** Records that the engine has written something. */
+    readonly recordOutput: () => void;
+    /** Ends the run; resolves to whether its engine is known to have ended with it, so that its parts are suspected. */
+    readonly end: (how: RunEnd) => Promise<boolean>;
+}
+
+export interface EngineRuns {
+    /** `parts` are what may be to blame if the engine ends under the request. */
+    readonly start: (engine: EngineRecord, parts: readonly string[]) => EngineRun;
+}
+
+export interface EngineRunsDependencies {
+    readonly clock: Clock;
+    readonly quarantine: Pick<RequestQuarantine, "suspectable" | "recordEngineEnd" | "recordSound">;
+    readonly report: EnginePort["report"];
+    /** Whether another start of an engine is registered at the engine's address. */
+    readonly isReplaced: (engine: EngineRecord) => boolean;
+}
+
+/** What is known of an engine that broke off a response. */
+type EngineCheck = "ended" | "running" | "unknown";
+
+/**
+ * A run that has written for this long, and this often, did not crash its engine by starting. The time alone does not
+ * tell: a slow engine may end late, and this process may see the end late.
+ */
+const startPhaseMs = 1_000;
+const minOutputs = 3;
+const reportTimeoutMs = 300;
+/** An engine that is ending may still accept a connection and reset it. */
+const maxReports = 3;
+const reportPauseMs = 100;
+/** An engine that ended silently is replaced by another start within this time, or found at its next report. */
+const replacementTimeoutMs = 6_000;
+const replacementPollMs = 500;
+
+/** Whether a run that has written for some time, and some times, did not crash its engine by starting. */
+export function isPastStart(writtenForMs: number, outputs: number): boolean {
+    return writtenForMs >= startPhaseMs && outputs >= minOutputs;
+}
+
+export function createEngineRuns(dependencies: EngineRunsDependencies): EngineRuns {
+    const { clock, quarantine, report, isReplaced } = dependencies;
+    const checksByStart = new Map<string, Promise<EngineCheck>>();
+
+    async function check(engine: EngineRecord): Promise<EngineCheck> {
+        for (let attempt = 1; attempt <= maxReports; attempt++) {
+            const reported = await report(engine, reportTimeoutMs);
+            if (reported.isOk) {
+                const { bornMs } = reported.value;
+                return bornMs > 0 && engine.bornMs > 0 && bornMs !== engine.bornMs ? "ended" : "running";
+            }
+            if (reported.error.kind === "notExecuted") {
+                return "running";
+            }
+            if (reported.error.kind !== "interrupted") {
+                const isRefused = reported.error.kind === "unreachable" && reported.error.isConnectionRefused === true;
+                return isRefused ? "ended" : "unknown";
+            }
+            await clock.sleep(reportPauseMs);
+        }
+        return "unknown";
+    }
+
+    /** Streams of one engine break off together, so they share one check. */
+    function checkOnce(engine: EngineRecord): Promise<EngineCheck> {
+        const key = startKey(engine);
+        const running = checksByStart.get(key) ?? check(engine).finally(() => checksByStart.delete(key));
+        checksByStart.set(key, running);
+        return running;
+    }
+
+    async function awaitReplacement(engine: EngineRecord): Promise<boolean> {
+        for (let waitedMs = 0; waitedMs < replacementTimeoutMs; waitedMs += replacementPollMs) {
+            if (isReplaced(engine)) {
+                return true;
+            }
+            await clock.sleep(replacementPollMs);
+        }
+        return false;
+    }
+
+    /** Returns whether the engine has ended and there are parts to suspect. */
+    async function recordBreak(engine: EngineRecord, parts: readonly string[]): Promise<boolean> {
+        const brokenAtMs = clock.monotonicMs();
+        const suspected = quarantine.suspectable(parts);
+        if (suspected.length === 0) {
+            return false;
+        }
+        const result = await checkOnce(engine);
+        if (result === "unknown") {
+            void awaitReplacement(engine).then(isEnded =>
+                isEnded && quarantine.recordEngineEnd(engine, suspected, brokenAtMs)
+            );
+        }
+        if (result === "ended") {
+            quarantine.recordEngineEnd(engine, suspected, brokenAtMs);
+        }
+        return result === "ended";
+    }
+
+    return {
+        start: (engine, parts) => {
+            let outputAtMs: number | undefined;
+            let outputs = 0;
+            return {
+                recordOutput: () => {
+                    outputAtMs ??= clock.monotonicMs();
+                    outputs += 1;
+                },
+                end: async how => {
+                    const writtenForMs = outputAtMs === undefined ? 0 : clock.monotonicMs() - outputAtMs;
+                    if (how === "completed" || (how === "broken" && isPastStart(writtenForMs, outputs))) {
+                        quarantine.recordSound(parts);
+                        return false;
+                    }
+                    const isStarting = writtenForMs < startPhaseMs || outputs < 2;
+                    return how === "broken" && isStarting && recordBreak(engine, parts);
+                },
+            };
+        },
+    };
+}
--- a/src/quarantine/evidenceStore.test.ts
+++ b/src/quarantine/evidenceStore.test.ts
@@ -9,9 +9,11 @@
 import type { VirtualClock } from "../../fakes/virtualClock.js";
 import { createMemoryPlatform } from "../platform/memoryPlatform.js";
 import type { TableService } from "../platform/ports.js";
+import { createEngineRuns } from "./engineRuns.js";
+import type { RunEnd } from "./engineRuns.js";
 import { createEvidenceStore } from "./evidenceStore.js";
 import { createRequestQuarantine } from "./requestQuarantine.js";
-import type { RequestQuarantine, RunEnd } from "./requestQuarantine.js";
+import type { RequestQuarantine } from "./requestQuarantine.js";
 
 interface Entry {
     readonly quarantine: RequestQuarantine;
@@ -21,17 +23,17 @@
 
 function startEntry(clock: VirtualClock, tables: TableService): Entry {
     const killed = new AbortController();
-    const quarantine = createRequestQuarantine({
+    const quarantine = createRequestQuarantine({ clock, log: silentDecisionLog, onEvidence: () => undefined });
+    const runs = createEngineRuns({
         clock,
-        log: silentDecisionLog,
+        quarantine,
         report: async () => Result.err({ kind: "unreachable", cause: "refused", isConnectionRefused: true }),
         isReplaced: () => false,
-        onEvidence: () => undefined,
     });
     void createEvidenceStore(tables, clock, silentDecisionLog, quarantine).run(killed.signal);
     return {
         quarantine,
-        run: (engine, part, how) => quarantine.startRun(engineRecord(engine, "decode"), [part]).end(how),
+        run: (engine, part, how) => runs.start(engineRecord(engine, "decode"), [part]).end(how),
         kill: () => killed.abort(),
     };
 }
--- a/src/quarantine/requestFingerprint.ts
+++ b/src/quarantine/requestFingerprint.ts
@@ -14,7 +14,7 @@
     readonly target: string;
     /** `undefined` on routes that are open to all. */
     readonly clientAccount: string | undefined;
-    readonly body: Buffer;
+    readonly body: Buffer | string;
 }
 
 const prefix = "request:";
--- a/src/quarantine/requestQuarantine.test.ts
+++ b/src/quarantine/requestQuarantine.test.ts
@@ -9,10 +9,12 @@
 import { createVirtualClock } from "../../fakes/virtualClock.js";
 import type { VirtualClock } from "../../fakes/virtualClock.js";
 import type { EngineError, EngineReport } from "../engines/enginePort.js";
+import { createEngineRuns } from "./engineRuns.js";
+import type { RunEnd } from "./engineRuns.js";
 import { fingerprintOf } from "./requestFingerprint.js";
 import type { RequestContent } from "./requestFingerprint.js";
 import { createRequestQuarantine } from "./requestQuarantine.js";
-import type { RequestQuarantine, RunEnd } from "./requestQuarantine.js";
+import type { RequestQuarantine } from "./requestQuarantine.js";
 
 type Reported = Result<EngineReport, EngineError>;
 
@@ -48,17 +50,17 @@
 
 function createEntry(clock: VirtualClock, reports: readonly Reported[] = [refused]): Entry {
     let next = 0;
-    const quarantine = createRequestQuarantine({
+    const quarantine = createRequestQuarantine({ clock, log: silentDecisionLog, onEvidence: () => undefined });
+    const runs = createEngineRuns({
         clock,
-        log: silentDecisionLog,
+        quarantine,
         report: async () => reports[Math.min(next++, reports.length - 1)] ?? refused,
         isReplaced: () => false,
-        onEvidence: () => undefined,
     });
     return {
         quarantine,
         run: async (engine, parts, how, outputMs, outputs = 5) => {
-            const run = quarantine.startRun(engineRecord(engine, "decode"), split(parts));
+            const run = runs.start(engineRecord(engine, "decode"), split(parts));
             if (outputMs !== undefined) {
                 Array.from({ length: outputs }, run.recordOutput);
                 await clock.advance(outputMs);
@@ -218,17 +220,16 @@
     it("is asked once", async () => {
         const clock = createVirtualClock();
         let asked = 0;
-        const quarantine = createRequestQuarantine({
+        const runs = createEngineRuns({
             clock,
-            log: silentDecisionLog,
+            quarantine: createRequestQuarantine({ clock, log: silentDecisionLog, onEvidence: () => undefined }),
             report: async () => {
                 asked += 1;
                 return errorOf("timeout");
             },
             isReplaced: () => false,
-            onEvidence: () => undefined,
         });
-        expect(await quarantine.startRun(engineRecord("e1", "decode"), ["p"]).end("broken")).toBe(false);
+        expect(await runs.start(engineRecord("e1", "decode"), ["p"]).end("broken")).toBe(false);
         expect(asked).toBe(1);
     });
 });
@@ -263,14 +264,14 @@
     it.each(silentEndCases)("$name: $evidence items of evidence", async ({ report, isReplaced, evidence }) => {
         const clock = createVirtualClock();
         let isNewStartKnown = false;
-        const quarantine = createRequestQuarantine({
+        const quarantine = createRequestQuarantine({ clock, log: silentDecisionLog, onEvidence: () => undefined });
+        const runs = createEngineRuns({
             clock,
-            log: silentDecisionLog,
+            quarantine,
             report: async () => Result.err(report),
             isReplaced: () => isNewStartKnown,
-            onEvidence: () => undefined,
         });
-        const ended = quarantine.startRun(engineRecord("e1"), ["request:1"]).end("broken");
+        const ended = runs.start(engineRecord("e1"), ["request:1"]).end("broken");
         await clock.advance(2_000);
         isNewStartKnown = isReplaced;
         await clock.advance(8_000);
--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -6,13 +6,16 @@
 import { Result } from "true-myth";
 import { checkValue } from "../common/json.js";
 import { agentMethods, prefillResponseSchema, startDecodeResponseSchema } from "../endpoint/messages.js";
-import type { PrefillResponse, ReserveDecodeRequest } from "../endpoint/messages.js";
+import type { DecodeEvent, PrefillResponse, ReserveDecodeRequest } from "../endpoint/messages.js";
+import type { EngineStart } from "../engines/engineNotices.js";
+import { isPastStart } from "../quarantine/engineRuns.js";
 import type { Candidate } from "../routing/choose.js";
 import { estimateTokens, promptBlockHashes } from "../routing/prefixIndex.js";
 import type { RpcError } from "../rpc/errors.js";
 import { openAgentStream } from "./agentStream.js";
 import type { AgentStream } from "./agentStream.js";
 import type { GenerationRequest, RequestContext } from "./context.js";
+import { startOf } from "./endedEndpoint.js";
 import type { FailureKind, Stage } from "./outcomeTable.js";
 
 /** Input of an attempt besides the request. */
@@ -35,6 +38,8 @@
     readonly stage: Stage;
     readonly failure: FailureKind;
     readonly cause: string;
+    /** The endpoint has ended while it had just begun to work on the request. */
+    readonly endedEndpoint?: EngineStart | undefined;
 }
 
 /** Result of an attempt whose token stream ended normally. */
@@ -206,8 +211,11 @@
     context.reportSuccess(candidate.agentUrl);
     if (checked.kind !== "prefilled") {
         input.excluded.add(candidate.endpoint);
-        const failure = checked.kind === "refused" ? "refused" : "engineFailed";
-        return fail("prefill", failure, checked.kind === "refused" ? checked.reason : checked.cause);
+        if (checked.kind === "refused") {
+            return fail("prefill", "refused", checked.reason);
+        }
+        const endedEndpoint = startOf(candidate.endpoint, checked.endpointEndedAtMs);
+        return fail("prefill", "engineFailed", checked.cause, endedEndpoint);
     }
     context.prefixes.recordPrefill(candidate.endpoint, hint.blockHashes);
     context.counters.add("requests.prefillTokens", checked.promptTokens);
@@ -250,8 +258,8 @@
         return fail("transfer", event.error, `${candidate.endpoint}: transfer did not end`);
     }
     if (event.value.type !== "imported") {
-        const cause = event.value.type === "failed" ? event.value.cause : `unexpected event "${event.value.type}"`;
-        return fail("transfer", "engineFailed", `${candidate.endpoint}: ${cause}`);
+        const { cause, endedEndpoint } = describeFailure(candidate, event.value);
+        return fail("transfer", "engineFailed", cause, endedEndpoint);
     }
     return Result.ok(undefined);
 }
@@ -263,6 +271,7 @@
     promptTokens: number,
 ): Promise<Result<CompletedAttempt, AttemptFailure>> {
     const { candidate, stream } = reservation;
+    const startedAtMs = context.clock.monotonicMs();
     let nextIndex = input.emittedTokens;
     while (true) {
         const event = await stream.next(context.timeouts.tokenGapMs);
@@ -287,8 +296,12 @@
             return Result.ok({ finishReason: event.value.finishReason, promptTokens });
         }
         else {
-            const cause = event.value.type === "failed" ? event.value.cause : event.value.type;
-            return fail("decode", "engineFailed", `${candidate.endpoint}: ${cause}`);
+            const { cause, endedEndpoint } = describeFailure(candidate, event.value);
+            const hasStarted = isPastStart(
+                context.clock.monotonicMs() - startedAtMs,
+                nextIndex - input.emittedTokens,
+            );
+            return fail("decode", "engineFailed", cause, hasStarted ? undefined : endedEndpoint);
         }
     }
 }
@@ -324,6 +337,21 @@
     return fail(stage, kind === "rejected" ? "refused" : kind, `${candidate.endpoint}: ${cause}`);
 }
 
-function fail(stage: Stage, failure: FailureKind, cause: string): Result<never, AttemptFailure> {
-    return Result.err({ stage, failure, cause });
+/** Describes an event that ends a decode stream before its end event. */
+function describeFailure(
+    { endpoint }: Candidate,
+    event: DecodeEvent,
+): Pick<AttemptFailure, "cause" | "endedEndpoint"> {
+    return event.type === "failed"
+        ? { cause: `${endpoint}: ${event.cause}`, endedEndpoint: startOf(endpoint, event.endpointEndedAtMs) }
+        : { cause: `${endpoint}: unexpected event "${event.type}"` };
+}
+
+function fail(
+    stage: Stage,
+    failure: FailureKind,
+    cause: string,
+    endedEndpoint?: EngineStart,
+): Result<never, AttemptFailure> {
+    return Result.err({ stage, failure, cause, endedEndpoint });
 }
--- a/src/requests/callService.ts
+++ b/src/requests/callService.ts
@@ -6,7 +6,10 @@
 import { checkValue } from "../common/json.js";
 import { agentMethods, serviceResponseSchema } from "../endpoint/messages.js";
 import type { ServiceResponse } from "../endpoint/messages.js";
+import type { EngineStart } from "../engines/engineNotices.js";
+import { fingerprintOf } from "../quarantine/requestFingerprint.js";
 import type { RequestAttributes, RequestContext } from "./context.js";
+import { startOf } from "./endedEndpoint.js";
 import { findOutcome } from "./outcomeTable.js";
 import type { FailureKind } from "./outcomeTable.js";
 
@@ -35,11 +38,14 @@
 interface CallFailure {
     readonly failure: FailureKind;
     readonly cause: string;
+    /** The endpoint has ended with the call. */
+    readonly endedEndpoint?: EngineStart | undefined;
 }
 
 const maxAttempts = 3;
 const responseMarginMs = 1_000;
 const refusalRetryAfterMs = 1_000;
+const quarantinedCause = "endpoints ended under this request";
 
 /**
  * Runs a call with retries as the outcome table and the retry budget allow. Aborting `signal` stops the retries; it
@@ -51,6 +57,9 @@
     signal: AbortSignal,
 ): Promise<ServiceOutcome> {
     const excluded = new Set<string>();
+    const parts = [
+        fingerprintOf({ ...request, host: request.poolName, target: request.path, body: request.bodyBase64 }),
+    ];
     let mayHaveRun = false;
     context.retryBudget.recordRequest(request.clientAccount, request.poolName);
 
@@ -59,13 +68,30 @@
     }
 
     for (let attempt = 1;; attempt++) {
+        const quarantined = context.quarantine.find(parts);
+        if (quarantined !== undefined) {
+            context.counters.add("requests.quarantined");
+            return mayHaveRun ? { kind: "unknown", cause: quarantinedCause } : {
+                kind: "notRun",
+                cause: quarantinedCause,
+                retryAfterMs: quarantined.remainingMs,
+            };
+        }
         if (!await context.confirmAdmission()) {
             return failed("the admission became stale");
         }
         const result = await sendOnce(context, request, attempt, excluded, signal);
         if ("status" in result) {
+            context.quarantine.recordSound(parts);
             return result;
         }
+        if (result.endedEndpoint !== undefined) {
+            context.quarantine.recordEngineEnd(
+                result.endedEndpoint,
+                context.quarantine.suspectable(parts),
+                context.clock.monotonicMs(),
+            );
+        }
         if (result.failure === "none") {
             return failed(result.cause);
         }
@@ -73,7 +99,8 @@
         mayHaveRun ||= outcome.mayHaveRun;
         const action = request.idempotent ? outcome.idempotent : outcome.nonIdempotent;
         context.counters.add(`requests.calls.${result.failure}.${action}`);
-        const mayRetry = action === "retry" && attempt < maxAttempts && !signal.aborted;
+        const mayRetry = action === "retry" && attempt < maxAttempts && !signal.aborted
+            && result.endedEndpoint === undefined;
         if (!mayRetry || !context.retryBudget.takeRetry(request.clientAccount, request.poolName)) {
             return failed(result.cause);
         }
@@ -117,10 +144,11 @@
     context.loads.recordReport(candidate.endpoint, checked.value.load);
     context.reportSuccess(candidate.agentUrl);
     excluded.add(candidate.endpoint);
-    return toOutcome(checked.value);
+    return toOutcome(candidate.endpoint, checked.value);
 }
 
 function toOutcome(
+    endpoint: string,
     response: ServiceResponse,
 ): Extract<ServiceOutcome, { readonly kind: "answered"; }> | CallFailure {
     switch (response.kind) {
@@ -133,6 +161,10 @@
         case "unreachable":
             return { failure: "unreachable", cause: response.cause };
         case "unknown":
-            return { failure: "interrupted", cause: response.cause };
+            return {
+                failure: "interrupted",
+                cause: response.cause,
+                endedEndpoint: startOf(endpoint, response.endpointEndedAtMs),
+            };
     }
 }
--- a/src/requests/context.ts
+++ b/src/requests/context.ts
@@ -5,6 +5,7 @@
 import type { Clock } from "../common/clock.js";
 import type { Random } from "../common/random.js";
 import type { Pool, RequestClass } from "../configuration/objects.js";
+import type { RequestQuarantine } from "../quarantine/requestQuarantine.js";
 import type { CandidateIndex } from "../routing/candidates.js";
 import type { RoutingPolicies } from "../routing/choose.js";
 import type { LoadView } from "../routing/loadView.js";
@@ -25,6 +26,7 @@
     readonly loads: LoadView;
     readonly prefixes: PrefixIndex;
     readonly retryBudget: RetryBudget;
+    readonly quarantine: RequestQuarantine;
     readonly timeouts: RequestTimeouts;
     /** Reports a failed call to an agent to the host directory. */
     readonly reportFailure: (agentUrl: string) => void;
--- a/src/requests/generate.ts
+++ b/src/requests/generate.ts
@@ -4,6 +4,7 @@
  */
 
 import { backoffMs } from "../common/random.js";
+import { fingerprintOf } from "../quarantine/requestFingerprint.js";
 import { runAttempt } from "./attempt.js";
 import type { AttemptFailure } from "./attempt.js";
 import type { GenerationOutcome, GenerationRequest, RequestContext } from "./context.js";
@@ -16,6 +17,7 @@
 const routeBackoffMs = 150;
 const maxRouteBackoffMs = 2_000;
 const refusalRetryAfterMs = 1_000;
+const quarantinedCause = "endpoints ended under this request";
 
 /**
  * Passes text to `onText` as it is generated and resolves when the outcome is final. Aborting `signal` cancels the
@@ -31,6 +33,7 @@
     const excluded = new Set<string>();
     let emittedText = "";
     let emittedTokens = 0;
+    const parts = [generationFingerprint(request)];
     let mayHaveRun = false;
     context.retryBudget.recordRequest(request.clientAccount, request.poolName);
 
@@ -55,6 +58,12 @@
     }
 
     for (let attempt = 1;; attempt++) {
+        const quarantined = context.quarantine.find(parts);
+        if (quarantined !== undefined) {
+            context.counters.add("requests.quarantined");
+            const { remainingMs: retryAfterMs } = quarantined;
+            return { kind: "failed", cause: quarantinedCause, notRun: !mayHaveRun, retryAfterMs };
+        }
         if (!await context.confirmAdmission()) {
             return failed({ stage: "route", failure: "none", cause: "the admission became stale" });
         }
@@ -70,8 +79,14 @@
                 onText(remainingText);
             }
             context.counters.add("requests.completed");
+            context.quarantine.recordSound(parts);
             return { kind: "completed", completionTokens: emittedTokens, ...result.value };
         }
+        const { endedEndpoint } = result.error;
+        if (endedEndpoint !== undefined) {
+            const suspected = context.quarantine.suspectable(parts);
+            context.quarantine.recordEngineEnd(endedEndpoint, suspected, context.clock.monotonicMs());
+        }
         const outcome = findOutcome(result.error.stage, result.error.failure);
         mayHaveRun ||= outcome.mayHaveRun;
         // A generation that may have run in part must be completed, so it waits for endpoints to become available.
@@ -92,3 +107,10 @@
         await context.clock.sleep(backoffMs(context.random, attempt, retryBackoffMs, maxRetryBackoffMs), signal);
     }
 }
+
+function generationFingerprint(
+    { clientAccount, poolName, model, prompt, maxOutputTokens, stop }: GenerationRequest,
+): string {
+    const body = JSON.stringify([prompt, maxOutputTokens, stop]);
+    return fingerprintOf({ method: "generate", host: poolName, target: model, clientAccount, body });
+}
