Keep evidence against a request whose later run broke off late

A stream that had written for a second and then broke off counted as sound, as a whole request too, and refuted the evidence against it. Only the parts of its prompt have proved sound; the request has not run to its end. Test: fails without the change (the request is no longer suspected).

--- a/src/quarantine/engineRuns.ts
+++ b/src/quarantine/engineRuns.ts
@@ -8,6 +8,7 @@
 import type { Clock } from "../common/clock.js";
 import { startKey } from "../engines/engineNotices.js";
 import type { EnginePort, EngineRecord } from "../engines/enginePort.js";
+import { isFingerprint } from "./requestFingerprint.js";
 import type { RequestQuarantine } from "./requestQuarantine.js";
 
 /** How a run ended. `abandoned` proves nothing: it was cancelled, or its engine did not accept it. */
@@ -127,10 +128,15 @@
                 },
                 end: async how => {
                     const writtenForMs = outputAtMs === undefined ? 0 : clock.monotonicMs() - outputAtMs;
-                    if (how === "completed" || (how === "broken" && isPastStart(writtenForMs, outputs))) {
+                    if (how === "completed") {
                         quarantine.recordSound(parts);
                         return false;
                     }
+                    if (how === "broken" && isPastStart(writtenForMs, outputs)) {
+                        // Its prompt is sound; the request as a whole has not run to its end.
+                        quarantine.recordSound(parts.filter(part => !isFingerprint(part)));
+                        return false;
+                    }
                     const isStarting = writtenForMs < startPhaseMs || outputs < 2;
                     return how === "broken" && isStarting && recordBreak(engine, parts);
                 },
--- a/src/quarantine/requestQuarantine.test.ts
+++ b/src/quarantine/requestQuarantine.test.ts
@@ -301,6 +301,15 @@
         expect(fingerprintOf({ ...content, ...difference }) === fingerprintOf(content)).toBe(isSame);
     });
 
+    it("are still suspected after a run that broke off late, unlike the parts of its prompt", async () => {
+        const entry = createEntry(createVirtualClock(), [errorOf("timeout")]);
+        const fingerprint = fingerprintOf(content);
+        entry.quarantine.recordEngineEnd({ id: "e1", bornMs: 1 }, [fingerprint, "p"], 0);
+        await entry.run("e2", `${fingerprint} p`, "broken", 2_000);
+        expect(entry.quarantine.isSuspected([fingerprint])).toBe(true);
+        expect(entry.quarantine.isSuspected(["p"])).toBe(false);
+    });
+
     it("are suspected after one engine, refused after two, and served again once one has run", async () => {
         const clock = createVirtualClock();
         const entry = createEntry(clock);
