Forget evidence against requests that were there by chance first

With whole requests, each end of an engine leaves evidence against all that had just started there, and the table of 500 parts forgot the oldest first, whichever it was. Parts under which several engines ended are now kept longest. Test: 600 requests by chance, fails without it.

--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -57,7 +57,7 @@
 const sharingMs = 60_000;
 /** Items in one message to another entry. */
 const maxSharedItems = 40;
-/** Parts with evidence; the oldest are forgotten first. */
+/** Parts with evidence; the oldest are forgotten first, those under which several engines ended last. */
 const maxParts = 500;
 
 export function createEvidenceTable(clock: Clock): EvidenceTable {
@@ -75,9 +75,10 @@
                 itemsByPart.delete(part);
             }
         }
-        const oldest = itemsByPart.size > maxParts ? itemsByPart.keys().next().value : undefined;
-        if (oldest !== undefined) {
-            itemsByPart.delete(oldest);
+        if (itemsByPart.size > maxParts) {
+            const parts = [...itemsByPart.keys()];
+            const forgotten = parts.find(part => itemsAgainst(part).size < 2) ?? parts[0] ?? "";
+            itemsByPart.delete(forgotten);
         }
     }
 
--- a/src/quarantine/requestQuarantine.test.ts
+++ b/src/quarantine/requestQuarantine.test.ts
@@ -310,6 +310,17 @@
         expect(entry.quarantine.isSuspected(["p"])).toBe(false);
     });
 
+    it("keep the evidence of several engines when hundreds of others were there by chance", async () => {
+        const { quarantine } = createEntry(createVirtualClock());
+        const fingerprint = fingerprintOf(content);
+        ["e1", "e2"].forEach(id => quarantine.recordEngineEnd({ id, bornMs: 1 }, [fingerprint], 0));
+        for (let engine = 0; engine < 60; engine++) {
+            const bystanders = Array.from({ length: 10 }, (unused, index) => `request:${engine}-${index}`);
+            quarantine.recordEngineEnd({ id: `b${engine}`, bornMs: 1 }, bystanders, 0);
+        }
+        expect(quarantine.find([fingerprint])?.crashes).toBe(2);
+    });
+
     it("are suspected after one engine, refused after two, and served again once one has run", async () => {
         const clock = createVirtualClock();
         const entry = createEntry(clock);
