Soak: engines that name rates, requests that end engines, signals in series

Engines name a limit for 1 to 8 s, change it once and end it; one call in a hundred to /pay and /look has a body that ends its engine 20 ms later, which starts again. Further SIGTERM and SIGHUP follow while a process drains. Checked with the platform's figures, without excuses for killed, frozen or cut entries: what an engine gets in 4 s from 3 s after it named its limit, and runs of a deadly request later than 3 s after the third.

--- a/fakes/platformEngine.ts
+++ b/fakes/platformEngine.ts
@@ -13,7 +13,7 @@
  * not resumed, `endInEvent` sends streams without a length or chunks and closes the connection in order in the middle of
  * one, `lost` executes the request and resets without a response, `error` responds to plain calls with status 500,
  * `endOnPart` ends the engine when it begins to write on a prompt with `deadlyPromptPart`, and starts it again soon after,
- * `endOnBody` does so when it begins to run a request with `deadlyBody`, `rest` rejects requests and asks for a pause, `leaving` announces in all responses that the engine is leaving, and
+ * `rest` rejects requests and asks for a pause, `leaving` announces in all responses that the engine is leaving, and
  * `endless` sends bytes that are no response until the connection is closed.
  */
 export type EngineFault =
@@ -26,7 +26,6 @@
     | "endInEvent"
     | "lost"
     | "endOnPart"
-    | "endOnBody"
     | "error"
     | "rest"
     | "leaving"
@@ -50,14 +49,28 @@
     readonly headers: Readonly<Record<string, string>>;
     readonly target: string;
     readonly body: string;
+    /** Wall-clock time in ms at which it began. */
+    readonly atMs: number;
+}
+
+/** A limit that an engine named; times are wall-clock times in ms. */
+export interface NamedLimit {
+    readonly value: string;
+    readonly fromMs: number;
+    /** `undefined` while it is named. */
+    readonly untilMs: number | undefined;
 }
 
 export interface FakePlatformEngine {
     readonly id: string;
     /** Wall-clock times in ms at which requests arrived, executed or not. */
     readonly arrivedAtMs: number[];
-    /** Sets the value of `Server-Limit` in all responses; `undefined` for none. */
+    /** Sets the value of `Server-Limit` in all responses; `undefined` for none. It ends when the engine ends. */
     readonly nameLimit: (value: string | undefined) => void;
+    /** The limits that the engine has named so far. */
+    readonly limits: readonly NamedLimit[];
+    /** Lets the engine end soon after it has begun to run a request with `deadlyBody`, and start again. */
+    readonly endOnDeadlyBody: () => void;
     readonly stage: FakePlatformEngineOptions["stage"];
     /** IP address and port. */
     readonly address: string;
@@ -90,7 +103,8 @@
     let lastId = 0;
     let fault: EngineFault = "none";
     const arrivedAtMs: number[] = [];
-    let limit: string | undefined;
+    const limits: NamedLimit[] = [];
+    let endsOnDeadlyBody = false;
 
     function respond(
         response: ServerResponse,
@@ -201,6 +215,7 @@
             headers: Object.fromEntries(Object.entries(request.headers).map(([name, value]) => [name, String(value)])),
             target: request.url ?? "",
             body,
+            atMs: Date.now(),
         });
         if (fault === "lost") {
             request.socket.resetAndDestroy();
@@ -210,7 +225,7 @@
             endAndRestart();
             return;
         }
-        if (fault === "endOnBody" && body === deadlyBody) {
+        if (endsOnDeadlyBody && body === deadlyBody) {
             setTimeout(endAndRestart, deadlyRunMs).unref();
             return;
         }
@@ -226,8 +241,9 @@
 
     async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
         arrivedAtMs.push(Date.now());
-        if (limit !== undefined) {
-            response.setHeader("server-limit", limit);
+        const limit = limits.at(-1);
+        if (limit !== undefined && limit.untilMs === undefined) {
+            response.setHeader("server-limit", limit.value);
         }
         const chunks: Buffer[] = [];
         for await (const chunk of request as AsyncIterable<Buffer>) {
@@ -277,10 +293,21 @@
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", () => resolve()));
     const { port } = server.address() as AddressInfo;
 
+    function nameLimit(value: string | undefined): void {
+        const last = limits.pop();
+        if (last !== undefined) {
+            limits.push({ ...last, untilMs: last.untilMs ?? Date.now() });
+        }
+        if (value !== undefined) {
+            limits.push({ value, fromMs: Date.now(), untilMs: undefined });
+        }
+    }
+
     function endAndRestart(): void {
         if (!server.listening) {
             return;
         }
+        nameLimit(undefined);
         server.close();
         sockets.forEach(socket => socket.destroy());
         reservations.clear();
@@ -295,8 +322,10 @@
         runs,
         seen,
         arrivedAtMs,
-        nameLimit: value => {
-            limit = value;
+        limits,
+        nameLimit,
+        endOnDeadlyBody: () => {
+            endsOnDeadlyBody = true;
         },
         held: () => reservations.size + caches.size + streams,
         setFault: next => {
--- /dev/null
+++ b/fakes/soakChecks.ts
@@ -0,0 +1,61 @@
+/**
+ * Checks of the fault soak on what engines received: the rates that they name, and requests under which they end.
+ */
+
+import { deadlyBody } from "./platformEngine.js";
+import type { FakePlatformEngine, NamedLimit } from "./platformEngine.js";
+
+/** Limits of the platform: what an engine may get in a window, and from when on after it first named its rate. */
+export const rateWindowMs = 4_000;
+const stableWindowMs = 3_000;
+const toldMs = 500;
+const windowFactor = 1.5;
+const windowSlack = 5;
+/** Engines that may end under copies of one request before entries must react, and copies that may run later. */
+const maxEnds = 3;
+const maxLaterRuns = 3;
+const msPerSecond = 1_000;
+
+/** What an engine may get within one window. */
+export function allowedInWindow(ratePerSecond: number): number {
+    return Math.floor(windowFactor * ratePerSecond * rateWindowMs / msPerSecond) + windowSlack;
+}
+
+/** The most requests that arrived within one window, of those that count against a limit. */
+export function maxInWindow(arrivedAtMs: readonly number[], { fromMs, untilMs }: NamedLimit): number {
+    const counted = arrivedAtMs.filter(atMs => atMs >= fromMs + toldMs && atMs <= (untilMs ?? Infinity));
+    const counts = counted
+        .filter(endMs => endMs >= fromMs + stableWindowMs)
+        .map(endMs => counted.filter(atMs => atMs <= endMs && atMs > endMs - rateWindowMs).length);
+    return Math.max(0, ...counts);
+}
+
+export function checkRates(engines: readonly FakePlatformEngine[]): readonly string[] {
+    return engines.flatMap(({ id, limits, arrivedAtMs }) =>
+        limits.flatMap(limit => {
+            const got = maxInWindow(arrivedAtMs, limit);
+            const allowed = allowedInWindow(Number(limit.value));
+            return got <= allowed
+                ? []
+                : [`${id} named a limit of ${limit.value} a second and got ${got} requests in 4 s; allowed ${allowed}`];
+        })
+    );
+}
+
+/** Checks that copies of a deadly request stop reaching engines some time after they have ended the third one. */
+export function checkDeadlyRuns(engines: readonly FakePlatformEngine[]): readonly string[] {
+    const runsByTarget = new Map<string, number[]>();
+    for (const { target, body, atMs } of engines.flatMap(engine => engine.runs)) {
+        if (body === deadlyBody) {
+            runsByTarget.set(target, [...runsByTarget.get(target) ?? [], atMs]);
+        }
+    }
+    return [...runsByTarget].flatMap(([target, unsorted]) => {
+        const times = unsorted.sort((left, right) => left - right);
+        const thirdAtMs = times[maxEnds - 1] ?? Infinity;
+        const later = times.filter(atMs => atMs > thirdAtMs + stableWindowMs).length;
+        return later <= maxLaterRuns
+            ? []
+            : [`${target}: ${later} deadly runs later than ${stableWindowMs} ms after the third, of ${times.length}`];
+    });
+}
--- a/fakes/soakRun.ts
+++ b/fakes/soakRun.ts
@@ -10,10 +10,12 @@
 import { request } from "undici";
 import { createRandom, pickOne } from "../src/common/random.js";
 import type { Random } from "../src/common/random.js";
+import { deadlyBody } from "./platformEngine.js";
 import type { EngineFault } from "./platformEngine.js";
 import { callSite, expectedStream, isReady, siteKey, startPlatformSite, until } from "./platformSite.js";
 import type { EntryProcess, PlatformSite, SiteResponse } from "./platformSite.js";
 import type { StoreFault } from "./platformStore.js";
+import { checkDeadlyRuns, checkRates } from "./soakChecks.js";
 import { startTcpProxy } from "./tcpProxy.js";
 import type { ProxyFault, TcpProxy } from "./tcpProxy.js";
 
@@ -52,6 +54,9 @@
 const eventMs = 15;
 const callersPerEntry = 4;
 const paths = ["/chat/x", "/long/x", "/pay/x", "/look/x"];
+/** Paths of calls that end engines with `deadlyBody`, and the fraction of calls on them that have it. */
+const deadlyPaths: ReadonlySet<string> = new Set(["/pay/x", "/look/x"]);
+const deadlyFraction = 0.01;
 /**
  * The project requires that a withdrawn key is refused within this time, counted from the withdrawal or from the end of
  * the last store fault, whichever is later.
@@ -91,6 +96,7 @@
         proxyEngineAddress: proxiedInto(engineProxies),
         proxyStoreAddress: proxiedInto(storeProxies),
     });
+    site.engines.forEach(engine => engine.endOnDeadlyBody());
     const completed: CompletedRequest[] = [];
     const timeline: string[] = [];
     const withdrawnAtMs = new Map<string, number>();
@@ -108,7 +114,8 @@
             const withdrawnKey = pickOne(random, [...withdrawnAtMs.keys()]);
             const key = withdrawnKey !== undefined && random() < 0.2 ? withdrawnKey : state.key;
             const sentAtMs = Date.now();
-            const response = await callSite(entry, path, key).catch(() => undefined);
+            const body = deadlyPaths.has(path) && random() < deadlyFraction ? deadlyBody : undefined;
+            const response = await callSite(entry, path, key, undefined, undefined, body).catch(() => undefined);
             if (response === undefined) {
                 await delay(50);
                 continue;
@@ -148,6 +155,8 @@
         const violations = [
             ...checkResponses(completed, site, withdrawnAtMs, state.storeFaultEndMs),
             ...await checkRecovery(site, state.key),
+            ...checkRates(site.engines),
+            ...checkDeadlyRuns(site.engines),
         ];
         const logFile = join(mkdtempSync(join(tmpdir(), "gooseberrywell-soak-")), `seed-${options.seed}.log`);
         if (violations.length > 0) {
@@ -224,6 +233,11 @@
 
     async function restartAfterSignal(entry: EntryProcess, signal: NodeJS.Signals): Promise<void> {
         entry.signal(signal);
+        while (durations() < 0.4) {
+            // Further signals while the process drains, if it still runs.
+            await delay(durations() * 400);
+            entry.signal(pickOne<NodeJS.Signals>(durations, ["SIGTERM", "SIGHUP"]) ?? "SIGHUP");
+        }
         await entry.restart();
         await until(`${entry.name} is ready after ${signal}`, () => isReady(entry));
     }
@@ -285,6 +299,19 @@
                 }
             });
         },
+        random =>
+            exclusiveFault(
+                pickOne(random, site.engines.map(engine => engine.limits)),
+                "engine names a limit",
+                async limits => {
+                    const engine = site.engines.find(each => each.limits === limits);
+                    for (let change = 0; change < 2; change++) {
+                        engine?.nameLimit((1 + durations() * 9).toFixed(1));
+                        await delay(500 + durations() * 3_500);
+                    }
+                    engine?.nameLimit(undefined);
+                },
+            ),
         random => connectionFault(random, "connections", proxies.engines),
         random => connectionFault(random, "one entry's connections to the store", proxies.store),
         () => exclusiveFault(site.store, "store restored from an older copy", restoreStore),
--- a/test/engineRateLimit.test.ts
+++ b/test/engineRateLimit.test.ts
@@ -4,41 +4,25 @@
 
 import { setTimeout as delay } from "node:timers/promises";
 import { afterEach, describe, expect, it } from "vitest";
+import type { FakePlatformEngine } from "../fakes/platformEngine.js";
 import { callSite, isReady, startPlatformSite, until } from "../fakes/platformSite.js";
 import type { EntryProcess, PlatformSite, SiteResponse } from "../fakes/platformSite.js";
+import { allowedInWindow, maxInWindow, rateWindowMs } from "../fakes/soakChecks.js";
 
-/** Limits of the platform: what an engine may get in a window, from some time after it first named its rate. */
-const windowMs = 4_000;
-const stableWindowMs = 3_000;
-const windowFactor = 1.5;
-const windowSlack = 5;
+/** Longer than the time from when on the platform counts, and one window. */
+const loadMs = 3_000 + rateWindowMs;
+const loadIntervalMs = 40;
 
 let site: PlatformSite;
 
 afterEach(() => site.close());
 
-/** The most requests that arrived within one window. */
-function maxInWindow(arrivedAtMs: readonly number[]): number {
-    const counts = arrivedAtMs.map((startMs, index) =>
-        arrivedAtMs.slice(index).filter(atMs => atMs - startMs <= windowMs).length
-    );
-    return Math.max(0, ...counts);
-}
-
-function allowedInWindow(ratePerSecond: number): number {
-    return Math.floor(windowFactor * ratePerSecond * windowMs / 1_000) + windowSlack;
-}
-
 /** Sends calls at a steady rate to every entry for some time; resolves to the responses. */
-async function sendLoad(
-    entries: readonly EntryProcess[],
-    durationMs: number,
-    intervalMs: number,
-): Promise<readonly SiteResponse[]> {
+async function sendLoad(entries: readonly EntryProcess[]): Promise<readonly SiteResponse[]> {
     const responses: Promise<SiteResponse>[] = [];
-    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += intervalMs) {
+    for (let elapsedMs = 0; elapsedMs < loadMs; elapsedMs += loadIntervalMs) {
         responses.push(...entries.map((entry, index) => callSite(entry, index % 2 === 0 ? "/look/x" : "/pay/x")));
-        await delay(intervalMs);
+        await delay(loadIntervalMs);
     }
     return Promise.all(responses);
 }
@@ -49,13 +33,12 @@
         const ratePerSecond = 2;
         site = await startPlatformSite({ entries: 2, plainEngines: 3 });
         await until("all entries are ready", async () => (await Promise.all(site.entries.map(isReady))).every(Boolean));
-        const limited = site.engines.find(engine => engine.id === "d-1");
-        limited?.nameLimit(String(ratePerSecond));
-        const namedAtMs = Date.now();
-        const responses = await sendLoad(site.entries, stableWindowMs + windowMs, 40);
-        const counted = limited?.arrivedAtMs.filter(atMs => atMs >= namedAtMs + stableWindowMs / 2) ?? [];
-        expect(maxInWindow(counted)).toBeLessThanOrEqual(allowedInWindow(ratePerSecond));
-        expect(counted.length).toBeGreaterThan(0);
+        const [limited] = site.engines.filter(engine => engine.stage === undefined) as [FakePlatformEngine];
+        limited.nameLimit(String(ratePerSecond));
+        const responses = await sendLoad(site.entries);
+        const got = limited.limits.map(limit => maxInWindow(limited.arrivedAtMs, limit));
+        expect(Math.max(...got)).toBeLessThanOrEqual(allowedInWindow(ratePerSecond));
+        expect(Math.max(...got)).toBeGreaterThan(0);
         expect(responses.map(({ status }) => status).filter(status => status !== 200)).toEqual([]);
     });
 
@@ -66,11 +49,10 @@
         await until("all entries are ready", async () => (await Promise.all(site.entries.map(isReady))).every(Boolean));
         const limited = site.engines.filter(engine => engine.stage === undefined);
         limited.forEach(engine => engine.nameLimit(String(ratePerSecond)));
-        const namedAtMs = Date.now();
-        const responses = await sendLoad(site.entries, stableWindowMs + windowMs, 40);
-        for (const { arrivedAtMs } of limited) {
-            const counted = arrivedAtMs.filter(atMs => atMs >= namedAtMs + stableWindowMs / 2);
-            expect(maxInWindow(counted)).toBeLessThanOrEqual(allowedInWindow(ratePerSecond));
+        const responses = await sendLoad(site.entries);
+        for (const { arrivedAtMs, limits } of limited) {
+            const got = limits.map(limit => maxInWindow(arrivedAtMs, limit));
+            expect(Math.max(...got)).toBeLessThanOrEqual(allowedInWindow(ratePerSecond));
         }
         const refused = responses.filter(({ status }) => status === 503);
         expect(responses.filter(({ status }) => status !== 200 && status !== 503)).toEqual([]);
--- a/test/platformPath.test.ts
+++ b/test/platformPath.test.ts
@@ -244,7 +244,7 @@
         "%s: is refused by every entry after few ends; sound requests with its path and account are served",
         async path => {
             await start({ entries: 2, plainEngines: 4 });
-            site.engines.forEach(engine => engine.setFault("endOnBody"));
+            site.engines.forEach(engine => engine.endOnDeadlyBody());
             const callDeadly = (index: number): Promise<number> =>
                 callSite(entry(index), path, siteKey, undefined, undefined, deadlyBody).then(({ status }) => status);
             const deadlyRuns = (): number =>
