Log an invalid rate once; one schema of evidence, in its own slice

An engine whose Server-Limit is no number would be logged with each response. The schema of evidence between entries stood beside a type of the same fields, in another slice.

--- a/src/engines/engineRates.ts
+++ b/src/engines/engineRates.ts
@@ -68,6 +68,8 @@
 
 export function createEngineRates(clock: Clock, log: Log): EngineRates {
     const known = new Map<string, KnownRate>();
+    /** The last invalid value of each start, which is logged once. */
+    const invalidValues = new Map<string, string>();
     const listeners: (() => void)[] = [];
 
     /** Replaces an older notice; returns whether the rate differs from the one known before. */
@@ -92,6 +94,15 @@
         );
     }
 
+    function recordInvalid(start: EngineStart, value: string): void {
+        const key = startKey(start);
+        if (invalidValues.get(key) !== value) {
+            invalidValues.set(key, value);
+            removeOldest(invalidValues, maxKnownStarts);
+            log.warn("an engine names a limit on its requests that is not a number", { engine: start.id, value });
+        }
+    }
+
     function recordOwn(start: EngineStart, ratePerSecond: number | undefined): void {
         if (replace(start, ratePerSecond, clock.monotonicMs())) {
             logChange(start, ratePerSecond, "response");
@@ -108,7 +119,7 @@
         recordNamed: (engine, value) => {
             const ratePerSecond = parseRate(value);
             if (ratePerSecond === undefined) {
-                log.warn("an engine names a limit on its requests that is not a number", { engine: engine.id, value });
+                recordInvalid(engine, value);
                 return;
             }
             recordOwn(engine, ratePerSecond);
--- a/src/peerSync/messages.ts
+++ b/src/peerSync/messages.ts
@@ -6,6 +6,7 @@
 import { z } from "zod";
 import type { JsonValue } from "../common/json.js";
 import { rateNoticeSchema } from "../engines/engineRates.js";
+import { crashEvidenceSchema } from "../quarantine/crashEvidence.js";
 import { unknownPosition } from "./storePosition.js";
 import type { StorePosition } from "./storePosition.js";
 import type { TableCopy } from "./tableReplica.js";
@@ -20,14 +21,6 @@
 
 const workSchema = z.object({ requests: z.number(), kvTokens: z.number(), prefillTokens: z.number() });
 
-export const crashEvidenceSchema = z.object({
-    part: z.string(),
-    engine: z.string(),
-    bornMs: z.number(),
-    agoMs: z.number().min(0),
-    isRefuted: z.boolean(),
-});
-
 /** The state of one entry, used both as the request and as the response. */
 export const entryStateSchema = z.object({
     /** Base URL of the entry. */
--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -1,5 +1,6 @@
 /**
- * Evidence against parts of prompts: which engines ended while a request with the part had just started on them.
+ * Evidence against parts of requests: which engines ended while a request with the part had just started on them. A part
+ * is a shared part of a prompt, or the whole request.
  *
  * Several parts may be in all requests under which engines ended. A part is blamed only together with every other part
  * that accounts for at least the same engines, so that a request with just one of them is still served and, if it runs,
@@ -7,20 +8,24 @@
  * that is refuted stays so.
  */
 
+import { z } from "zod";
 import type { Clock } from "../common/clock.js";
 import { startKey } from "../engines/engineNotices.js";
 import type { EngineStart } from "../engines/engineNotices.js";
 
-/** One end of an engine under a request with a part. */
-export interface CrashEvidence {
-    readonly part: string;
-    readonly engine: string;
-    readonly bornMs: number;
+/** One end of an engine under a request with a part, as entries send it to each other. */
+export const crashEvidenceSchema = z.object({
+    /** A shared part of a prompt, or the fingerprint of a whole request. */
+    part: z.string(),
+    engine: z.string(),
+    bornMs: z.number(),
     /** Time since the engine ended. */
-    readonly agoMs: number;
+    agoMs: z.number().min(0),
     /** A request with the part has run since. */
-    readonly isRefuted: boolean;
-}
+    isRefuted: z.boolean(),
+});
+
+export type CrashEvidence = Readonly<z.output<typeof crashEvidenceSchema>>;
 
 export interface EvidenceTable {
     /** Adds an item or merges it with the one known of the same part and engine start. */
--- a/src/quarantine/evidenceExchange.ts
+++ b/src/quarantine/evidenceExchange.ts
@@ -5,10 +5,10 @@
 
 import { z } from "zod";
 import type { Clock } from "../common/clock.js";
-import { crashEvidenceSchema } from "../peerSync/messages.js";
 import type { RpcClient } from "../rpc/rpcClient.js";
 import { rpcMethod } from "../rpc/rpcServer.js";
 import type { RpcMethods } from "../rpc/rpcServer.js";
+import { crashEvidenceSchema } from "./crashEvidence.js";
 import type { RequestQuarantine } from "./requestQuarantine.js";
 
 export interface EvidenceExchange {
--- a/src/quarantine/evidenceStore.ts
+++ b/src/quarantine/evidenceStore.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps evidence against parts of prompts in the store's tables, so that entries still have it after all of them were
+ * Keeps evidence against parts of requests in the store's tables, so that entries still have it after all of them were
  * killed together. Only parts under which several engines ended are written, one row each; a row is removed once its
  * evidence is refuted or has expired.
  */
