Soak: proxies refuse connections while their engine does; logs of all processes of an entry

An engine that ended behind a proxy still seemed to accept connections, so its end was known only once another start was registered.

--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -23,6 +23,8 @@
     readonly metricsUrl: string;
     /** Log output of the current process so far. */
     readonly log: () => string;
+    /** Log output of all processes of this entry so far. */
+    readonly wholeLog: () => string;
     readonly signal: (signal: NodeJS.Signals) => void;
     /** Resolves with the exit code, or with the signal that ended the process. */
     readonly exited: Promise<number | NodeJS.Signals | null>;
@@ -146,7 +148,7 @@
             "bounds.config_apply_ms=2000",
         ].join("\n"),
     );
-    const state = { current: startProcess(file) };
+    const state = { current: startProcess(file), earlierLog: "" };
     const exitOf = (child: ChildProcess): EntryProcess["exited"] =>
         new Promise(resolve => child.once("exit", (code, signal) => resolve(code ?? signal)));
     const entry = {
@@ -155,10 +157,12 @@
         readyUrl: `http://127.0.0.1:${readiness}/ready`,
         metricsUrl: `http://127.0.0.1:${metrics}/metrics`,
         log: () => state.current.log(),
+        wholeLog: () => state.earlierLog + state.current.log(),
         signal: (signal: NodeJS.Signals) => void state.current.child.kill(signal),
         exited: exitOf(state.current.child),
         restart: async () => {
             await entry.exited;
+            state.earlierLog = entry.wholeLog();
             state.current = startProcess(file);
             entry.exited = exitOf(state.current.child);
         },
--- a/fakes/soakChecks.ts
+++ b/fakes/soakChecks.ts
@@ -56,6 +56,9 @@
         const later = times.filter(atMs => atMs > thirdAtMs + stableWindowMs).length;
         return later <= maxLaterRuns
             ? []
-            : [`${target}: ${later} deadly runs later than ${stableWindowMs} ms after the third, of ${times.length}`];
+            : [
+                `${target}: ${later} deadly runs later than ${stableWindowMs} ms after the third, of ${times.length}, `
+                + `at ${times.join(" ")}`,
+            ];
     });
 }
--- a/fakes/soakRun.ts
+++ b/fakes/soakRun.ts
@@ -160,7 +160,7 @@
         ];
         const logFile = join(mkdtempSync(join(tmpdir(), "gooseberrywell-soak-")), `seed-${options.seed}.log`);
         if (violations.length > 0) {
-            const logs = site.entries.map(entry => `== ${entry.name}\n${entry.log()}`);
+            const logs = site.entries.map(entry => `== ${entry.name}\n${entry.wholeLog()}`);
             writeFileSync(logFile, [...violations, "", ...timeline, "", ...logs].join("\n"));
         }
         return { requests: completed.length, faults: injected, broken: violations, logFile };
--- a/fakes/tcpProxy.ts
+++ b/fakes/tcpProxy.ts
@@ -1,6 +1,6 @@
 /**
  * A loopback TCP proxy that injects network faults into its connections: delay, reset, and loss of all bytes in one or
- * both directions.
+ * both directions. While its target refuses connections, the proxy refuses them as well.
  */
 
 import { connect, createServer } from "node:net";
@@ -20,6 +20,8 @@
 }
 
 const delayMs = 150;
+/** Interval at which the proxy checks whether a target that refused a connection accepts them again. */
+const probeIntervalMs = 50;
 
 export async function startTcpProxy(target: string): Promise<TcpProxy> {
     const [ip = "", port = ""] = target.split(":");
@@ -68,8 +70,38 @@
         from.on("close", () => to.destroy());
     }
 
+    let isClosed = false;
+
+    /** Stops listening until the target accepts connections again. */
+    function refuseUntilTargetListens(): void {
+        if (!server.listening || isClosed) {
+            return;
+        }
+        server.close();
+        const probe = (): void => {
+            const connection = connect({ host: ip, port: Number(port) });
+            connection.once("connect", () => {
+                connection.destroy();
+                if (!isClosed) {
+                    server.listen(ownPort, "127.0.0.1");
+                }
+            });
+            connection.once("error", () => {
+                if (!isClosed) {
+                    setTimeout(probe, probeIntervalMs).unref();
+                }
+            });
+        };
+        probe();
+    }
+
     const server = createServer({ allowHalfOpen: true }, socket => {
         const upstream = connect({ host: ip, port: Number(port), allowHalfOpen: true });
+        upstream.once("error", ({ code }: NodeJS.ErrnoException) => {
+            if (code === "ECONNREFUSED") {
+                refuseUntilTargetListens();
+            }
+        });
         const pair = [socket, upstream] as const;
         pairs.add(pair);
         socket.once("close", () => pairs.delete(pair));
@@ -90,6 +122,7 @@
             }
         },
         close: async () => {
+            isClosed = true;
             pairs.forEach(pair => pair.forEach(socket => socket.destroy()));
             await new Promise<void>(resolve => server.close(() => resolve()));
         },
--- a/test/tcpProxy.test.ts
+++ b/test/tcpProxy.test.ts
@@ -40,4 +40,31 @@
         await new Promise(resolve => client.once("close", resolve));
         expect(received).toBe("one two three");
     });
+
+    // The soak could not tell an engine that had ended from one that resets connections.
+    it("refuses connections while its target does, and accepts them again afterwards", async () => {
+        server = createServer(socket => socket.end("ok"));
+        await new Promise<void>(resolve => server?.listen(0, "127.0.0.1", resolve));
+        const { port: targetPort } = server.address() as AddressInfo;
+        proxy = await startTcpProxy(`127.0.0.1:${targetPort}`);
+        const [ip = "", port = ""] = proxy.address.split(":");
+        const outcome = (): Promise<string> =>
+            new Promise(resolve => {
+                const client = connect({ host: ip, port: Number(port) });
+                let received = "";
+                client.on("data", (chunk: Buffer) => (received += chunk.toString()));
+                client.on("error", ({ code }: NodeJS.ErrnoException) => resolve(code ?? ""));
+                client.once("end", () => resolve(received));
+            });
+        const eventually = async (expected: string): Promise<void> => {
+            while (await outcome() !== expected) {
+                await delay(10);
+            }
+        };
+        await eventually("ok");
+        await new Promise(resolve => server?.close(resolve));
+        await eventually("ECONNREFUSED");
+        server.listen(targetPort, "127.0.0.1");
+        await eventually("ok");
+    });
 });
