Blame a whole request by itself, whatever else was at the engines

A part is blamed only if no other explains all its ends, so the deadly one was not blamed, and a copy two seconds later ended both engines again, sent by an entry in touch.

Change: that rule holds for parts of prompts, which sound requests share; a whole request is blamed by its own ends. Test: fails without the change.

--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -4,7 +4,8 @@
  *
  * Several parts may be in all requests under which engines ended. A part is blamed only together with every other part
  * that accounts for at least the same engines, so that a request with just one of them is still served and, if it runs,
- * refutes the evidence against that one. Evidence merges in any order: the oldest time of an item counts, and an item
+ * refutes the evidence against that one. A whole request is blamed by itself: other requests that were at the same
+ * engines don't explain why engines ended under each copy of it. Evidence merges in any order: the oldest time of an item counts, and an item
  * that is refuted stays so.
  */
 
@@ -12,6 +13,7 @@
 import type { Clock } from "../common/clock.js";
 import { startKey } from "../engines/engineNotices.js";
 import type { EngineStart } from "../engines/engineNotices.js";
+import { isFingerprint } from "./requestFingerprint.js";
 
 /** One end of an engine under a request with a part, as entries send it to each other. */
 export const crashEvidenceSchema = z.object({
@@ -127,7 +129,10 @@
             removeExpired();
             const blamed = parts
                 .map(part => ({ part, items: itemsAgainst(part) }))
-                .filter(({ items }) => items.size >= minCrashes && !isExplainedByOthers([...items.keys()], parts));
+                .filter(({ part, items }) =>
+                    items.size >= minCrashes
+                    && (isFingerprint(part) || !isExplainedByOthers([...items.keys()], parts))
+                );
             const crashes = Math.max(...blamed.map(({ items }) => items.size));
             const worst = blamed.filter(({ items }) => items.size === crashes);
             if (worst.length === 0) {
--- a/src/quarantine/requestQuarantine.test.ts
+++ b/src/quarantine/requestQuarantine.test.ts
@@ -310,6 +310,18 @@
         expect(entry.quarantine.isSuspected(["p"])).toBe(false);
     });
 
+    // Calls that were repeated at the same two engines hid the one that had ended them, until it ended a third.
+    it("are refused although other requests were at the same engines", () => {
+        const { quarantine } = createEntry(createVirtualClock());
+        const [deadly, other] = [fingerprintOf(content), fingerprintOf({ ...content, target: "/other" })];
+        ["e1", "e2"].forEach(id => quarantine.recordEngineEnd({ id, bornMs: 1 }, [deadly], 0));
+        ["e1", "e2"].forEach(id => quarantine.recordEngineEnd({ id, bornMs: 1 }, [other], 0));
+        expect(quarantine.find([deadly])?.crashes).toBe(2);
+        quarantine.recordSound([other]);
+        expect(quarantine.find([other])).toBeUndefined();
+        expect(quarantine.find([deadly])?.crashes).toBe(2);
+    });
+
     it("keep the evidence of several engines when hundreds of others were there by chance", async () => {
         const { quarantine } = createEntry(createVirtualClock());
         const fingerprint = fingerprintOf(content);
