--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -5,7 +5,8 @@
  *
  * A call is retried only if the error proves that the engine did not run it, or if its route allows repeats; each retry
  * takes one from the fleet's retry budget. A call that may run more than once is hedged: if its response takes unusually
- * long, it is also sent to another instance, and the first response counts.
+ * long, it is also sent to another instance, and the first response counts. A call whose engine has ended with it is not
+ * sent again, since it may be the cause.
  */
 
 import { Readable } from "node:stream";
