Stop transferring a KV cache once an endpoint has ended with it

Cause: if the endpoint ends before its `imported` event, the failure counts as one of the transfer. `runAttempt` then sent the same KV cache to up to two more decode endpoints within the attempt, each of which ended as well, and reported only the last end to the quarantine. One generation ended six endpoints of ten before it was refused.

--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -62,7 +62,7 @@
 
 /**
  * Runs one attempt. After a failed transfer the same KV cache is sent to another decode engine, until it expires or
- * `maxTransfers` is reached.
+ * `maxTransfers` is reached, or the engine has ended with the transfer.
  */
 export async function runAttempt(
     context: RequestContext,
@@ -83,7 +83,9 @@
         let transfer = await transferKvCache(context, request, input, reservation, prefilled.value);
         for (let transfers = 1; transfer.isErr && transfers < maxTransfers; transfers++) {
             const ageMs = context.clock.monotonicMs() - prefilledAtMs;
-            if (ageMs >= prefilled.value.expiresInMs || input.signal.aborted) {
+            // The request may have ended the endpoint: the caller of the attempt decides whether it is sent again.
+            const mayBeToBlame = transfer.error.endedEndpoint !== undefined;
+            if (mayBeToBlame || ageMs >= prefilled.value.expiresInMs || input.signal.aborted) {
                 break;
             }
             context.counters.add("requests.retransfers");
