Serve requests while most engines of their service have ended

Callers saw: sound calls got 503 `no engine ... ECONNREFUSED` beside a request that ends engines, although one engine of the service was running. Its logs: three of four engines had ended; each sound call tried just those three, and d-4 was running.

Cause: an attempt at an engine that refuses the connection counted as one of the three attempts of a call and took a retry from the budget, although it reaches no engine. And once more than half of the engines were ejected, all of them were tried alike, as if this host's network were the cause; but the host of an engine refuses the connection only if it is reached and nothing listens there.

Change: a refused connection is an outcome of its own (`ended`). Such engines are left out as long as there is another one, don't count for the majority, and an attempt at one takes no retry and no attempt, 16 a call at most. An engine that is found to have ended under a call is left out at once.

--- a/src/engines/engineHealth.ts
+++ b/src/engines/engineHealth.ts
@@ -4,18 +4,26 @@
  * An engine that fails to connect or to respond is ejected for a time that doubles with each consecutive failure. An
  * engine that responds but fails clearly more of its requests than its peers is ejected for a fixed time. After the
  * ejection the next real requests decide. If more than half of a service's engines are ejected, all of them are used,
- * because the cause is then more likely this host's own network.
+ * because the cause is then more likely this host's own network. That does not hold for engines that refuse connections:
+ * their hosts respond, so they are left out as long as there is any other engine.
  */
 
 import type { Clock } from "../common/clock.js";
-import type { EngineRecord } from "./enginePort.js";
+import { isConnectionRefused } from "./enginePort.js";
+import type { EngineError, EngineRecord } from "./enginePort.js";
 
-/** Outcome of an attempt at an engine: `failed` is a response that reports a failure, `unresponsive` is no response. */
-export type AttemptOutcome = "succeeded" | "failed" | "unresponsive";
+/**
+ * Outcome of an attempt at an engine: `failed` is a response that reports a failure, `unresponsive` is no response, and
+ * `ended` means that nothing listens at the engine's address.
+ */
+export type AttemptOutcome = "succeeded" | "failed" | "unresponsive" | "ended";
 
 export interface EngineHealth {
     readonly recordOutcome: (engineId: string, outcome: AttemptOutcome) => void;
-    /** The engines of one service that are not ejected; all of them if fewer than half would be left. */
+    /**
+     * The engines of one service that are not ejected; all that have not ended if fewer than half of those would be left;
+     * all if all have ended.
+     */
     readonly withoutEjected: (engines: readonly EngineRecord[]) => readonly EngineRecord[];
     readonly isEjected: (engineId: string) => boolean;
     /** Forgets the outcomes of all other engines. */
@@ -28,6 +36,7 @@
     samples: number;
     consecutiveUnresponsive: number;
     ejectedUntilMs: number;
+    hasEnded: boolean;
 }
 
 /** First ejection of an unresponsive engine: the time that a crashed process needs to restart. */
@@ -43,6 +52,11 @@
 /** Number of outcomes below which the failure rate is ignored. */
 const minimumSamples = 6;
 
+/** The outcome of an attempt without a response. */
+export function outcomeWithoutResponse(error: EngineError): AttemptOutcome {
+    return isConnectionRefused(error) ? "ended" : "unresponsive";
+}
+
 export function createEngineHealth(clock: Clock): EngineHealth {
     const recordsById = new Map<string, HealthRecord>();
 
@@ -51,7 +65,7 @@
         if (existing !== undefined) {
             return existing;
         }
-        const created = { failureRate: 0, samples: 0, consecutiveUnresponsive: 0, ejectedUntilMs: 0 };
+        const created = { failureRate: 0, samples: 0, consecutiveUnresponsive: 0, ejectedUntilMs: 0, hasEnded: false };
         recordsById.set(engineId, created);
         return created;
     }
@@ -83,7 +97,8 @@
             const failed = outcome === "succeeded" ? 0 : 1;
             record.failureRate += failureWeight * (failed - record.failureRate);
             record.samples += 1;
-            if (outcome !== "unresponsive") {
+            record.hasEnded = outcome === "ended";
+            if (outcome === "succeeded" || outcome === "failed") {
                 record.consecutiveUnresponsive = 0;
                 return;
             }
@@ -97,7 +112,13 @@
                 ejectOutliers(engines);
             }
             const healthy = engines.filter(engine => !isEjected(engine.id));
-            return healthy.length * 2 < engines.length ? engines : healthy;
+            const listening = engines.filter(engine =>
+                !(isEjected(engine.id) && recordsById.get(engine.id)?.hasEnded === true)
+            );
+            if (listening.length === 0) {
+                return engines;
+            }
+            return healthy.length * 2 < listening.length ? listening : healthy;
         },
         keepOnly: engineIds => {
             [...recordsById.keys()].filter(id => !engineIds.has(id)).forEach(id => recordsById.delete(id));
--- a/src/engines/enginePort.ts
+++ b/src/engines/enginePort.ts
@@ -46,6 +46,11 @@
     return error.kind === "notExecuted" || error.kind === "unreachable";
 }
 
+/** Whether nothing listens at the engine's address: its process has ended. */
+export function isConnectionRefused(error: EngineError): boolean {
+    return error.kind === "unreachable" && error.isConnectionRefused === true;
+}
+
 /** KV cache that an engine holds after a prefill. */
 export interface PrefilledCache {
     readonly address: string;
--- a/src/engines/engines.test.ts
+++ b/src/engines/engines.test.ts
@@ -229,6 +229,26 @@
         outcomes: { a: many("unresponsive", 3), b: many("unresponsive", 3) },
         expected: ["a", "b", "c"],
     },
+    {
+        name: "most have ended: their hosts refuse connections, so this host's network is not the cause",
+        outcomes: { a: many("ended", 1), b: many("ended", 1) },
+        expected: ["c"],
+    },
+    {
+        name: "one has ended, and most of the others do not respond",
+        outcomes: { a: many("ended", 1), b: many("unresponsive", 1), c: many("unresponsive", 1) },
+        expected: ["b", "c"],
+    },
+    {
+        name: "all have ended: any may be back first",
+        outcomes: { a: many("ended", 1), b: many("ended", 1), c: many("ended", 1) },
+        expected: ["a", "b", "c"],
+    },
+    {
+        name: "one has ended and is back",
+        outcomes: { a: ["ended", "succeeded", "unresponsive"], b: many("unresponsive", 1) },
+        expected: ["a", "b", "c"],
+    },
 ];
 
 describe("engine health", () => {
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -7,6 +7,7 @@
  */
 
 import { Result } from "true-myth";
+import { outcomeWithoutResponse } from "../engines/engineHealth.js";
 import { provesNotRun } from "../engines/enginePort.js";
 import type { EngineError, EngineRecord, EngineResponse, PrefilledCache } from "../engines/enginePort.js";
 import type { EngineRun } from "../quarantine/engineRuns.js";
@@ -200,7 +201,7 @@
         }
         // A rejection counts as unresponsive too: an engine that grants a reservation and then rejects its request does
         // not match its registry record.
-        context.health.recordOutcome(allocation.engine.id, "unresponsive");
+        context.health.recordOutcome(allocation.engine.id, outcomeWithoutResponse(sent.error));
         return Result.err(sent.error);
     }
     context.health.recordOutcome(allocation.engine.id, sent.value.status >= serverError ? "failed" : "succeeded");
@@ -275,7 +276,10 @@
         if (result.error.kind === "interrupted" || result.error.kind === "timeout") {
             await endBrokenRun(context, run);
         }
-        context.health.recordOutcome(engine.id, result.error.kind === "notExecuted" ? "failed" : "unresponsive");
+        context.health.recordOutcome(
+            engine.id,
+            result.error.kind === "notExecuted" ? "failed" : outcomeWithoutResponse(result.error),
+        );
         context.log.decision("the prefill failed", {
             requestId: request.requestId,
             engine: engine.id,
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -11,7 +11,8 @@
 
 import { Readable } from "node:stream";
 import { Result } from "true-myth";
-import { provesNotRun } from "../engines/enginePort.js";
+import { outcomeWithoutResponse } from "../engines/engineHealth.js";
+import { isConnectionRefused, provesNotRun } from "../engines/enginePort.js";
 import type { BodyFraming, EngineError, EngineRecord, EngineResponse } from "../engines/enginePort.js";
 import type { EngineRun } from "../quarantine/engineRuns.js";
 import type { RouteKind } from "../routes/desiredState.js";
@@ -27,6 +28,8 @@
 
 /** Maximum attempts of one call, the first included, before the caller is asked to retry. */
 const maxAttempts = 3;
+/** Engines that may refuse the connection besides; such an attempt reaches no engine and takes no retry. */
+const maxRefusedConnections = 16;
 /** Retry delay for callers when no instance has run the call, for example because all instances are full. */
 const unavailableRetryMs = 250;
 const successStatus = 200;
@@ -52,6 +55,8 @@
 interface CallState {
     readonly triedEngines: Set<string>;
     readonly running: Set<RunningAttempt>;
+    /** Attempts whose engines refused the connection. */
+    refusedConnections: number;
     /** Ended attempts that may have run. */
     possibleRuns: number;
     /** An engine has ended under an attempt: the call is not sent again. */
@@ -64,6 +69,7 @@
     const state: CallState = {
         triedEngines: new Set(),
         running: new Set(),
+        refusedConnections: 0,
         possibleRuns: 0,
         isSuspected: false,
         last: undefined,
@@ -107,8 +113,8 @@
         return false;
     }
     const mayRunAgain = runs === 0 || (isRepeatable(routed) && runs < routed.route.maxEngines);
-    const attempts = state.triedEngines.size;
-    if (!mayRunAgain || attempts >= maxAttempts) {
+    const attempts = state.triedEngines.size - state.refusedConnections;
+    if (!mayRunAgain || attempts >= maxAttempts || state.refusedConnections >= maxRefusedConnections) {
         return false;
     }
     for (const engine of enginesInOrder(context, routed.service, state.triedEngines)) {
@@ -162,6 +168,7 @@
         }
     }
     state.isSuspected ||= ended.isSuspected;
+    state.refusedConnections += ended.result.isErr && isConnectionRefused(ended.result.error) ? 1 : 0;
     state.possibleRuns += ended.result.isOk || !provesNotRun(ended.result.error) ? 1 : 0;
     // A response that reports a failure is better than none.
     if (ended.result.isOk || state.last === undefined || state.last.result.isErr) {
@@ -219,12 +226,16 @@
             cause: result.error.cause,
         });
     }
+    const isSuspected = await endRun(context, run, result, isCancelled);
+    if (isSuspected) {
+        context.health.recordOutcome(engine.id, "ended");
+    }
     return {
         engine,
         result: timeout.aborted && result.isErr && result.error.kind === "cancelled"
             ? Result.err({ kind: "timeout", cause: "no whole answer in time" })
             : result,
-        isSuspected: await endRun(context, run, result, isCancelled),
+        isSuspected,
     };
 }
 
@@ -264,7 +275,7 @@
         return;
     }
     const isUnresponsive = timedOut || result.error.kind === "unreachable";
-    context.health.recordOutcome(engine.id, isUnresponsive ? "unresponsive" : "failed");
+    context.health.recordOutcome(engine.id, isUnresponsive ? outcomeWithoutResponse(result.error) : "failed");
 }
 
 /**
--- a/src/quarantine/engineRuns.ts
+++ b/src/quarantine/engineRuns.ts
@@ -7,6 +7,7 @@
 
 import type { Clock } from "../common/clock.js";
 import { startKey } from "../engines/engineNotices.js";
+import { isConnectionRefused } from "../engines/enginePort.js";
 import type { EnginePort, EngineRecord } from "../engines/enginePort.js";
 import { isFingerprint } from "./requestFingerprint.js";
 import type { RequestQuarantine } from "./requestQuarantine.js";
@@ -72,8 +73,7 @@
                 return "running";
             }
             if (reported.error.kind !== "interrupted") {
-                const isRefused = reported.error.kind === "unreachable" && reported.error.isConnectionRefused === true;
-                return isRefused ? "ended" : "unknown";
+                return isConnectionRefused(reported.error) ? "ended" : "unknown";
             }
             await clock.sleep(reportPauseMs);
         }
