--- a/src/engines/engineHealth.ts
+++ b/src/engines/engineHealth.ts
@@ -9,7 +9,7 @@
  */
 
 import type { Clock } from "../common/clock.js";
-import { isConnectionRefused } from "./enginePort.js";
+import { isConnectionRefused, isWithdrawn } from "./enginePort.js";
 import type { EngineError, EngineRecord } from "./enginePort.js";
 
 /**
@@ -20,6 +20,8 @@
 
 export interface EngineHealth {
     readonly recordOutcome: (engineId: string, outcome: AttemptOutcome) => void;
+    /** Records the outcome of an attempt that got no response. */
+    readonly recordNoResponse: (engineId: string, error: EngineError) => void;
     /**
      * The engines of one service that are not ejected; all that have not ended if fewer than half of those would be left;
      * all if all have ended.
@@ -52,11 +54,6 @@
 /** Number of outcomes below which the failure rate is ignored. */
 const minimumSamples = 6;
 
-/** The outcome of an attempt without a response. */
-export function outcomeWithoutResponse(error: EngineError): AttemptOutcome {
-    return isConnectionRefused(error) ? "ended" : "unresponsive";
-}
-
 export function createEngineHealth(clock: Clock): EngineHealth {
     const recordsById = new Map<string, HealthRecord>();
 
@@ -91,20 +88,27 @@
         }
     }
 
+    function recordOutcome(engineId: string, outcome: AttemptOutcome): void {
+        const record = recordOf(engineId);
+        const failed = outcome === "succeeded" ? 0 : 1;
+        record.failureRate += failureWeight * (failed - record.failureRate);
+        record.samples += 1;
+        record.hasEnded = outcome === "ended";
+        if (outcome === "succeeded" || outcome === "failed") {
+            record.consecutiveUnresponsive = 0;
+            return;
+        }
+        record.consecutiveUnresponsive += 1;
+        const ejectionMs = Math.min(maxEjectionMs, baseEjectionMs * 2 ** (record.consecutiveUnresponsive - 1));
+        record.ejectedUntilMs = clock.monotonicMs() + ejectionMs;
+    }
+
     return {
-        recordOutcome: (engineId, outcome) => {
-            const record = recordOf(engineId);
-            const failed = outcome === "succeeded" ? 0 : 1;
-            record.failureRate += failureWeight * (failed - record.failureRate);
-            record.samples += 1;
-            record.hasEnded = outcome === "ended";
-            if (outcome === "succeeded" || outcome === "failed") {
-                record.consecutiveUnresponsive = 0;
-                return;
+        recordOutcome,
+        recordNoResponse: (engineId, error) => {
+            if (!isWithdrawn(error)) {
+                recordOutcome(engineId, isConnectionRefused(error) ? "ended" : "unresponsive");
             }
-            record.consecutiveUnresponsive += 1;
-            const ejectionMs = Math.min(maxEjectionMs, baseEjectionMs * 2 ** (record.consecutiveUnresponsive - 1));
-            record.ejectedUntilMs = clock.monotonicMs() + ejectionMs;
         },
         isEjected,
         withoutEjected: engines => {
--- a/src/engines/enginePort.ts
+++ b/src/engines/enginePort.ts
@@ -36,6 +36,8 @@
         readonly cause: string;
         /** Nothing listens at the engine's address, although its host responds. */
         readonly isConnectionRefused?: boolean;
+        /** The request was not written, because the engine accepts it no more since it was placed. */
+        readonly isWithdrawn?: boolean;
     }
     | { readonly kind: "interrupted"; readonly cause: string; }
     | { readonly kind: "timeout"; readonly cause: string; }
@@ -51,6 +53,11 @@
     return error.kind === "unreachable" && error.isConnectionRefused === true;
 }
 
+/** Whether the request was not written, which tells nothing of the engine's health. */
+export function isWithdrawn(error: EngineError): boolean {
+    return error.kind === "unreachable" && error.isWithdrawn === true;
+}
+
 /** KV cache that an engine holds after a prefill. */
 export interface PrefilledCache {
     readonly address: string;
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -7,7 +7,6 @@
  */
 
 import { Result } from "true-myth";
-import { outcomeWithoutResponse } from "../engines/engineHealth.js";
 import { provesNotRun } from "../engines/enginePort.js";
 import type { EngineError, EngineRecord, EngineResponse, PrefilledCache } from "../engines/enginePort.js";
 import type { EngineRun } from "../quarantine/engineRuns.js";
@@ -201,7 +200,7 @@
         }
         // A rejection counts as unresponsive too: an engine that grants a reservation and then rejects its request does
         // not match its registry record.
-        context.health.recordOutcome(allocation.engine.id, outcomeWithoutResponse(sent.error));
+        context.health.recordNoResponse(allocation.engine.id, sent.error);
         return Result.err(sent.error);
     }
     context.health.recordOutcome(allocation.engine.id, sent.value.status >= serverError ? "failed" : "succeeded");
@@ -276,10 +275,12 @@
         if (result.error.kind === "interrupted" || result.error.kind === "timeout") {
             await endBrokenRun(context, run);
         }
-        context.health.recordOutcome(
-            engine.id,
-            result.error.kind === "notExecuted" ? "failed" : outcomeWithoutResponse(result.error),
-        );
+        if (result.error.kind === "notExecuted") {
+            context.health.recordOutcome(engine.id, "failed");
+        }
+        else {
+            context.health.recordNoResponse(engine.id, result.error);
+        }
         context.log.decision("the prefill failed", {
             requestId: request.requestId,
             engine: engine.id,
--- a/src/forwarding/limitedEngines.test.ts
+++ b/src/forwarding/limitedEngines.test.ts
@@ -3,7 +3,7 @@
  * hedges, prefills and control calls; other engines take the rest, and what none may take is refused at once.
  */
 
-import type { Result } from "true-myth";
+import { Result } from "true-myth";
 import { describe, expect, it } from "vitest";
 import {
     createForwardingHarness,
@@ -145,6 +145,23 @@
         },
     );
 
+    it.each(["idempotent", "nonIdempotent"] as const)(
+        "%s: a call that was placed before its engine named a rate goes to another one, without a retry",
+        async kind => {
+            const noRetries = { ratio: 0, slack: 0, windowMs: 10_000 };
+            const script: EngineScript = {
+                send: async ({ id }) =>
+                    id === "i-3"
+                        ? responseOf(200)
+                        : Result.err({ kind: "unreachable", cause: "not sent", isWithdrawn: true }),
+            };
+            const harness = createForwardingHarness(desiredStateOf([routeOf(kind)]), script, {}, noRetries);
+            harness.load(plainEngines);
+            expect(await describeOutcome(await forward(harness.context, requestTo(`/${kind}/x`)))).toBe("200 ok");
+            expect(plainEngines.filter(({ id }) => harness.context.health.isEjected(id))).toEqual([]);
+        },
+    );
+
     it("counts control calls, and sends none beyond the rate", async () => {
         const [engine = engineRecord("i-1")] = modelEngines;
         let sent = 0;
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -11,7 +11,6 @@
 
 import { Readable } from "node:stream";
 import { Result } from "true-myth";
-import { outcomeWithoutResponse } from "../engines/engineHealth.js";
 import { isConnectionRefused, provesNotRun } from "../engines/enginePort.js";
 import type { BodyFraming, EngineError, EngineRecord, EngineResponse } from "../engines/enginePort.js";
 import type { EngineRun } from "../quarantine/engineRuns.js";
@@ -55,7 +54,8 @@
 interface CallState {
     readonly triedEngines: Set<string>;
     readonly running: Set<RunningAttempt>;
-    /** Attempts whose engines refused the connection. */
+    /** Ended attempts that reached no engine, and those of them whose engines refused the connection. */
+    unreachable: number;
     refusedConnections: number;
     /** Ended attempts that may have run. */
     possibleRuns: number;
@@ -69,6 +69,7 @@
     const state: CallState = {
         triedEngines: new Set(),
         running: new Set(),
+        unreachable: 0,
         refusedConnections: 0,
         possibleRuns: 0,
         isSuspected: false,
@@ -122,7 +123,7 @@
         if (context.engineRates.isLimited(engine) && !await context.engineRates.acquire(engine)) {
             continue;
         }
-        if (attempts > 0 && !context.retryBudget.take(routed.service)) {
+        if (state.triedEngines.size > state.unreachable && !context.retryBudget.take(routed.service)) {
             return false;
         }
         sendTo(context, routed, state, engine);
@@ -168,6 +169,7 @@
         }
     }
     state.isSuspected ||= ended.isSuspected;
+    state.unreachable += ended.result.isErr && ended.result.error.kind === "unreachable" ? 1 : 0;
     state.refusedConnections += ended.result.isErr && isConnectionRefused(ended.result.error) ? 1 : 0;
     state.possibleRuns += ended.result.isOk || !provesNotRun(ended.result.error) ? 1 : 0;
     // A response that reports a failure is better than none.
@@ -274,8 +276,12 @@
         context.health.recordOutcome(engine.id, result.value.status >= serverError ? "failed" : "succeeded");
         return;
     }
-    const isUnresponsive = timedOut || result.error.kind === "unreachable";
-    context.health.recordOutcome(engine.id, isUnresponsive ? outcomeWithoutResponse(result.error) : "failed");
+    if (timedOut || result.error.kind === "unreachable") {
+        context.health.recordNoResponse(engine.id, result.error);
+    }
+    else {
+        context.health.recordOutcome(engine.id, "failed");
+    }
 }
 
 /**
--- a/src/scheduling/decodeScheduler.ts
+++ b/src/scheduling/decodeScheduler.ts
@@ -9,7 +9,6 @@
 import { Result } from "true-myth";
 import type { Clock } from "../common/clock.js";
 import type { EngineDirectory } from "../engines/engineDirectory.js";
-import { outcomeWithoutResponse } from "../engines/engineHealth.js";
 import type { EngineHealth } from "../engines/engineHealth.js";
 import type { EngineLoads } from "../engines/engineLoads.js";
 import type { EnginePort, EngineRecord, Reservation } from "../engines/enginePort.js";
@@ -252,7 +251,7 @@
         }
         backoffUntilMs.set(engine.id, clock.monotonicMs() + reservationBackoffMs);
         if (reserved.error.kind !== "notExecuted") {
-            health.recordOutcome(engine.id, outcomeWithoutResponse(reserved.error));
+            health.recordNoResponse(engine.id, reserved.error);
             log.decision("an engine did not answer a reservation", {
                 requestId: request.requestId,
                 engine: engine.id,
