--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -36,12 +36,10 @@
 import type { DesiredState, Route, RouteKind } from "../src/routes/desiredState.js";
 import { createRouteTable } from "../src/routes/routeTable.js";
 import type { RpcClient } from "../src/rpc/rpcClient.js";
-import { createDecodeScheduler, defaultDecodeSchedulerSettings } from "../src/scheduling/decodeScheduler.js";
-import type {
-    DecodeScheduler,
-    DecodeSchedulerDependencies,
-    DecodeSchedulerSettings,
-} from "../src/scheduling/decodeScheduler.js";
+import { createDecodeScheduler } from "../src/scheduling/decodeScheduler.js";
+import type { DecodeScheduler, DecodeSchedulerDependencies } from "../src/scheduling/decodeScheduler.js";
+import { defaultDecodeSchedulerSettings } from "../src/scheduling/decodeSchedulerSettings.js";
+import type { DecodeSchedulerSettings } from "../src/scheduling/decodeSchedulerSettings.js";
 import type { PlacementView } from "../src/scheduling/placement.js";
 import type { DecisionLog } from "../src/telemetry/decisionLog.js";
 import { createPrometheusMetrics } from "../src/telemetry/prometheusMetrics.js";
--- a/fakes/loadPolicies.ts
+++ b/fakes/loadPolicies.ts
@@ -3,16 +3,10 @@
  */
 
 import { Result } from "true-myth";
-import {
-    createDecodeScheduler,
-    defaultDecodeSchedulerSettings,
-    expectedOutputTokens,
-} from "../src/scheduling/decodeScheduler.js";
-import type {
-    DecodeScheduler,
-    DecodeSchedulerDependencies,
-    DecodeSchedulerSettings,
-} from "../src/scheduling/decodeScheduler.js";
+import { createDecodeScheduler, expectedOutputTokens } from "../src/scheduling/decodeScheduler.js";
+import type { DecodeScheduler, DecodeSchedulerDependencies } from "../src/scheduling/decodeScheduler.js";
+import { defaultDecodeSchedulerSettings } from "../src/scheduling/decodeSchedulerSettings.js";
+import type { DecodeSchedulerSettings } from "../src/scheduling/decodeSchedulerSettings.js";
 import type { DecodeSchedulerFactory, FleetSpec } from "./simulatedFleet.js";
 
 export interface LoadPolicy {
--- a/src/quarantine/requestQuarantine.test.ts
+++ b/src/quarantine/requestQuarantine.test.ts
@@ -1,77 +1,14 @@
 /**
- * Which requests are refused, and which are not repeated, after engines ended under them; what refutes the evidence, and
- * how entries share it.
+ * Which requests are refused after engines ended under them; what refutes the evidence, and how entries share it.
  */
 
-import { Result } from "true-myth";
 import { describe, expect, it } from "vitest";
-import { engineRecord, errorOf, silentDecisionLog } from "../../fakes/forwardingHarness.js";
+import { errorOf } from "../../fakes/forwardingHarness.js";
+import { createQuarantineEntry } from "../../fakes/quarantineHarness.js";
+import type { QuarantineEntry } from "../../fakes/quarantineHarness.js";
 import { createVirtualClock } from "../../fakes/virtualClock.js";
-import type { VirtualClock } from "../../fakes/virtualClock.js";
-import type { EngineError, EngineReport } from "../engines/enginePort.js";
-import { createEngineRuns } from "./engineRuns.js";
-import type { RunEnd } from "./engineRuns.js";
 import { fingerprintOf } from "./requestFingerprint.js";
 import type { RequestContent } from "./requestFingerprint.js";
-import { createRequestQuarantine } from "./requestQuarantine.js";
-import type { RequestQuarantine } from "./requestQuarantine.js";
-
-type Reported = Result<EngineReport, EngineError>;
-
-const refused: Reported = Result.err({ kind: "unreachable", cause: "refused", isConnectionRefused: true });
-
-function reportOf(bornMs: number): Reported {
-    return Result.ok({
-        stage: "decode",
-        bornMs,
-        isReconfiguring: false,
-        orderSequence: 0,
-        running: 0,
-        queued: 0,
-        kvUsedTokens: 0,
-        kvTotalTokens: 0,
-    });
-}
-
-interface Entry {
-    readonly quarantine: RequestQuarantine;
-    /** Runs a request with these parts at an engine; it writes for `outputMs`, if at all, and ends. */
-    readonly run: (
-        engine: string,
-        parts: string,
-        how: RunEnd,
-        outputMs?: number,
-        outputs?: number,
-    ) => Promise<boolean>;
-    readonly isRefused: (parts: string) => boolean;
-}
-
-const split = (parts: string): readonly string[] => parts.split(" ");
-
-function createEntry(clock: VirtualClock, reports: readonly Reported[] = [refused]): Entry {
-    let next = 0;
-    const quarantine = createRequestQuarantine({ clock, log: silentDecisionLog, onEvidence: () => undefined });
-    const runs = createEngineRuns({
-        clock,
-        quarantine,
-        report: async () => reports[Math.min(next++, reports.length - 1)] ?? refused,
-        isReplaced: () => false,
-    });
-    return {
-        quarantine,
-        run: async (engine, parts, how, outputMs, outputs = 5) => {
-            const run = runs.start(engineRecord(engine, "decode"), split(parts));
-            if (outputMs !== undefined) {
-                Array.from({ length: outputs }, run.recordOutput);
-                await clock.advance(outputMs);
-            }
-            const ended = run.end(how);
-            await clock.advance(500);
-            return ended;
-        },
-        isRefused: parts => quarantine.find(split(parts)) !== undefined,
-    };
-}
 
 interface BlameCase {
     readonly name: string;
@@ -116,7 +53,7 @@
 describe("a part of a prompt", () => {
     it.each(blameCases)("after $name", async ({ runs, refused: refusedParts, served }) => {
         const clock = createVirtualClock();
-        const entry = createEntry(clock);
+        const entry = createQuarantineEntry(clock);
         for (const run of runs) {
             const [engine = "", ...parts] = run.replace("+", "").split(" ");
             await entry.run(engine, parts.join(" "), run.startsWith("+") ? "completed" : "broken");
@@ -127,7 +64,7 @@
 
     it("is named in the reason, with those that were always together with it", async () => {
         const clock = createVirtualClock();
-        const entry = createEntry(clock);
+        const entry = createQuarantineEntry(clock);
         await entry.run("e1", "s x d", "broken");
         await entry.run("e2", "s d", "broken");
         expect(entry.quarantine.find(["s", "x", "d"])).toMatchObject({ blamedParts: ["s", "d"], crashes: 2 });
@@ -137,7 +74,7 @@
 
     it("that was sound is suspected again once no request with it has run for some time", async () => {
         const clock = createVirtualClock();
-        const entry = createEntry(clock);
+        const entry = createQuarantineEntry(clock);
         await entry.run("e0", "p", "completed");
         await clock.advance(20_000);
         await entry.run("e1", "p", "broken");
@@ -147,7 +84,7 @@
 
     it("is tried again after a time that doubles with each further engine", async () => {
         const clock = createVirtualClock();
-        const entry = createEntry(clock);
+        const entry = createQuarantineEntry(clock);
         await entry.run("e1", "d", "broken");
         await entry.run("e2", "d", "broken");
         expect(entry.quarantine.find(["d"])).toMatchObject({ blamedParts: ["d"], crashes: 2 });
@@ -164,122 +101,13 @@
 
     it("has ids of bounded length and number", async () => {
         const clock = createVirtualClock();
-        const entry = createEntry(clock);
+        const entry = createQuarantineEntry(clock);
         const many = Array.from({ length: 1_000 }, (none, index) => `p${index}`).join(" ");
         await entry.run("e1", `${"x".repeat(10_000)} ${many}`, "broken");
         expect(JSON.stringify(entry.quarantine.evidence()).length).toBeLessThan(5_000);
     });
 });
 
-interface EndCase {
-    readonly name: string;
-    readonly how: RunEnd;
-    readonly outputMs?: number;
-    readonly outputs?: number;
-    readonly reports: readonly Reported[];
-    readonly isSuspected: boolean;
-}
-
-const endCases: readonly EndCase[] = [
-    { name: "nothing listens", how: "broken", reports: [refused], isSuspected: true },
-    {
-        name: "nothing listens soon after",
-        how: "broken",
-        reports: [errorOf("interrupted"), refused],
-        isSuspected: true,
-    },
-    { name: "it has started anew", how: "broken", reports: [reportOf(2)], isSuspected: true },
-    { name: "it wrote a little", how: "broken", outputMs: 200, reports: [refused], isSuspected: true },
-    { name: "it wrote for long", how: "broken", outputMs: 3_000, reports: [refused], isSuspected: false },
-    {
-        name: "it wrote once, and its end was seen late",
-        how: "broken",
-        outputMs: 3_000,
-        outputs: 1,
-        reports: [refused],
-        isSuspected: true,
-    },
-    { name: "it wrote twice", how: "broken", outputMs: 3_000, outputs: 2, reports: [refused], isSuspected: false },
-    { name: "it runs on", how: "broken", reports: [reportOf(1)], isSuspected: false },
-    { name: "it can't be reached", how: "broken", reports: [errorOf("unreachable")], isSuspected: false },
-    { name: "it doesn't respond", how: "broken", reports: [errorOf("timeout")], isSuspected: false },
-    { name: "the request was abandoned", how: "abandoned", reports: [refused], isSuspected: false },
-    { name: "the request was complete", how: "completed", reports: [refused], isSuspected: false },
-];
-
-describe("an engine breaks off a request", () => {
-    it.each(endCases)("$name: suspected $isSuspected", async ({ how, outputMs, outputs, reports, isSuspected }) => {
-        const entry = createEntry(createVirtualClock(), reports);
-        expect(await entry.run("e1", "p", how, outputMs, outputs)).toBe(isSuspected);
-        expect(entry.quarantine.evidence().map(({ part }) => part)).toEqual(isSuspected ? ["p"] : []);
-    });
-});
-
-describe("an engine that does not respond to the question whether it has ended", () => {
-    // A stream that may be resumed waits for the answer.
-    it("is asked once", async () => {
-        const clock = createVirtualClock();
-        let asked = 0;
-        const runs = createEngineRuns({
-            clock,
-            quarantine: createRequestQuarantine({ clock, log: silentDecisionLog, onEvidence: () => undefined }),
-            report: async () => {
-                asked += 1;
-                return errorOf("timeout");
-            },
-            isReplaced: () => false,
-        });
-        expect(await runs.start(engineRecord("e1", "decode"), ["p"]).end("broken")).toBe(false);
-        expect(asked).toBe(1);
-    });
-});
-
-interface SilentEndCase {
-    readonly name: string;
-    readonly report: EngineError;
-    readonly isReplaced: boolean;
-    readonly evidence: number;
-}
-
-const silentEndCases: readonly SilentEndCase[] = [
-    { name: "is replaced", report: { kind: "timeout", cause: "dark" }, isReplaced: true, evidence: 1 },
-    { name: "is not replaced", report: { kind: "timeout", cause: "dark" }, isReplaced: false, evidence: 0 },
-    { name: "resets and is replaced", report: { kind: "interrupted", cause: "reset" }, isReplaced: true, evidence: 1 },
-    {
-        name: "may not be asked, by the rate that it names, and is replaced",
-        report: { kind: "unreachable", cause: "rate" },
-        isReplaced: true,
-        evidence: 1,
-    },
-    {
-        name: "responds, and another engine is registered at its address",
-        report: { kind: "notExecuted", status: 404, cause: "no report" },
-        isReplaced: true,
-        evidence: 0,
-    },
-];
-
-describe("an engine that broke off a request and can't be reached", () => {
-    // Engines whose hosts were gone as well left no evidence.
-    it.each(silentEndCases)("$name: $evidence items of evidence", async ({ report, isReplaced, evidence }) => {
-        const clock = createVirtualClock();
-        let isNewStartKnown = false;
-        const quarantine = createRequestQuarantine({ clock, log: silentDecisionLog, onEvidence: () => undefined });
-        const runs = createEngineRuns({
-            clock,
-            quarantine,
-            report: async () => Result.err(report),
-            isReplaced: () => isNewStartKnown,
-        });
-        const ended = runs.start(engineRecord("e1"), ["request:1"]).end("broken");
-        await clock.advance(2_000);
-        isNewStartKnown = isReplaced;
-        await clock.advance(8_000);
-        expect(await ended).toBe(false);
-        expect(quarantine.evidence()).toHaveLength(evidence);
-    });
-});
-
 describe("whole requests", () => {
     const content: RequestContent = {
         method: "GET",
@@ -302,7 +130,7 @@
     });
 
     it("are still suspected after a run that broke off late, unlike the parts of its prompt", async () => {
-        const entry = createEntry(createVirtualClock(), [errorOf("timeout")]);
+        const entry = createQuarantineEntry(createVirtualClock(), [errorOf("timeout")]);
         const fingerprint = fingerprintOf(content);
         entry.quarantine.recordEngineEnd({ id: "e1", bornMs: 1 }, [fingerprint, "p"], 0);
         await entry.run("e2", `${fingerprint} p`, "broken", 2_000);
@@ -312,7 +140,7 @@
 
     // Calls that were repeated at the same two engines hid the one that had ended them, until it ended a third.
     it("are refused although other requests were at the same engines", () => {
-        const { quarantine } = createEntry(createVirtualClock());
+        const { quarantine } = createQuarantineEntry(createVirtualClock());
         const [deadly, other] = [fingerprintOf(content), fingerprintOf({ ...content, target: "/other" })];
         ["e1", "e2"].forEach(id => quarantine.recordEngineEnd({ id, bornMs: 1 }, [deadly], 0));
         ["e1", "e2"].forEach(id => quarantine.recordEngineEnd({ id, bornMs: 1 }, [other], 0));
@@ -323,7 +151,7 @@
     });
 
     it("keep the evidence of several engines when hundreds of others were there by chance", async () => {
-        const { quarantine } = createEntry(createVirtualClock());
+        const { quarantine } = createQuarantineEntry(createVirtualClock());
         const fingerprint = fingerprintOf(content);
         ["e1", "e2"].forEach(id => quarantine.recordEngineEnd({ id, bornMs: 1 }, [fingerprint], 0));
         for (let engine = 0; engine < 60; engine++) {
@@ -335,7 +163,7 @@
 
     it("are suspected after one engine, refused after two, and served again once one has run", async () => {
         const clock = createVirtualClock();
-        const entry = createEntry(clock);
+        const entry = createQuarantineEntry(clock);
         const fingerprint = fingerprintOf(content);
         await entry.run("e1", fingerprint, "broken");
         expect([entry.quarantine.isSuspected([fingerprint]), entry.isRefused(fingerprint)]).toEqual([true, false]);
@@ -355,7 +183,7 @@
         ["proves nothing if it wrote twice", 2, true],
     ])("%s", async (name, outputs, isRefusedAfter) => {
         const clock = createVirtualClock();
-        const entry = createEntry(clock);
+        const entry = createQuarantineEntry(clock);
         await entry.run("e1", "d", "broken");
         await entry.run("e2", "d", "broken");
         await entry.run("e3", "d", "broken", 3_000, outputs);
@@ -364,7 +192,7 @@
 });
 
 describe("entries that share their evidence", () => {
-    async function shareAll(entries: readonly Entry[]): Promise<void> {
+    async function shareAll(entries: readonly QuarantineEntry[]): Promise<void> {
         for (const from of entries) {
             entries.forEach(to => to.quarantine.applyEvidence(from.quarantine.evidence()));
         }
@@ -372,7 +200,7 @@
 
     it("refuse a part under which each of them has lost one engine", async () => {
         const clock = createVirtualClock();
-        const entries = [createEntry(clock), createEntry(clock), createEntry(clock)];
+        const entries = [createQuarantineEntry(clock), createQuarantineEntry(clock), createQuarantineEntry(clock)];
         await entries[0]?.run("e1", "s d", "broken");
         await entries[1]?.run("e2", "s d", "broken");
         await shareAll(entries);
@@ -381,7 +209,7 @@
 
     it("count an engine that ended under requests of several entries once", async () => {
         const clock = createVirtualClock();
-        const entries = [createEntry(clock), createEntry(clock)];
+        const entries = [createQuarantineEntry(clock), createQuarantineEntry(clock)];
         await entries[0]?.run("e1", "d", "broken");
         await entries[1]?.run("e1", "d", "broken");
         await shareAll(entries);
@@ -390,7 +218,11 @@
 
     it("learn that a request has run with the part, also where older evidence comes in later", async () => {
         const clock = createVirtualClock();
-        const [first, second, cutOff] = [createEntry(clock), createEntry(clock), createEntry(clock)];
+        const [first, second, cutOff] = [
+            createQuarantineEntry(clock),
+            createQuarantineEntry(clock),
+            createQuarantineEntry(clock),
+        ];
         await first.run("e1", "p", "broken");
         await first.run("e2", "p", "broken");
         await shareAll([first, second, cutOff]);
@@ -404,7 +236,7 @@
 
     it("forget evidence at the same time, however often they have passed it on", async () => {
         const clock = createVirtualClock();
-        const entries = [createEntry(clock), createEntry(clock)];
+        const entries = [createQuarantineEntry(clock), createQuarantineEntry(clock)];
         await entries[0]?.run("e1", "d", "broken");
         await entries[0]?.run("e2", "d", "broken");
         for (let round = 0; round < 300; round++) {
