Tests: end the processes of a site that does not start

A site of which one process did not start in time left the others running (37 of them after such a run). startSite now waits until all promises have settled, ends what it started and throws. Shown with a start timeout of 150 ms: no process is left.

--- a/fakes/site.ts
+++ b/fakes/site.ts
@@ -102,7 +102,10 @@
     const exited = new Promise<number | null>(resolve => child.once("exit", code => resolve(code)));
     return new Promise((resolve, reject) => {
         const timer = setTimeout(
-            () => reject(new Error(`${file} ${args.join(" ")} did not start: ${log}`)),
+            () => {
+                child.kill("SIGKILL");
+                reject(new Error(`${file} ${args.join(" ")} did not start: ${log}`));
+            },
             startTimeoutMs,
         );
         void exited.then(code => reject(new Error(`${file} ${args.join(" ")} ended with ${code}: ${log}`)));
@@ -130,8 +133,25 @@
 }
 
 export async function startSite(options: SiteOptions = {}): Promise<Site> {
-    const folder = mkdtempSync(join(tmpdir(), "gooseberrywell-"));
     const started: Process[] = [];
+    try {
+        return await startProcesses(options, started);
+    }
+    catch (error) {
+        await Promise.all(started.map(each => each.kill()));
+        throw error;
+    }
+}
+
+/** Resolves like `Promise.all`, but does not reject before all promises have settled. */
+async function settleAll<Value>(promises: readonly Promise<Value>[]): Promise<Value[]> {
+    await Promise.allSettled(promises);
+    return Promise.all(promises);
+}
+
+/** Starts the processes of a site and adds each to `started` once it runs. */
+async function startProcesses(options: SiteOptions, started: Process[]): Promise<Site> {
+    const folder = mkdtempSync(join(tmpdir(), "gooseberrywell-"));
     const rpc = createRpcClient();
 
     async function launch(file: string, args: readonly string[]): Promise<Process> {
@@ -194,7 +214,7 @@
 
     const counts = { prefill: options.prefill ?? 1, decode: options.decode ?? 1, plain: options.plain ?? 0 } as const;
     const roles = ["prefill", "decode", "plain"] as const;
-    const endpoints = await Promise.all(
+    const endpoints = await settleAll(
         roles.flatMap(role => Array.from({ length: counts[role] }, (unused, index) => startEndpoint(role, index))),
     );
 
