Forget the outcomes of an engine's earlier start

Engines that had ended were left out for up to 4 s after their last refused connection, also if they were back under the same id. While all engines of a service had ended that didn't matter, since all were tried; once the first was back, it got everything until the others' ejections had ended. Health records are kept by id; they are now dropped when a new start of the engine is listed. src/engines/engines.test.ts shows it.

--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -235,7 +235,7 @@
     directory.onChange(() => {
         const known = directory.known();
         engines.keepOnly(known);
-        health.keepOnly(new Set(known.map(engine => engine.id)));
+        health.keepOnly(known);
     });
 
     function applyPeerState(state: EntryState): void {
--- a/src/engines/engineHealth.ts
+++ b/src/engines/engineHealth.ts
@@ -9,6 +9,7 @@
  */
 
 import type { Clock } from "../common/clock.js";
+import type { EngineStart } from "./engineNotices.js";
 import { isConnectionRefused, isWithdrawn } from "./enginePort.js";
 import type { EngineError, EngineRecord } from "./enginePort.js";
 
@@ -28,8 +29,8 @@
      */
     readonly withoutEjected: (engines: readonly EngineRecord[]) => readonly EngineRecord[];
     readonly isEjected: (engineId: string) => boolean;
-    /** Forgets the outcomes of all other engines. */
-    readonly keepOnly: (engineIds: ReadonlySet<string>) => void;
+    /** Forgets the outcomes of all other engines, and of earlier starts of these. */
+    readonly keepOnly: (engines: readonly EngineStart[]) => void;
 }
 
 interface HealthRecord {
@@ -56,6 +57,7 @@
 
 export function createEngineHealth(clock: Clock): EngineHealth {
     const recordsById = new Map<string, HealthRecord>();
+    let bornMsById: ReadonlyMap<string, number> = new Map();
 
     function recordOf(engineId: string): HealthRecord {
         const existing = recordsById.get(engineId);
@@ -124,8 +126,12 @@
             }
             return healthy.length * 2 < listening.length ? listening : healthy;
         },
-        keepOnly: engineIds => {
-            [...recordsById.keys()].filter(id => !engineIds.has(id)).forEach(id => recordsById.delete(id));
+        keepOnly: engines => {
+            const previousBornMsById = bornMsById;
+            bornMsById = new Map(engines.map(({ id, bornMs }) => [id, bornMs]));
+            [...recordsById.keys()]
+                .filter(id => bornMsById.get(id) === undefined || bornMsById.get(id) !== previousBornMsById.get(id))
+                .forEach(id => recordsById.delete(id));
         },
     };
 }
--- a/src/engines/engines.test.ts
+++ b/src/engines/engines.test.ts
@@ -259,6 +259,24 @@
         expect(health.withoutEjected(engines).map(engine => engine.id)).toEqual(expected);
     });
 
+    // Once the first of several engines that had ended was back, the others were left out until their ejections ended.
+    it("forgets the outcomes of an earlier start of an engine", () => {
+        const health = createEngineHealth(createVirtualClock());
+        const first = ["a", "b"].map(id => engineRecord(id));
+        const second = first.map(engine => ({ ...engine, bornMs: engine.bornMs + 1 }));
+        const usable = (): readonly string[] => health.withoutEjected(second).map(({ id }) => id);
+        health.keepOnly(first);
+        ["a", "b"].forEach(id => health.recordOutcome(id, "ended"));
+        health.recordOutcome("a", "succeeded");
+        health.keepOnly(first);
+        expect(usable()).toEqual(["a"]);
+        health.keepOnly(second);
+        expect(usable()).toEqual(["a", "b"]);
+        health.recordOutcome("b", "ended");
+        health.keepOnly(second.filter(({ id }) => id === "a"));
+        expect(usable()).toEqual(["a", "b"]);
+    });
+
     it("retries an unresponsive engine after its ejection, and resets the ejection time after a success", async () => {
         const clock = createVirtualClock();
         const health = createEngineHealth(clock);
