Serve requests while most endpoints of their pool have ended, on sites with agents

With 11 of 12 endpoints ended and no retries left, every request was refused while one endpoint was running.

Change: such an offer counts as neither, up to 16 for a request, and a generation makes the next one without a pause.

--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -6,7 +6,7 @@
 import { Result } from "true-myth";
 import { checkValue } from "../common/json.js";
 import { agentMethods, prefillResponseSchema, startDecodeResponseSchema } from "../endpoint/messages.js";
-import type { DecodeEvent, PrefillResponse, ReserveDecodeRequest } from "../endpoint/messages.js";
+import type { DecodeEvent, PrefillResponse, RefusalReason, ReserveDecodeRequest } from "../endpoint/messages.js";
 import type { EngineStart } from "../engines/engineNotices.js";
 import { isPastStart } from "../quarantine/engineRuns.js";
 import type { Candidate } from "../routing/choose.js";
@@ -15,7 +15,7 @@
 import { openAgentStream } from "./agentStream.js";
 import type { AgentStream } from "./agentStream.js";
 import type { GenerationRequest, RequestContext } from "./context.js";
-import { startOf } from "./endedEndpoint.js";
+import { isEndpointDown, startOf } from "./endedEndpoint.js";
 import type { FailureKind, Stage } from "./outcomeTable.js";
 
 /** Input of an attempt besides the request. */
@@ -40,6 +40,8 @@
     readonly cause: string;
     /** The endpoint has ended while it had just begun to work on the request. */
     readonly endedEndpoint?: EngineStart | undefined;
+    /** The endpoint had ended before, so it did not get the request. */
+    readonly isEndpointDown?: boolean;
 }
 
 /** Result of an attempt whose token stream ended normally. */
@@ -151,7 +153,7 @@
     if (firstEvent.isOk && firstEvent.value.type === "refused") {
         context.loads.recordReport(candidate.endpoint, firstEvent.value.load);
         input.excluded.add(candidate.endpoint);
-        return fail("reserve", "refused", firstEvent.value.reason);
+        return failRefused("reserve", firstEvent.value.reason);
     }
     return failReserve(
         context,
@@ -214,7 +216,7 @@
     if (checked.kind !== "prefilled") {
         input.excluded.add(candidate.endpoint);
         if (checked.kind === "refused") {
-            return fail("prefill", "refused", checked.reason);
+            return failRefused("prefill", checked.reason);
         }
         const endedEndpoint = startOf(candidate.endpoint, checked.endpointEndedAtMs);
         return fail("prefill", "engineFailed", checked.cause, endedEndpoint);
@@ -349,6 +351,10 @@
         : { cause: `${endpoint}: unexpected event "${event.type}"` };
 }
 
+function failRefused(stage: Stage, reason: RefusalReason): Result<never, AttemptFailure> {
+    return Result.err({ stage, failure: "refused", cause: reason, isEndpointDown: isEndpointDown(reason) });
+}
+
 function fail(
     stage: Stage,
     failure: FailureKind,
--- a/src/requests/callService.ts
+++ b/src/requests/callService.ts
@@ -9,7 +9,7 @@
 import type { EngineStart } from "../engines/engineNotices.js";
 import { fingerprintOf } from "../quarantine/requestFingerprint.js";
 import type { RequestAttributes, RequestContext } from "./context.js";
-import { startOf } from "./endedEndpoint.js";
+import { isEndpointDown, maxEndedEndpoints, startOf } from "./endedEndpoint.js";
 import { findOutcome } from "./outcomeTable.js";
 import type { FailureKind } from "./outcomeTable.js";
 
@@ -40,6 +40,8 @@
     readonly cause: string;
     /** The endpoint has ended with the call. */
     readonly endedEndpoint?: EngineStart | undefined;
+    /** The endpoint had ended before, so it did not get the call. */
+    readonly isEndpointDown?: boolean;
 }
 
 const maxAttempts = 3;
@@ -61,6 +63,7 @@
         fingerprintOf({ ...request, host: request.poolName, target: request.path, body: request.bodyBase64 }),
     ];
     let mayHaveRun = false;
+    let endedEndpoints = 0;
     context.retryBudget.recordRequest(request.clientAccount, request.poolName);
 
     function failed(cause: string): ServiceOutcome {
@@ -99,9 +102,13 @@
         mayHaveRun ||= outcome.mayHaveRun;
         const action = request.idempotent ? outcome.idempotent : outcome.nonIdempotent;
         context.counters.add(`requests.calls.${result.failure}.${action}`);
-        const mayRetry = action === "retry" && attempt < maxAttempts && !signal.aborted
+        const isOfferOnly = result.isEndpointDown === true && endedEndpoints < maxEndedEndpoints;
+        endedEndpoints += isOfferOnly ? 1 : 0;
+        const mayRetry = action === "retry" && attempt - endedEndpoints < maxAttempts && !signal.aborted
             && result.endedEndpoint === undefined;
-        if (!mayRetry || !context.retryBudget.takeRetry(request.clientAccount, request.poolName)) {
+        const isAllowed = mayRetry
+            && (isOfferOnly || context.retryBudget.takeRetry(request.clientAccount, request.poolName));
+        if (!isAllowed) {
             return failed(result.cause);
         }
     }
@@ -157,9 +164,9 @@
             return { kind: "answered", status, headers, body: Buffer.from(response.bodyBase64, "base64") };
         }
         case "refused":
-            return { failure: "refused", cause: response.reason };
+            return { failure: "refused", cause: response.reason, isEndpointDown: isEndpointDown(response.reason) };
         case "unreachable":
-            return { failure: "unreachable", cause: response.cause };
+            return { failure: "unreachable", cause: response.cause, isEndpointDown: true };
         case "unknown":
             return {
                 failure: "interrupted",
--- a/src/requests/generate.ts
+++ b/src/requests/generate.ts
@@ -8,6 +8,7 @@
 import { runAttempt } from "./attempt.js";
 import type { AttemptFailure } from "./attempt.js";
 import type { GenerationOutcome, GenerationRequest, RequestContext } from "./context.js";
+import { maxEndedEndpoints } from "./endedEndpoint.js";
 import { findOutcome } from "./outcomeTable.js";
 import { createStopMatcher } from "./stopMatcher.js";
 
@@ -35,6 +36,7 @@
     let emittedTokens = 0;
     const parts = [generationFingerprint(request)];
     let mayHaveRun = false;
+    let endedEndpoints = 0;
     context.retryBudget.recordRequest(request.clientAccount, request.poolName);
 
     function onToken(text: string): boolean {
@@ -91,9 +93,14 @@
         mayHaveRun ||= outcome.mayHaveRun;
         // A generation that may have run in part must be completed, so it waits for endpoints to become available.
         const mustWaitForEndpoint = mayHaveRun && result.error.stage === "route";
-        if (outcome.idempotent === "refuse" && !mustWaitForEndpoint || attempt >= maxAttempts) {
+        const isOfferOnly = result.error.isEndpointDown === true && endedEndpoints < maxEndedEndpoints;
+        endedEndpoints += isOfferOnly ? 1 : 0;
+        if (outcome.idempotent === "refuse" && !mustWaitForEndpoint || attempt - endedEndpoints >= maxAttempts) {
             return failed(result.error);
         }
+        if (isOfferOnly) {
+            continue;
+        }
         if (mustWaitForEndpoint) {
             context.counters.add("requests.waitedForEndpoints");
             await context.clock.sleep(backoffMs(context.random, attempt, routeBackoffMs, maxRouteBackoffMs), signal);
