Take one retry for each attempt that reaches an engine

Since attempts at engines that refuse the connection don't count as attempts, a call whose first response was a failure took a retry from the fleet's budget for each of up to sixteen such engines, and could end without one that reached an engine. Found by reading.

Change: a retry whose attempt reached no engine pays for the next one, as for generations.

Shown: src/forwarding/endedEngines.test.ts, one engine that fails, four that have ended and one that serves, a budget of one retry: the caller got the 500 before, and the 200 now.

--- a/src/forwarding/endedEngines.test.ts
+++ b/src/forwarding/endedEngines.test.ts
@@ -14,7 +14,7 @@
     routeOf,
     smallSize,
 } from "../../fakes/forwardingHarness.js";
-import type { EngineError, EngineRecord } from "../engines/enginePort.js";
+import type { EngineError, EngineRecord, EngineResponse } from "../engines/enginePort.js";
 import type { RouteKind } from "../routes/desiredState.js";
 import { forward } from "./forward.js";
 
@@ -35,6 +35,8 @@
 const maxWaitMs = 3_000;
 const stepMs = 50;
 const noRetries = { ratio: 0, slack: 0, windowMs: 10_000 };
+/** An entry spends 70% of the slack. */
+const budgetOfOneRetry = { ...noRetries, slack: 2 };
 
 function enginesOf(kind: RouteKind, count: number): readonly EngineRecord[] {
     return Array.from(
@@ -44,6 +46,26 @@
 }
 
 describe("requests while engines of their service have ended", () => {
+    it("a call that failed takes one retry, however many engines refuse it before the next response", async () => {
+        const responses: Readonly<Record<string, Result<EngineResponse, EngineError>>> = {
+            "i-0": responseOf(500),
+            "i-5": responseOf(200),
+        };
+        const harness = createForwardingHarness(
+            desiredStateOf([routeOf("idempotent")]),
+            {
+                send: async ({ id }) =>
+                    responses[id]
+                        ?? Result.err({ kind: "unreachable", cause: "refused", isConnectionRefused: true }),
+            },
+            {},
+            budgetOfOneRetry,
+        );
+        harness.load(enginesOf("idempotent", 6));
+        expect(await describeOutcome(await forward(harness.context, requestTo("/idempotent/x")))).toBe("200 ok");
+        expect(harness.context.retryBudget.take("desk")).toBe(false);
+    });
+
     // Attempts at engines that refused the connection counted like others, and once half of the engines did not respond,
     // all of them were tried, so sound requests were refused beside one that ended engines.
     it.each(cases)("$kind, $ended of $engines have ended: $outcome", async ({ kind, engines, ended, outcome }) => {
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -57,6 +57,8 @@
     /** Ended attempts that reached no engine, and those of them whose engines refused the connection. */
     unreachable: number;
     refusedConnections: number;
+    /** Retries taken from the budget; each pays for one attempt that reaches an engine, the first of which is free. */
+    retriesTaken: number;
     /** Ended attempts that may have run. */
     possibleRuns: number;
     /** An engine has ended under an attempt: the call is not sent again. */
@@ -71,6 +73,7 @@
         running: new Set(),
         unreachable: 0,
         refusedConnections: 0,
+        retriesTaken: 0,
         possibleRuns: 0,
         isSuspected: false,
         last: undefined,
@@ -123,7 +126,7 @@
         if (context.engineRates.isLimited(engine) && !await context.engineRates.acquire(engine)) {
             continue;
         }
-        if (state.triedEngines.size > state.unreachable && !context.retryBudget.take(routed.service)) {
+        if (!takeRetryIfNeeded(context, routed, state)) {
             return false;
         }
         sendTo(context, routed, state, engine);
@@ -132,6 +135,17 @@
     return false;
 }
 
+/** Whether the retry budget allows another attempt. A retry whose attempt reached no engine pays for the next one. */
+function takeRetryIfNeeded(context: ForwardContext, { service }: RoutedRequest, state: CallState): boolean {
+    const arrivals = state.triedEngines.size - state.unreachable;
+    if (state.retriesTaken >= arrivals) {
+        return true;
+    }
+    const isTaken = context.retryBudget.take(service);
+    state.retriesTaken += isTaken ? 1 : 0;
+    return isTaken;
+}
+
 function sendTo(context: ForwardContext, routed: RoutedRequest, state: CallState, engine: EngineRecord): void {
     state.triedEngines.add(engine.id);
     const overtaken = new AbortController();
