Soak: count requests against a rate from when a response with it was passed on

Trace (the run's logs): the soak had drained m-2 and registered it as a new start, which the fake engine did not notice, so its limit was counted from before. All entries took the new start between 12.5 and 13.5 s and forgot the limit, as they must. From 12.7 to 14.95 s they asked it for 63 reservations, none of which it answered within 300 ms (the test process was short of processor time); the first response was read at 14.7 s. No entry sent a request after it had heard of the limit.

So a new registration of an engine names its limit anew, and the check counts from half a second after the first response of that engine, to a request sent since, reached a caller. Prefill engines, whose answers are not passed on, are checked as before.

--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -239,6 +239,11 @@
         version += 1;
         if (state === "ready") {
             startVersions.set(engine.id, version);
+            const limit = engine.limits.at(-1);
+            if (limit?.untilMs === undefined) {
+                // The new start names the limit for the first time with its own first response.
+                engine.nameLimit(limit?.value);
+            }
         }
         write(
             "servers",
@@ -302,6 +307,8 @@
     /** `undefined` if the connection failed before the end of the body. */
     readonly body: string | undefined;
     readonly retryAfter: string | null;
+    /** Id of the engine that made the response; `undefined` for a response of the entry. */
+    readonly engine: string | undefined;
 }
 
 /** Sends one request as a caller; rejects if no response head arrives. */
@@ -331,11 +338,13 @@
     });
     const body = await response.body.text().catch(() => undefined);
     const retryAfter = response.headers["retry-after"];
+    const seal = response.headers["x-gooseberrywell-response-seal"];
     return {
         requestId,
         status: response.statusCode,
         body,
         retryAfter: retryAfter === undefined ? null : String(retryAfter),
+        engine: seal === undefined ? undefined : String(seal).replace(/^seal-/u, ""),
     };
 }
 
--- a/fakes/soakChecks.ts
+++ b/fakes/soakChecks.ts
@@ -21,19 +21,50 @@
     return Math.floor(windowFactor * ratePerSecond * rateWindowMs / msPerSecond) + windowSlack;
 }
 
-/** The most requests that arrived within one window, of those that count against a limit. */
-export function maxInWindow(arrivedAtMs: readonly number[], { fromMs, untilMs }: NamedLimit): number {
-    const counted = arrivedAtMs.filter(atMs => atMs >= fromMs + toldMs && atMs <= (untilMs ?? Infinity));
+/** A response that a caller received, by the engine that made it; times are wall-clock times in ms. */
+export interface PassedOnResponse {
+    readonly engine: string | undefined;
+    readonly sentAtMs: number;
+    readonly endedAtMs: number;
+}
+
+/**
+ * The most requests that arrived within one window, of those that count against a limit: those that arrived some time
+ * after `toldAtMs`, when a response with the limit was first passed on.
+ */
+export function maxInWindow(
+    arrivedAtMs: readonly number[],
+    { fromMs, untilMs }: NamedLimit,
+    toldAtMs: number = fromMs,
+): number {
+    const counted = arrivedAtMs.filter(atMs => atMs >= toldAtMs + toldMs && atMs <= (untilMs ?? Infinity));
     const counts = counted
         .filter(endMs => endMs >= fromMs + stableWindowMs)
         .map(endMs => counted.filter(atMs => atMs <= endMs && atMs > endMs - rateWindowMs).length);
     return Math.max(0, ...counts);
 }
 
-export function checkRates(engines: readonly FakePlatformEngine[]): readonly string[] {
-    return engines.flatMap(({ id, limits, arrivedAtMs }) =>
-        limits.flatMap(limit => {
-            const got = maxInWindow(arrivedAtMs, limit);
+type RateEngine = Pick<FakePlatformEngine, "id" | "stage" | "limits" | "arrivedAtMs">;
+
+/** When a response with a limit was first passed on; the responses of prefill engines end at the entries. */
+function toldAtMs({ id, stage }: RateEngine, { fromMs }: NamedLimit, passedOn: readonly PassedOnResponse[]): number {
+    return stage === "prefill"
+        ? fromMs
+        : Math.min(
+            ...passedOn.filter(({ engine, sentAtMs }) => engine === id && sentAtMs >= fromMs)
+                .map(({ endedAtMs }) => endedAtMs),
+        );
+}
+
+/** Checks that no engine got more than the rates that it named, see `maxInWindow`. */
+export function checkRates(
+    engines: readonly RateEngine[],
+    passedOn: readonly PassedOnResponse[],
+): readonly string[] {
+    return engines.flatMap(engine =>
+        engine.limits.flatMap(limit => {
+            const { id, arrivedAtMs } = engine;
+            const got = maxInWindow(arrivedAtMs, limit, toldAtMs(engine, limit, passedOn));
             const allowed = allowedInWindow(Number(limit.value));
             return got <= allowed
                 ? []
--- a/fakes/soakRun.ts
+++ b/fakes/soakRun.ts
@@ -155,7 +155,14 @@
         const violations = [
             ...checkResponses(completed, site, withdrawnAtMs, state.storeFaultEndMs),
             ...await checkRecovery(site, state.key),
-            ...checkRates(site.engines),
+            ...checkRates(
+                site.engines,
+                completed.map(({ sentAtMs, endedAtMs, response }) => ({
+                    engine: response.engine,
+                    sentAtMs,
+                    endedAtMs,
+                })),
+            ),
             ...checkDeadlyRuns(site.engines),
         ];
         const logFile = join(mkdtempSync(join(tmpdir(), "gooseberrywell-soak-")), `seed-${options.seed}.log`);
--- /dev/null
+++ b/test/soakChecks.test.ts
@@ -0,0 +1,53 @@
+/**
+ * The soak's check of the rates that engines name: which requests count, and that too many of them are found.
+ */
+
+import { expect, it } from "vitest";
+import { checkRates } from "../fakes/soakChecks.js";
+import type { PassedOnResponse } from "../fakes/soakChecks.js";
+
+const limit = { value: "2", fromMs: 1_000, untilMs: undefined };
+/** Requests in 4 s; 17 are allowed. */
+const many = 20;
+const arrivals = (fromMs: number): readonly number[] =>
+    Array.from({ length: many }, (unused, index) => fromMs + index * 100);
+
+interface RateCase {
+    readonly name: string;
+    readonly stage: "prefill" | "decode" | undefined;
+    readonly arrivedAtMs: readonly number[];
+    readonly passedOn: readonly PassedOnResponse[];
+    readonly isBroken: boolean;
+}
+
+const told: PassedOnResponse = { engine: "e-1", sentAtMs: 1_100, endedAtMs: 1_300 };
+const cases: readonly RateCase[] = [
+    {
+        name: "too many after a response with the limit was passed on",
+        stage: undefined,
+        arrivedAtMs: arrivals(2_500),
+        passedOn: [told],
+        isBroken: true,
+    },
+    // Thirty entries asked an engine for reservations that it answered too late: none of them had been told of a limit.
+    {
+        name: "too many before any response with the limit was passed on",
+        stage: "decode",
+        arrivedAtMs: arrivals(2_500),
+        passedOn: [{ ...told, sentAtMs: 900 }, { ...told, engine: "e-2" }, { ...told, endedAtMs: 4_500 }],
+        isBroken: false,
+    },
+    {
+        name: "too many at an engine whose responses are not passed on to callers",
+        stage: "prefill",
+        arrivedAtMs: arrivals(2_500),
+        passedOn: [],
+        isBroken: true,
+    },
+    { name: "few", stage: "decode", arrivedAtMs: arrivals(2_500).slice(0, 15), passedOn: [told], isBroken: false },
+];
+
+it.each(cases)("$name: broken $isBroken", ({ stage, arrivedAtMs, passedOn, isBroken }) => {
+    const engine = { id: "e-1", stage, limits: [limit], arrivedAtMs: [...arrivedAtMs] };
+    expect(checkRates([engine], passedOn)).toHaveLength(isBroken ? 1 : 0);
+});
