--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -58,6 +58,7 @@
         id,
         bornMs: 1,
         service: stage === undefined ? "desk" : "models",
+        softwareVersion: "v1",
         address: `${id}:1`,
         dataCentre: "a",
         slots: 4,
@@ -318,6 +319,7 @@
         receivedAtMs: 0,
         callerTimeoutMs: 2_000,
         lastEventId: undefined,
+        resumedRequestId: undefined,
         callerDisconnected: new AbortController().signal,
         ...overrides,
     };
--- a/src/engines/engineDirectory.ts
+++ b/src/engines/engineDirectory.ts
@@ -140,8 +140,8 @@
 
     function logChange(previous: EngineRecord | undefined, next: EngineRecord): void {
         if (previous?.state !== next.state || previous.bornMs !== next.bornMs || previous.stage !== next.stage) {
-            const { id, service, address, state, stage, bornMs } = next;
-            log.info("engine record changed", { engine: id, service, address, state, stage, bornMs });
+            const { id, service, softwareVersion, address, state, stage, bornMs } = next;
+            log.info("engine record changed", { engine: id, service, softwareVersion, address, state, stage, bornMs });
         }
     }
 
--- a/src/engines/enginePort.ts
+++ b/src/engines/enginePort.ts
@@ -15,6 +15,11 @@
     /** Unix milliseconds of the start; 0 if the engine does not report it. */
     readonly bornMs: number;
     readonly service: string;
+    /**
+     * Version of the engine's software, not of the weights of its model; `undefined` if the engine does not report it.
+     * Versions have no order.
+     */
+    readonly softwareVersion: string | undefined;
     /** IP address and port. */
     readonly address: string;
     readonly dataCentre: string;
--- a/src/forwarding/forwardRequest.ts
+++ b/src/forwarding/forwardRequest.ts
@@ -26,6 +26,8 @@
     readonly callerTimeoutMs: number | undefined;
     /** Id of the event after which the caller resumes a stream; `undefined` for a new one. */
     readonly lastEventId: string | undefined;
+    /** Id of the caller's request that brought the first event of the stream that it resumes, as the caller states it. */
+    readonly resumedRequestId: string | undefined;
     /** Aborts when the caller disconnects. */
     readonly callerDisconnected: AbortSignal;
 }
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -265,6 +265,7 @@
             context.log.decision("the prompt was read", {
                 requestId: request.requestId,
                 engine: engine.id,
+                softwareVersion: engine.softwareVersion,
                 tookMs: Math.round(tookMs),
             });
             return result.value;
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -109,6 +109,7 @@
         context.log.decision("continuing a broken stream at another engine", {
             requestId: request.requestId,
             engine: stream.engine.id,
+            softwareVersion: stream.engine.softwareVersion,
             lastEventId: position.lastEventId,
             cause: failure.message,
         });
--- a/src/scheduling/decodeScheduler.ts
+++ b/src/scheduling/decodeScheduler.ts
@@ -262,6 +262,7 @@
             log.decision("placed at a decode engine", {
                 requestId: request.requestId,
                 engine: engine.id,
+                softwareVersion: engine.softwareVersion,
                 promptTokens: item.generation.size.promptTokens,
                 expectedTokens: item.tokens,
                 engineTokens: view.workAt(engine.id).kvTokens,
