--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -11,6 +11,7 @@
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
 import { request } from "undici";
+import type { Dispatcher } from "undici";
 import { startFakePlatformEngine } from "./platformEngine.js";
 import type { FakePlatformEngine } from "./platformEngine.js";
 import { startFakeStore } from "./platformStore.js";
@@ -31,6 +32,14 @@
     readonly restart: () => Promise<void>;
 }
 
+/** An engine of the service of model engines. */
+export interface ModelEngineOptions {
+    readonly id: string;
+    readonly stage: "prefill" | "decode";
+    /** As in the engine's registry record. */
+    readonly softwareVersion: string;
+}
+
 export interface PlatformSite {
     readonly store: FakeStore;
     readonly entries: readonly EntryProcess[];
@@ -39,6 +48,10 @@
     readonly publish: (keys: readonly string[]) => void;
     /** Writes the registry record of an engine. */
     readonly register: (engine: FakePlatformEngine, state: "ready" | "draining") => void;
+    /** Removes the registry record of an engine. */
+    readonly unregister: (engine: FakePlatformEngine) => void;
+    /** The software version of an engine. */
+    readonly softwareVersionOf: (engineId: string) => string;
     /** Writes the newest desired state and records again, as the operator and the engines do after a restoration. */
     readonly writeAgain: () => void;
     readonly close: () => Promise<void>;
@@ -48,6 +61,8 @@
     readonly entries: number;
     readonly events?: number;
     readonly eventMs?: number;
+    /** By default one prefill engine and two decode engines of one software version. */
+    readonly modelEngines?: readonly ModelEngineOptions[];
     /** Number of instances of the plain service; 2 by default. */
     readonly plainEngines?: number;
     /** Maps an engine's address to the one that entries connect to, such as that of a proxy. */
@@ -60,6 +75,12 @@
 
 export const siteKey = "key-of-the-walkers";
 const host = "site.example";
+const defaultSoftwareVersion = "v1";
+const defaultModelEngines: readonly ModelEngineOptions[] = [
+    { id: "p-1", stage: "prefill", softwareVersion: defaultSoftwareVersion },
+    { id: "m-1", stage: "decode", softwareVersion: defaultSoftwareVersion },
+    { id: "m-2", stage: "decode", softwareVersion: defaultSoftwareVersion },
+];
 const graceS = 6;
 const waitTimeoutMs = 20_000;
 
@@ -187,10 +208,11 @@
                 }
             },
         });
+    const modelEngines = options.modelEngines ?? defaultModelEngines;
+    const softwareVersionOf = (engineId: string): string =>
+        modelEngines.find(({ id }) => id === engineId)?.softwareVersion ?? defaultSoftwareVersion;
     const engines: readonly FakePlatformEngine[] = await Promise.all([
-        engineOf("p-1", "prefill"),
-        engineOf("m-1", "decode"),
-        engineOf("m-2", "decode"),
+        ...modelEngines.map(({ id, stage }) => engineOf(id, stage)),
         ...Array.from({ length: options.plainEngines ?? 2 }, (unused, index) => engineOf(`d-${index + 1}`, undefined)),
     ]);
     const unproxied = async (address: string): Promise<string> => address;
@@ -252,6 +274,7 @@
                 service,
                 address: addresses.get(engine.id),
                 zone: "a",
+                version: softwareVersionOf(engine.id),
                 slots: 50,
                 state,
                 sequence: version,
@@ -288,6 +311,11 @@
         engines,
         publish,
         register,
+        unregister: ({ id }) => {
+            written.delete(`servers ${id}`);
+            store.remove("servers", id);
+        },
+        softwareVersionOf,
         writeAgain: () => written.forEach(row => store.put(...row)),
         close: async () => {
             entries.forEach(entry => entry.signal("SIGKILL"));
@@ -320,10 +348,77 @@
     promptPrefix?: string,
     requestBody?: string,
 ): Promise<SiteResponse> {
+    const requestId = nextRequestId();
+    const prefixHeaders: Readonly<Record<string, string>> = promptPrefix === undefined
+        ? {}
+        : { "x-gooseberrywell-prompt-prefix": promptPrefix };
+    const response = await sendToSite(entry, path, key, requestId, prefixHeaders, requestBody, signal);
+    return readResponse(requestId, response);
+}
+
+/** Takes up a stream as its caller does; `began` is absent in a request that does not say with which one it began. */
+export async function resumeAtSite(
+    entry: EntryProcess,
+    path: string,
+    lastEventId: string,
+    began?: string,
+): Promise<SiteResponse> {
+    const requestId = nextRequestId();
+    const headers = { "last-event-id": lastEventId, ...began === undefined ? {} : { resumes: began } };
+    return readResponse(requestId, await sendToSite(entry, path, siteKey, requestId, headers));
+}
+
+/** A stream that its caller left, or that broke off, after some events. */
+export interface PartialStream {
+    readonly requestId: string;
+    readonly engine: string;
+    readonly lastEventId: string;
+}
+
+/** Begins a stream, or takes one up, and leaves it after its next `events` events. */
+export async function beginStream(
+    entry: EntryProcess,
+    path: string,
+    events: number,
+    resumed?: PartialStream,
+): Promise<PartialStream> {
+    const requestId = nextRequestId();
+    const headers: Record<string, string> = resumed === undefined
+        ? {}
+        : { "last-event-id": resumed.lastEventId, resumes: resumed.requestId };
+    const response = await sendToSite(entry, path, siteKey, requestId, headers);
+    const engine = engineOfResponse(response);
+    if (engine === undefined) {
+        throw new Error(`no stream began: status ${response.statusCode}`);
+    }
+    let text = "";
+    for await (const chunk of response.body as AsyncIterable<Buffer>) {
+        text += chunk.toString();
+        const ids = [...text.matchAll(/^id: (\d+)\ndata: .*\n\n/gmu)].map(match => match[1] ?? "");
+        if (ids.length >= events) {
+            response.body.destroy();
+            return { requestId, engine, lastEventId: ids.at(-1) ?? "" };
+        }
+    }
+    throw new Error(`the stream ended after ${text.length} bytes`);
+}
+
+function nextRequestId(): string {
     lastRequestNumber += 1;
-    const requestId = `r-${lastRequestNumber}`;
+    return `r-${lastRequestNumber}`;
+}
+
+async function sendToSite(
+    entry: EntryProcess,
+    path: string,
+    key: string,
+    requestId: string,
+    headers: Readonly<Record<string, string>>,
+    requestBody?: string,
+    signal?: AbortSignal,
+): Promise<Dispatcher.ResponseData> {
     const isGeneration = path.startsWith("/chat/") || path.startsWith("/long/");
-    const response = await request(`${entry.callersUrl}${path}`, {
+    return request(`${entry.callersUrl}${path}`, {
         method: "POST",
         headers: {
             host,
@@ -331,24 +426,34 @@
             "x-gooseberrywell-request-id": requestId,
             "x-gooseberrywell-request-deadline": "5000",
             ...isGeneration ? { "x-gooseberrywell-token-usage": "1000,100" } : {},
-            ...promptPrefix === undefined ? {} : { "x-gooseberrywell-prompt-prefix": promptPrefix },
+            ...headers,
         },
         body: requestBody ?? `body of ${requestId}`,
         ...signal === undefined ? {} : { signal },
     });
+}
+
+/** Id of the engine that made a response; `undefined` for a response of the entry. */
+function engineOfResponse(response: Dispatcher.ResponseData): string | undefined {
+    const seal = response.headers["x-gooseberrywell-response-seal"];
+    return seal === undefined ? undefined : String(seal).replace(/^seal-/u, "");
+}
+
+async function readResponse(requestId: string, response: Dispatcher.ResponseData): Promise<SiteResponse> {
     const body = await response.body.text().catch(() => undefined);
     const retryAfter = response.headers["retry-after"];
-    const seal = response.headers["x-gooseberrywell-response-seal"];
     return {
         requestId,
         status: response.statusCode,
         body,
         retryAfter: retryAfter === undefined ? null : String(retryAfter),
-        engine: seal === undefined ? undefined : String(seal).replace(/^seal-/u, ""),
+        engine: engineOfResponse(response),
     };
 }
 
-/** The complete stream that an engine sends for a request. */
-export function expectedStream(requestId: string, events: number): string {
-    return Array.from({ length: events }, (unused, index) => `id: ${index + 1}\ndata: ${requestId}\n\n`).join("");
+/** The stream that an engine sends for a request: all events, or those after `lastEventId`. */
+export function expectedStream(requestId: string, events: number, lastEventId = 0): string {
+    return Array.from({ length: events }, (unused, index) => `id: ${index + 1}\ndata: ${requestId}\n\n`)
+        .slice(lastEventId)
+        .join("");
 }
