Let a stream go on only at the software version that began it

Cause: entries chose the engine by load alone. Nothing knew with which version a stream had begun, neither within one response nor for a request that takes a stream up at another entry or after all entries were killed.

An entry now records the origin of a resumable stream, its service and software version, when the decode engine is chosen: during the prefill, before the request is sent. Two other entries hold it, one of them writes it to the store, all origins of an interval in one transaction; in a fleet of many entries eight of them do so for all. A request that takes a stream up goes to that service and version, or is refused at once and not run where the origin is not known, also with one version left. Attempts of one request and resumption within one response stay with the first version: an origin never changes, so a write that takes effect late says nothing wrong. The scheduler has a queue for each version that is asked for, so that such a request does not hold up others.

Weighed: a write before the first event (latency, and no streams in an outage); all origins at all entries (grows with the square of their number); deciding the version by a hash of the request id (the set of versions changes while streams run).

Two cases of forward.test.ts resumed a stream without saying which; they name its origin now.

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -31,8 +31,11 @@
 import { createFleetQuota } from "../src/limits/fleetQuota.js";
 import { createFleetRetryBudget } from "../src/limits/fleetRetryBudget.js";
 import type { RetryBudgetSettings } from "../src/limits/fleetRetryBudget.js";
+import { createMemoryPlatform } from "../src/platform/memoryPlatform.js";
 import { createEngineRuns } from "../src/quarantine/engineRuns.js";
 import { createRequestQuarantine } from "../src/quarantine/requestQuarantine.js";
+import { createStreamOrigins } from "../src/resumption/streamOrigins.js";
+import type { StreamOrigins } from "../src/resumption/streamOrigins.js";
 import type { DesiredState, Route, RouteKind } from "../src/routes/desiredState.js";
 import { createRouteTable } from "../src/routes/routeTable.js";
 import type { RpcClient } from "../src/rpc/rpcClient.js";
@@ -198,9 +201,12 @@
     readonly entries?: () => number;
     readonly notices?: EngineNotices;
     readonly rates?: EngineRates;
+    /** By default the entry is the only one and its store is empty. */
+    readonly streamOrigins?: StreamOrigins;
     readonly createScheduler?: (dependencies: DecodeSchedulerDependencies) => DecodeScheduler;
 }
 
+const entryUrl = "http://entry-0";
 const unreachablePeers: RpcClient = {
     call: async () => Result.err({ kind: "unreachable", delivered: "no", cause: "no peers" }),
     stream: async () => Result.err({ kind: "unreachable", delivered: "no", cause: "no peers" }),
@@ -227,8 +233,8 @@
         rpc: unreachablePeers,
         log: silentDecisionLog,
         rates,
-        url: "http://entry-0",
-        stableEntries: () => ["http://entry-0"],
+        url: entryUrl,
+        stableEntries: () => [entryUrl],
         liveFraction: () => 1,
     });
     const metrics = createPrometheusMetrics();
@@ -272,6 +278,14 @@
         }),
         retryBudget: createFleetRetryBudget(clock, budget),
         quarantine,
+        streamOrigins: options.streamOrigins ?? createStreamOrigins({
+            clock,
+            rpc: unreachablePeers,
+            tables: createMemoryPlatform().tables,
+            log,
+            url: entryUrl,
+            stableEntries: () => [entryUrl],
+        }),
         engineRuns: createEngineRuns({ clock, quarantine, report: engines.report, isReplaced: () => false }),
         responseTimes: createResponseTimes(),
         shutdownDeadlineMs: () => undefined,
--- a/src/common/rendezvous.ts
+++ b/src/common/rendezvous.ts
@@ -5,6 +5,14 @@
 
 import { sha256Hex } from "./digest.js";
 
+/** The members in the order in which they are chosen for a key. */
+export function rankByRendezvous(key: string, members: readonly string[]): readonly string[] {
+    return members
+        .map(member => ({ member, rank: sha256Hex(`${key}|${member}`) }))
+        .sort((left, right) => left.rank < right.rank ? -1 : 1)
+        .map(({ member }) => member);
+}
+
 /** The member chosen for a key; `undefined` if there are no members. */
 export function chooseByRendezvous(key: string, members: readonly string[]): string | undefined {
     return members
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -34,6 +34,7 @@
 import { createEngineRuns } from "../quarantine/engineRuns.js";
 import { createEvidenceStore } from "../quarantine/evidenceStore.js";
 import { createRequestQuarantine } from "../quarantine/requestQuarantine.js";
+import { createStreamOrigins } from "../resumption/streamOrigins.js";
 import type { CallerLimits, DesiredState } from "../routes/desiredState.js";
 import { listen } from "../rpc/httpServer.js";
 import { createRpcClient } from "../rpc/rpcClient.js";
@@ -273,7 +274,20 @@
         onPeerRemoved: loads.forgetPeer,
     });
     const entryList = createEntryList(ports.tables, clock, log, { url, start: startId }, peerSync.addPeers);
-    const handler = createRpcHandler({ ...peerSync.methods, ...desiredState.methods, ...engineRates.methods });
+    const streamOrigins = createStreamOrigins({
+        clock,
+        rpc,
+        tables: ports.tables,
+        log,
+        url,
+        stableEntries: () => peerSync.stableEntries(),
+    });
+    const handler = createRpcHandler({
+        ...peerSync.methods,
+        ...desiredState.methods,
+        ...engineRates.methods,
+        ...streamOrigins.methods,
+    });
     const server = await listen(
         settings.exchange.ip,
         settings.exchange.port,
@@ -315,6 +329,7 @@
     void peerSync.run(stopping.signal);
     void entryList.run(stopping.signal);
     void createEvidenceStore(ports.tables, clock, log, quarantine).run(stopping.signal);
+    void streamOrigins.run(stopping.signal);
     void stages.run(stopping.signal);
     void fetchCopies();
     void updateBudgets();
@@ -336,6 +351,7 @@
         retryBudget,
         quarantine,
         engineRuns,
+        streamOrigins,
         responseTimes: createResponseTimes(),
         shutdownDeadlineMs: () => shutdownDeadlineMs,
     };
@@ -350,7 +366,7 @@
         },
         leave: async () => {
             stopping.abort();
-            await Promise.all([peerSync.leave(), entryList.remove()]);
+            await Promise.all([streamOrigins.flush(), peerSync.leave(), entryList.remove()]);
         },
         close: async () => {
             stopping.abort();
--- a/src/engines/enginePort.ts
+++ b/src/engines/enginePort.ts
@@ -16,10 +16,10 @@
     readonly bornMs: number;
     readonly service: string;
     /**
-     * Version of the engine's software, not of the weights of its model; `undefined` if the engine does not report it.
-     * Versions have no order.
+     * Version of the engine's software, not of the weights of its model; versions have no order. What engines of
+     * different versions write does not fit together: neither streams nor KV caches go from one to the other.
      */
-    readonly softwareVersion: string | undefined;
+    readonly softwareVersion: string;
     /** IP address and port. */
     readonly address: string;
     readonly dataCentre: string;
--- a/src/forwarding/context.ts
+++ b/src/forwarding/context.ts
@@ -13,6 +13,7 @@
 import type { FleetRetryBudget } from "../limits/fleetRetryBudget.js";
 import type { EngineRuns } from "../quarantine/engineRuns.js";
 import type { RequestQuarantine } from "../quarantine/requestQuarantine.js";
+import type { StreamOrigins } from "../resumption/streamOrigins.js";
 import type { RouteTable } from "../routes/routeTable.js";
 import type { DecodeScheduler } from "../scheduling/decodeScheduler.js";
 import type { PlacementView } from "../scheduling/placement.js";
@@ -38,6 +39,7 @@
     readonly retryBudget: FleetRetryBudget;
     readonly quarantine: RequestQuarantine;
     readonly engineRuns: EngineRuns;
+    readonly streamOrigins: StreamOrigins;
     readonly responseTimes: ResponseTimes;
     /** Monotonic time at which draining ends at the latest; `undefined` unless this process is shutting down. */
     readonly shutdownDeadlineMs: () => number | undefined;
--- a/src/forwarding/forward.test.ts
+++ b/src/forwarding/forward.test.ts
@@ -279,7 +279,9 @@
             },
         });
         harness.load(modelEngines);
-        const request = requestTo("/stream/x", { size: smallSize, lastEventId: from });
+        harness.context.streamOrigins.record("r-0", { service: "models", softwareVersion: "v1" });
+        const resumed = from === undefined ? {} : { lastEventId: from, resumedRequestId: "r-0" };
+        const request = requestTo("/stream/x", { size: smallSize, ...resumed });
         expect(await describeOutcome(await forward(harness.context, request))).toBe(outcome);
         expect(seenLastEventIds).toEqual(lastEventIds);
     });
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -14,6 +14,7 @@
 import { generate } from "./generation.js";
 import { callPlain } from "./plainCall.js";
 import { refuseQuarantined } from "./quarantineChecks.js";
+import { findResumedOrigin, isResumed } from "./resumedStream.js";
 import type { RoutedRequest } from "./routedRequest.js";
 
 /** Retry delay for callers while this entry has no usable desired state: it is starting or cut off. */
@@ -62,19 +63,19 @@
     if (account === undefined && table.state.clientAccounts !== undefined && !route.isPublic) {
         return refuse(401, request.key === undefined ? "no key was sent" : "the key belongs to no client account");
     }
-    const service = pickService(route, context.random);
-    if (service === undefined) {
+    const pickedService = pickService(route, context.random);
+    if (pickedService === undefined) {
         return refuse(503, `route ${route.name} names no service`, noDesiredStateRetryMs);
     }
     const shutdownDeadlineMs = context.shutdownDeadlineMs();
     if (
         route.kind === "stream" && shutdownDeadlineMs !== undefined
-        && wouldBeInterrupted(context, service, request, shutdownDeadlineMs)
+        && wouldBeInterrupted(context, pickedService, request, shutdownDeadlineMs)
     ) {
         return refuse(503, "this entry is shutting down", shutdownRetryMs);
     }
     const fingerprint = fingerprintOf({ ...request, clientAccount: account?.name });
-    const quarantined = refuseQuarantined(context, { request, service, fingerprint });
+    const quarantined = refuseQuarantined(context, { request, service: pickedService, fingerprint });
     if (quarantined !== undefined) {
         return quarantined;
     }
@@ -93,12 +94,19 @@
         });
         return refuse(429, `client account ${account?.name} is over its rate`, admission.retryAfterMs);
     }
+    const origin = isResumed(route, request) ? await findResumedOrigin(context, request, route) : undefined;
+    if (origin?.isErr) {
+        admission?.refund();
+        return { kind: "refused", refusal: origin.error };
+    }
+    const service = origin?.value.service ?? pickedService;
     context.retryBudget.recordRequest(service);
     const effectiveTimeoutMs = Math.min(route.timeoutMs, request.callerTimeoutMs ?? route.timeoutMs);
     const routed: RoutedRequest = {
         request: { ...request, clientAccount: account?.name },
         route,
         service,
+        softwareVersion: origin?.value.softwareVersion,
         fingerprint,
         deadlineMs: request.receivedAtMs + effectiveTimeoutMs,
     };
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -75,18 +75,20 @@
     lastEventId: string | undefined,
 ): Promise<StartResult> {
     const { request, service } = generation;
+    let current = generation;
     let outcome: ForwardOutcome = refuse(503, "no engine is available", retryAfterMs(context, generation));
     for (let attempt = firstAttempt; attempt < maxAttempts; attempt++) {
         const quarantined = refuseQuarantined(context, generation);
         if (quarantined !== undefined) {
             return { kind: "refused", outcome: quarantined };
         }
-        const allocation = await context.decodeScheduler.allocate(generation);
+        const allocation = await context.decodeScheduler.allocate(current);
         if (allocation.isErr) {
             const { cause, retryAfterMs: waitMs } = allocation.error;
             return { kind: "refused", outcome: attempt === firstAttempt ? refuse(503, cause, waitMs) : outcome };
         }
-        const result = await prefillAndSend(context, generation, allocation.value, lastEventId);
+        current = bindToVersion(context, current, allocation.value.engine);
+        const result = await prefillAndSend(context, current, allocation.value, lastEventId);
         if (result.isOk) {
             return {
                 kind: "started",
@@ -119,6 +121,22 @@
     return { kind: "refused", outcome };
 }
 
+/**
+ * Binds a resumable generation to the software version of its first engine, and records that version as its stream's
+ * origin before anything is sent to the engine. The origin never changes, so each further attempt needs that version.
+ */
+function bindToVersion(
+    { streamOrigins }: ForwardContext,
+    generation: GenerationRequest,
+    { softwareVersion }: EngineRecord,
+): GenerationRequest {
+    if (!generation.route.isResumable || generation.softwareVersion !== undefined) {
+        return generation;
+    }
+    streamOrigins.record(generation.request.requestId, { service: generation.service, softwareVersion });
+    return { ...generation, softwareVersion };
+}
+
 function canCompleteInTime(context: ForwardContext, generation: GenerationRequest): boolean {
     const expectedMs = context.decodeScheduler.expectedResponseMs(generation.service, generation.size);
     return expectedMs === undefined || expectedMs * fastResponseFactor <= timeLeftMs(context, generation);
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -22,7 +22,7 @@
 import { answered, refuse } from "./forwardRequest.js";
 import type { ForwardOutcome } from "./forwardRequest.js";
 import { endBrokenRun, isQuarantined } from "./quarantineChecks.js";
-import { suspectsOf } from "./routedRequest.js";
+import { hasVersionFor, suspectsOf } from "./routedRequest.js";
 import type { RoutedRequest } from "./routedRequest.js";
 
 /** Maximum attempts of one call, the first included, before the caller is asked to retry. */
@@ -121,7 +121,7 @@
     if (!mayRunAgain || attempts >= maxAttempts || state.refusedConnections >= maxRefusedConnections) {
         return false;
     }
-    for (const engine of enginesInOrder(context, routed.service, state.triedEngines)) {
+    for (const engine of enginesInOrder(context, routed, state.triedEngines)) {
         // No await otherwise: the engine's load is to be counted before another call is placed.
         if (context.engineRates.isLimited(engine) && !await context.engineRates.acquire(engine)) {
             continue;
@@ -199,10 +199,10 @@
 /** The engines that have not been tried, the best ones first; ejected ones are the last resort. */
 function* enginesInOrder(
     context: ForwardContext,
-    service: string,
+    routed: RoutedRequest,
     triedEngines: ReadonlySet<string>,
 ): Generator<EngineRecord> {
-    const usable = context.directory.usable(service);
+    const usable = context.directory.usable(routed.service).filter(engine => hasVersionFor(routed, engine));
     for (const engines of [context.health.withoutEjected(usable), usable]) {
         yield* rankForPlain(context.view, engines).filter(engine => !triedEngines.has(engine.id));
     }
@@ -364,6 +364,17 @@
     });
 }
 
+/** Records which version began a resumable stream, before its caller gets the first event. */
+function recordOrigin(
+    { streamOrigins }: ForwardContext,
+    { request, route, service, softwareVersion }: RoutedRequest,
+    engine: EngineRecord,
+): void {
+    if (route.kind === "stream" && route.isResumable && softwareVersion === undefined) {
+        streamOrigins.record(request.requestId, { service, softwareVersion: engine.softwareVersion });
+    }
+}
+
 function outcomeOf(
     context: ForwardContext,
     routed: RoutedRequest,
@@ -371,9 +382,10 @@
     possibleRuns: number,
 ): ForwardOutcome {
     if (last?.result.isOk) {
+        recordOrigin(context, routed, last.engine);
         return answered(last.result.value);
     }
-    const usable = context.directory.usable(routed.service);
+    const usable = context.directory.usable(routed.service).filter(engine => hasVersionFor(routed, engine));
     const areExhausted = context.engineRates.areExhausted(usable);
     const noEngineCause = areExhausted
         ? "all engines have got as many requests as the rates that they name"
--- a/src/forwarding/routedRequest.ts
+++ b/src/forwarding/routedRequest.ts
@@ -2,6 +2,7 @@
  * A request that has passed the checks of route, key and quota, with what they determined.
  */
 
+import type { EngineRecord } from "../engines/enginePort.js";
 import type { EngineSpec, Route } from "../routes/desiredState.js";
 import type { EngineCallBudget } from "./engineCallBudget.js";
 import type { ForwardRequest, GenerationSize } from "./forwardRequest.js";
@@ -13,10 +14,20 @@
     readonly service: string;
     /** Monotonic deadline for the complete response. */
     readonly deadlineMs: number;
+    /** The only software version whose engines may run the request; `undefined` if each may. */
+    readonly softwareVersion: string | undefined;
     /** See `fingerprintOf`. */
     readonly fingerprint: string;
 }
 
+/** Whether an engine has the software version that the request needs. */
+export function hasVersionFor(
+    { softwareVersion }: Pick<RoutedRequest, "softwareVersion">,
+    engine: EngineRecord,
+): boolean {
+    return softwareVersion === undefined || engine.softwareVersion === softwareVersion;
+}
+
 /** What may be to blame if engines end under a request: the request itself, or shared parts of its prompt. */
 export function suspectsOf(
     { fingerprint, request }: Pick<RoutedRequest, "fingerprint" | "request">,
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -113,7 +113,11 @@
             lastEventId: position.lastEventId,
             cause: failure.message,
         });
-        stream = await resumeStream(context, generation, position.lastEventId);
+        stream = await resumeStream(
+            context,
+            { ...generation, softwareVersion: first.engine.softwareVersion },
+            position.lastEventId,
+        );
     }
     relayed.destroy(new Error("the engine broke off the stream and it could not be resumed at another engine"));
 }
--- a/src/scheduling/decodeScheduler.ts
+++ b/src/scheduling/decodeScheduler.ts
@@ -13,6 +13,7 @@
 import type { EngineLoads } from "../engines/engineLoads.js";
 import type { EnginePort, EngineRecord, Reservation } from "../engines/enginePort.js";
 import type { GenerationSize } from "../forwarding/forwardRequest.js";
+import { hasVersionFor } from "../forwarding/routedRequest.js";
 import type { GenerationRequest } from "../forwarding/routedRequest.js";
 import type { EngineRateLimiter } from "../limits/engineRateLimiter.js";
 import type { DecisionLog } from "../telemetry/decisionLog.js";
@@ -69,7 +70,12 @@
     readonly resolve: (result: Result<DecodeAllocation, AllocationRefusal>) => void;
 }
 
-interface ServiceQueue {
+/** Which engines a request may use: those of a service, or those of one software version of it. */
+type EngineChoice = Pick<GenerationRequest, "service" | "softwareVersion">;
+
+/** The queued requests with the same choice of engines, so that none waits behind one that needs other engines. */
+interface EngineQueue {
+    readonly choice: EngineChoice;
     readonly pending: DecodeQueue<QueuedGeneration>;
     /** KV memory of one engine of the service. */
     kvTokens: number;
@@ -94,6 +100,7 @@
 const maximumRetryAfterMs = 4_000;
 /** Window over which allocations are counted to estimate how fast the queue moves. */
 const allocationWindowMs = 2_000;
+const noEngineCause = "no decode engine is available";
 const allExhaustedCause = "all decode engines have got as many requests as the rates that they name";
 const allRestingCause = "all decode engines accept no requests for some time";
 
@@ -102,37 +109,45 @@
     return Math.min(size.maxOutputTokens, size.outputHintTokens ?? Math.ceil(size.maxOutputTokens / 2));
 }
 
+function keyOf({ service, softwareVersion }: EngineChoice): string {
+    return JSON.stringify([service, softwareVersion]);
+}
+
 export function createDecodeScheduler(
     dependencies: DecodeSchedulerDependencies,
     settings: DecodeSchedulerSettings,
 ): DecodeScheduler {
     const { clock, view, directory, health, loads, engines, engineRates, log, metrics } = dependencies;
-    const queues = new Map<string, ServiceQueue>();
+    const queues = new Map<string, EngineQueue>();
     const backoffUntilMs = new Map<string, number>();
     const durations = createStreamDurations();
     let recentAllocations: readonly { readonly atMs: number; readonly tokens: number; readonly service: string; }[] =
         [];
 
-    function queueOf(service: string): ServiceQueue {
-        const existing = queues.get(service);
+    function queueOf(choice: EngineChoice): EngineQueue {
+        const { service, softwareVersion } = choice;
+        const key = keyOf(choice);
+        const existing = queues.get(key);
         if (existing !== undefined) {
             return existing;
         }
-        const created: ServiceQueue = {
+        const created: EngineQueue = {
+            choice: { service, softwareVersion },
             pending: createDecodeQueue(),
             kvTokens: 0,
             isProcessing: false,
             wake: () => undefined,
         };
-        queues.set(service, created);
+        queues.set(key, created);
         return created;
     }
 
     loads.onEnd(() => queues.forEach(queue => queue.wake()));
     directory.onChange(() => queues.forEach(queue => queue.wake()));
 
-    function decodeEngines(service: string): readonly EngineRecord[] {
-        return health.withoutEjected(view.enginesFor(service, "decode"));
+    function decodeEngines(choice: EngineChoice): readonly EngineRecord[] {
+        const engines = view.enginesFor(choice.service, "decode");
+        return health.withoutEjected(engines.filter(engine => hasVersionFor(choice, engine)));
     }
 
     /** Whether an engine recently refused a reservation or did not respond to the request for it. */
@@ -148,17 +163,18 @@
     }
 
     /**
-     * Estimated queue delay of a service: queued tokens that do not fit now, divided by the rate at which memory
+     * Estimated queue delay: queued tokens that do not fit now, divided by the rate at which memory
      * becomes available. That rate is the one of recent allocations or this entry's share of what the decode engines
      * free, whichever is higher, because after an idle period there are few recent allocations.
      */
-    function queueDelayMs(service: string): number {
+    function queueDelayMs(choice: EngineChoice): number {
+        const { service } = choice;
         const sinceMs = clock.monotonicMs() - allocationWindowMs;
         recentAllocations = recentAllocations.filter(recent => recent.atMs >= sinceMs);
         const allocatedTokens = recentAllocations.filter(recent => recent.service === service)
             .reduce((sum, recent) => sum + recent.tokens, 0);
-        const { pending, kvTokens } = queueOf(service);
-        const availableEngines = decodeEngines(service);
+        const { pending, kvTokens } = queueOf(choice);
+        const availableEngines = decodeEngines(choice);
         const freedTokensPerMs = availableEngines.length * kvTokens / durations.meanMs(service)
             / Math.max(1, dependencies.entries());
         // Requests that fit into free memory do not wait.
@@ -175,14 +191,14 @@
         return { cause: allExhaustedCause, retryAfterMs: engineRates.retryAfterMs(service, decoders) };
     }
 
-    function retryAfterMs(service: string): number {
-        return Math.min(maximumRetryAfterMs, minimumRetryAfterMs + queueDelayMs(service));
+    function retryAfterMs(choice: EngineChoice): number {
+        return Math.min(maximumRetryAfterMs, minimumRetryAfterMs + queueDelayMs(choice));
     }
 
     function recordAllocation(item: QueuedGeneration, nowMs: number): void {
         const { service } = item.generation;
         recentAllocations = [...recentAllocations, { atMs: nowMs, tokens: item.tokens, service }];
-        queueOf(service).pending.recordAllocatedTokens(item.clientAccount, item.tokens, nowMs);
+        queueOf(item.generation).pending.recordAllocatedTokens(item.clientAccount, item.tokens, nowMs);
         metrics.observe("placeWaitMs", service, nowMs - item.enqueuedAtMs);
     }
 
@@ -236,13 +252,13 @@
 
     /** Whether the request left the queue: with an allocation, or because its caller disconnected. */
     async function tryAllocate(item: QueuedGeneration): Promise<boolean> {
-        const { service, engineSpec, request } = item.generation;
+        const { engineSpec, request } = item.generation;
         const maxKvTokens = engineSpec.kvTokens * settings.maxKvUtilization;
-        const enginesWithCapacity = decodeEngines(service).filter(engine =>
+        const enginesWithCapacity = decodeEngines(item.generation).filter(engine =>
             !isInBackoff(engine) && !engineRates.areExhausted([engine])
             && view.workAt(engine.id).kvTokens + item.tokens <= maxKvTokens
         );
-        const queue = queueOf(service);
+        const queue = queueOf(item.generation);
         for (
             const engine of rankForDecode(view, enginesWithCapacity, engineSpec.kvTokens).slice(0, maxEnginesPerPass)
         ) {
@@ -276,22 +292,23 @@
     }
 
     /** Refuses the requests that can get no allocation before their queue deadline. */
-    function refuseExpired(queue: ServiceQueue, service: string): void {
-        const restMs = directory.allRestingMs(service, "decode");
+    function refuseExpired(queue: EngineQueue): void {
+        const restMs = directory.allRestingMs(queue.choice.service, "decode");
         const nextAllocationMs = clock.monotonicMs() + (restMs ?? 0);
         for (const item of queue.pending.takeExpired(nextAllocationMs)) {
             item.resolve(
                 Result.err({
                     cause: restMs === undefined ? "no decode engine had room in time" : allRestingCause,
-                    retryAfterMs: restMs ?? retryAfterMs(service),
+                    retryAfterMs: restMs ?? retryAfterMs(queue.choice),
                 }),
             );
         }
     }
 
     /** Refuses all queued requests if no engine may take one, by the rates that the engines name. */
-    function refuseIfExhausted(queue: ServiceQueue, service: string): void {
-        const decoders = decodeEngines(service);
+    function refuseIfExhausted(queue: EngineQueue): void {
+        const { service } = queue.choice;
+        const decoders = decodeEngines(queue.choice);
         if (engineRates.areExhausted(decoders)) {
             for (const item of queue.pending.takeExpired(Number.POSITIVE_INFINITY)) {
                 item.resolve(Result.err(allExhausted(service, decoders)));
@@ -299,20 +316,31 @@
         }
     }
 
-    /** Processes a service's queue until it is empty; one loop runs at a time, and a further call wakes it. */
-    async function processQueue(service: string, queue: ServiceQueue): Promise<void> {
+    /** Refuses the queued requests that need a software version of which no engine is left. */
+    function refuseIfVersionLeft(queue: EngineQueue): void {
+        if (queue.choice.softwareVersion === undefined || decodeEngines(queue.choice).length > 0) {
+            return;
+        }
+        for (const item of queue.pending.takeExpired(Number.POSITIVE_INFINITY)) {
+            item.resolve(Result.err({ cause: noEngineCause, retryAfterMs: minimumRetryAfterMs }));
+        }
+    }
+
+    /** Processes a queue until it is empty; one loop runs at a time, and a further call wakes it. */
+    async function processQueue(queue: EngineQueue): Promise<void> {
         if (queue.isProcessing) {
             queue.wake();
             return;
         }
         queue.isProcessing = true;
         while (queue.pending.size() > 0) {
-            refuseExpired(queue, service);
+            refuseExpired(queue);
+            refuseIfVersionLeft(queue);
             const candidates = queue.pending.candidates(clock.monotonicMs()).filter(item =>
                 canPrefill(item.generation)
             );
             const results = await Promise.all(candidates.map(tryAllocate));
-            refuseIfExhausted(queue, service);
+            refuseIfExhausted(queue);
             if (!results.includes(true) && queue.pending.size() > 0) {
                 const wakeController = new AbortController();
                 queue.wake = () => wakeController.abort();
@@ -320,6 +348,9 @@
             }
         }
         queue.isProcessing = false;
+        if (queue.choice.softwareVersion !== undefined) {
+            queues.delete(keyOf(queue.choice));
+        }
     }
 
     function toQueuedGeneration(generation: GenerationRequest, resolve: QueuedGeneration["resolve"]): QueuedGeneration {
@@ -342,7 +373,7 @@
 
     return {
         expectedResponseMs: (service, size) => durations.expectedMs(service, expectedOutputTokens(size)),
-        retryAfterMs,
+        retryAfterMs: service => retryAfterMs({ service, softwareVersion: undefined }),
         queuedRequests: () => [...queues.values()].reduce((sum, queue) => sum + queue.pending.size(), 0),
         allocate: async generation => {
             const { service, size, engineSpec, request } = generation;
@@ -352,20 +383,20 @@
                     retryAfterMs: maximumRetryAfterMs,
                 });
             }
-            const decoders = decodeEngines(service);
+            const decoders = decodeEngines(generation);
             if (engineRates.areExhausted(decoders)) {
                 return Result.err(allExhausted(service, decoders));
             }
             const restMs = directory.allRestingMs(service, "decode");
             if (decoders.length === 0 && restMs === undefined) {
-                return Result.err({ cause: "no decode engine is available", retryAfterMs: minimumRetryAfterMs });
+                return Result.err({ cause: noEngineCause, retryAfterMs: minimumRetryAfterMs });
             }
-            const queue = queueOf(service);
+            const queue = queueOf(generation);
             queue.kvTokens = engineSpec.kvTokens;
-            if (queueDelayMs(service) > settings.maxQueueDelayMs) {
+            if (queueDelayMs(generation) > settings.maxQueueDelayMs) {
                 return Result.err({
                     cause: "too many requests wait for a decode engine",
-                    retryAfterMs: retryAfterMs(service),
+                    retryAfterMs: retryAfterMs(generation),
                 });
             }
             return new Promise(resolve => {
@@ -380,7 +411,7 @@
                 }
                 request.callerDisconnected.addEventListener("abort", onCallerDisconnect, { once: true });
                 queue.pending.add(item);
-                void processQueue(service, queue);
+                void processQueue(queue);
             });
         },
     };
--- a/src/scheduling/scheduling.test.ts
+++ b/src/scheduling/scheduling.test.ts
@@ -39,6 +39,7 @@
         route,
         service: "models",
         deadlineMs: 2_000,
+        softwareVersion: undefined,
         fingerprint: "request:1",
         size,
         engineSpec,
--- a/src/telemetry/prometheusMetrics.ts
+++ b/src/telemetry/prometheusMetrics.ts
@@ -9,6 +9,7 @@
     repeats: "sends to a further engine",
     hedges: "calls also sent to another instance because the first took unusually long",
     resumes: "streams continued at another engine",
+    resumptionsRefused: "requests to take up a stream that were refused, by route",
     ownPrefills: "prompts that a decode engine read itself because the prefill engines were busy",
     prefillsDiscarded: "prefills whose result was not used",
     callersGone: "requests whose callers went away",
