Send a request only to the start of its engine at which it was placed

An engine may start again under the id that it had, also with another software version. If it did so during a prefill, the request still went to its address under its id and was accepted there: its stream's origin was recorded with the version of the earlier start, and its reservation was gone.

Cause: whether an engine is usable was asked by its id alone. The question names the start now (id and birth time), so the request is placed again. The new case in forward.test.ts sent to 'm-1 1' before, and sends to 'm-1 2' now.

--- a/src/engines/engineDirectory.ts
+++ b/src/engines/engineDirectory.ts
@@ -11,7 +11,7 @@
 import type { Clock } from "../common/clock.js";
 import type { CopyOrigin } from "../peerSync/tableReplica.js";
 import type { Log } from "../telemetry/telemetry.js";
-import type { EngineNotices } from "./engineNotices.js";
+import type { EngineNotices, EngineStart } from "./engineNotices.js";
 import type { EngineRecord, Stage } from "./enginePort.js";
 
 /** Within two seconds of the end of a registry outage, live engines are listed again (platform); others have ended. */
@@ -25,7 +25,8 @@
 export interface EngineDirectory {
     /** Engines of a service that accept work now. */
     readonly usable: (service: string) => readonly EngineRecord[];
-    readonly isUsable: (id: string) => boolean;
+    /** Whether this start of an engine accepts work now. */
+    readonly isUsable: (engine: EngineStart) => boolean;
     /**
      * Time until the first resting engine of a service and stage accepts work; `undefined` if none of them rests, or if
      * another one is usable.
@@ -152,9 +153,9 @@
             removeExpired();
             return usableByService.get(service) ?? [];
         },
-        isUsable: id => {
+        isUsable: ({ id, bornMs }) => {
             const engine = enginesById.get(id);
-            return engine !== undefined && isUsable(engine);
+            return engine !== undefined && engine.record.bornMs === bornMs && isUsable(engine);
         },
         allRestingMs: (service, stage) => {
             removeExpired();
--- a/src/engines/engines.test.ts
+++ b/src/engines/engines.test.ts
@@ -172,9 +172,10 @@
         directory.load([first], "current");
         notices.recordLeaving(first);
         directory.load([{ ...first, recordSequence: 9 }], "current");
-        expect([directory.usable("desk").length, directory.isUsable("i-1")]).toEqual([0, false]);
+        expect([directory.usable("desk").length, directory.isUsable({ id: "i-1", bornMs: 1 })]).toEqual([0, false]);
         directory.load([{ ...first, bornMs: 2 }], "current");
-        expect([directory.usable("desk").length, directory.isUsable("i-1")]).toEqual([1, true]);
+        expect([directory.usable("desk").length, directory.isUsable({ id: "i-1", bornMs: 2 })]).toEqual([1, true]);
+        expect(directory.isUsable({ id: "i-1", bornMs: 1 })).toBe(false);
     });
 
     it("a resting engine is used again when its rest ends; a shorter rest does not end a longer one", async () => {
--- a/src/forwarding/forward.test.ts
+++ b/src/forwarding/forward.test.ts
@@ -16,7 +16,7 @@
     routeOf,
     smallSize,
 } from "../../fakes/forwardingHarness.js";
-import type { EngineScript } from "../../fakes/forwardingHarness.js";
+import type { EngineScript, ForwardingHarness } from "../../fakes/forwardingHarness.js";
 import type { EngineError } from "../engines/enginePort.js";
 import type { Route, RouteKind } from "../routes/desiredState.js";
 import { expectedOutputTokens } from "../scheduling/decodeScheduler.js";
@@ -212,6 +212,32 @@
     });
 });
 
+describe("a decode engine that starts again under its id while the prompt is prefilled", () => {
+    // The request went to the new start, at the address and under the id of the old one, which held its reservation.
+    it("gets no request that was placed at its earlier start", async () => {
+        const restarted = modelEngines.map(engine => engine.id === "m-1" ? { ...engine, bornMs: 2 } : engine);
+        const sentTo: string[] = [];
+        let prefills = 0;
+        const harness: ForwardingHarness = createForwardingHarness(desiredStateOf([routeOf("stream")]), {
+            prefill: async ({ address }) => {
+                prefills += 1;
+                if (prefills === 1) {
+                    harness.load(restarted);
+                }
+                return Result.ok({ address, handle: "h", tokens: 1 });
+            },
+            send: async ({ id, bornMs }) => {
+                sentTo.push(`${id} ${bornMs}`);
+                return responseOf(200);
+            },
+        });
+        harness.load(modelEngines);
+        const outcome = await forward(harness.context, requestTo("/stream/x", { size: smallSize }));
+        expect(await describeOutcome(outcome)).toBe("200 ok");
+        expect(sentTo).toEqual(["m-1 2"]);
+    });
+});
+
 interface ResumeCase {
     readonly name: string;
     /** Id of the event after which the caller itself resumes. */
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -178,7 +178,7 @@
         releaseResources(context, allocation, cache);
         return Result.err({ kind: "unreachable", cause: "its time was over before it was sent" });
     }
-    if (!context.directory.isUsable(allocation.engine.id)) {
+    if (!context.directory.isUsable(allocation.engine)) {
         endPrefillLoad();
         releaseResources(context, allocation, cache);
         return Result.err({ kind: "unreachable", cause: "the engine stopped accepting work during the prefill" });
--- a/src/scheduling/decodeScheduler.ts
+++ b/src/scheduling/decodeScheduler.ts
@@ -228,7 +228,7 @@
             size.promptTokens / prefillTokensPerMs + reservationMarginMs,
         );
         const reserved = await engines.reserve(engine, requestedTokens, Math.ceil(reservationTtlMs), reserveTimeoutMs);
-        if (reserved.isOk && directory.isUsable(engine.id)) {
+        if (reserved.isOk && directory.isUsable(engine)) {
             return { engine, reservation: reserved.value, end };
         }
         endWork();
