Use KV caches only at engines of the software version that wrote them

Prefill engines are chosen from the decode engine's version; without one the decode engine prefills itself. Where decode engines should not prefill, those whose version has prefill engines come first. The split between the stages is made for each version, so that a version with two engines or more has both stages, and a single engine of a version generates.

--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -11,7 +11,12 @@
 import type { EngineError, EngineRecord, EngineResponse, PrefilledCache } from "../engines/enginePort.js";
 import type { EngineRun } from "../quarantine/engineRuns.js";
 import type { DecodeAllocation } from "../scheduling/decodeScheduler.js";
-import { allowsLocalPrefill, isLocalPrefillFaster, rankForPrefill } from "../scheduling/placement.js";
+import {
+    allowsLocalPrefill,
+    isLocalPrefillFaster,
+    prefillEnginesFor,
+    rankForPrefill,
+} from "../scheduling/placement.js";
 import type { ForwardContext } from "./context.js";
 import type { EngineCallBudget } from "./engineCallBudget.js";
 import { answered, refuse } from "./forwardRequest.js";
@@ -246,7 +251,8 @@
     decodeEngine: EngineRecord,
 ): Promise<PrefilledCache | undefined> {
     const { request, service, size, callBudget } = generation;
-    const engines = context.health.withoutEjected(context.view.enginesFor(service, "prefill"))
+    const compatible = prefillEnginesFor(context.view, service, decodeEngine);
+    const engines = context.health.withoutEjected(compatible)
         .filter(engine => !context.engineRates.areExhausted([engine]));
     const ranked = rankForPrefill(context.view, engines);
     for (const engine of ranked.slice(0, maxPrefillEngines)) {
--- a/src/forwarding/softwareVersions.test.ts
+++ b/src/forwarding/softwareVersions.test.ts
@@ -223,3 +223,52 @@
         expect(sendsOf(harness)).toEqual(sends);
     });
 });
+
+interface CacheCase {
+    readonly name: string;
+    readonly engines: readonly EngineRecord[];
+    /** Whether decode engines may prefill while prefill engines are available. */
+    readonly allowsLocalPrefill: boolean;
+    readonly calls: readonly string[];
+}
+
+const tightGapMs = 10;
+
+const cacheCases: readonly CacheCase[] = [
+    {
+        name: "comes from a prefill engine of the decode engine's version",
+        engines: [engineOf("p-1", "prefill", "v1"), engineOf("p-2", "prefill", "v2"), engineOf("m-2", "decode", "v2")],
+        allowsLocalPrefill: false,
+        calls: ["prefill p-2", "send m-2"],
+    },
+    {
+        name: "is not used if only prefill engines of other versions are left",
+        engines: [engineOf("p-1", "prefill", "v1"), engineOf("m-2", "decode", "v2")],
+        allowsLocalPrefill: false,
+        calls: ["send m-2"],
+    },
+    {
+        name: "is there for a decode engine that is preferred to one that would have to prefill",
+        engines: [engineOf("p-1", "prefill", "v1"), engineOf("m-2", "decode", "v2"), engineOf("m-3", "decode", "v1")],
+        allowsLocalPrefill: false,
+        calls: ["prefill p-1", "send m-3"],
+    },
+    {
+        name: "is done without where decode engines may prefill",
+        engines: [engineOf("p-1", "prefill", "v1"), engineOf("m-2", "decode", "v2"), engineOf("m-3", "decode", "v1")],
+        allowsLocalPrefill: true,
+        calls: ["send m-2"],
+    },
+];
+
+describe("a KV cache", () => {
+    // Decode engines fetched caches that prefill engines of other software versions had written.
+    it.each(cacheCases)("$name", async ({ engines, allowsLocalPrefill, calls }) => {
+        const route = routeOf("stream", allowsLocalPrefill ? {} : { maxGapMs: tightGapMs });
+        const harness = createForwardingHarness(desiredStateOf([route]));
+        harness.load(engines);
+        const result = await forward(harness.context, requestTo("/stream/x", { size: smallSize }));
+        expect(await describeOutcome(result)).toBe("200 ok");
+        expect(harness.calls.filter(call => !call.startsWith("reserve "))).toEqual(calls);
+    });
+});
--- a/src/scheduling/decodeScheduler.ts
+++ b/src/scheduling/decodeScheduler.ts
@@ -21,7 +21,13 @@
 import { createDecodeQueue } from "./decodeQueue.js";
 import type { DecodeQueue, QueuedRequest } from "./decodeQueue.js";
 import type { DecodeSchedulerSettings } from "./decodeSchedulerSettings.js";
-import { allowsLocalPrefill, prefillTokensPerMs, prefillWaitMs, rankForDecode } from "./placement.js";
+import {
+    allowsLocalPrefill,
+    prefillEnginesFor,
+    prefillTokensPerMs,
+    prefillWaitMs,
+    rankForDecode,
+} from "./placement.js";
 import type { PlacementView } from "./placement.js";
 import { createStreamDurations } from "./streamDurations.js";
 
@@ -156,8 +162,11 @@
     }
 
     /** Whether the prompt can be prefilled soon enough, by a prefill engine or by the decode engine. */
-    function canPrefill({ service, route, engineSpec }: GenerationRequest): boolean {
-        const prefillWaitsMs = view.enginesFor(service, "prefill").map(engine => prefillWaitMs(view, engine));
+    function canPrefill(generation: GenerationRequest): boolean {
+        const { service, route, engineSpec } = generation;
+        const prefillWaitsMs = view.enginesFor(service, "prefill")
+            .filter(engine => hasVersionFor(generation, engine))
+            .map(engine => prefillWaitMs(view, engine));
         return prefillWaitsMs.length === 0 || Math.min(...prefillWaitsMs) <= settings.maxPrefillWaitMs
             || allowsLocalPrefill(route, engineSpec);
     }
@@ -250,6 +259,22 @@
         return undefined;
     }
 
+    /**
+     * The engines to ask, in order. Where decode engines must not prefill, those for which no prefill engine of their
+     * software version is available come last.
+     */
+    function rankEngines(
+        { service, route, engineSpec }: GenerationRequest,
+        engines: readonly EngineRecord[],
+    ): readonly EngineRecord[] {
+        const ranked = rankForDecode(view, engines, engineSpec.kvTokens);
+        if (allowsLocalPrefill(route, engineSpec)) {
+            return ranked;
+        }
+        const hasPrefill = (engine: EngineRecord): boolean => prefillEnginesFor(view, service, engine).length > 0;
+        return [...ranked.filter(hasPrefill), ...ranked.filter(engine => !hasPrefill(engine))];
+    }
+
     /** Whether the request left the queue: with an allocation, or because its caller disconnected. */
     async function tryAllocate(item: QueuedGeneration): Promise<boolean> {
         const { engineSpec, request } = item.generation;
@@ -259,9 +284,7 @@
             && view.workAt(engine.id).kvTokens + item.tokens <= maxKvTokens
         );
         const queue = queueOf(item.generation);
-        for (
-            const engine of rankForDecode(view, enginesWithCapacity, engineSpec.kvTokens).slice(0, maxEnginesPerPass)
-        ) {
+        for (const engine of rankEngines(item.generation, enginesWithCapacity).slice(0, maxEnginesPerPass)) {
             const allocation = await tryAllocateAt(item, engine);
             if (allocation === undefined) {
                 continue;
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -67,6 +67,15 @@
     return view.workAt(engine.id).prefillTokens / prefillTokensPerMs + engine.coldRemainingMs;
 }
 
+/** Prefill engines whose KV caches a decode engine can use: those of its software version. */
+export function prefillEnginesFor(
+    view: PlacementView,
+    service: string,
+    { softwareVersion }: EngineRecord,
+): readonly EngineRecord[] {
+    return view.enginesFor(service, "prefill").filter(engine => engine.softwareVersion === softwareVersion);
+}
+
 /** Prefill engines in order of increasing wait. */
 export function rankForPrefill(view: PlacementView, engines: readonly EngineRecord[]): readonly EngineRecord[] {
     return sortBy(
--- a/src/stages/stageSplit.ts
+++ b/src/stages/stageSplit.ts
@@ -1,5 +1,6 @@
 /**
- * Split of a service's engines between prefill and decode: the target number, and the next engine to change.
+ * Split of a service's engines between prefill and decode: the target number, and the next engine to change. Each software
+ * version has a split of its own, because a decode engine can use only the KV caches of its version.
  */
 
 import type { EngineRecord, Stage } from "../engines/enginePort.js";
@@ -14,17 +15,45 @@
     return engines < 2 ? 0 : Math.min(engines - 1, Math.max(1, Math.round(engines * prefillFraction)));
 }
 
-/** Whether no engine is left in a stage, although there are engines for both. */
+/** Engines by their software versions; first the versions without decode engines, then those without prefill engines. */
+function byVersion(engines: readonly EngineRecord[]): readonly (readonly EngineRecord[])[] {
+    const versions = new Set(engines.map(({ softwareVersion }) => softwareVersion));
+    const groups = [...versions].map(version => engines.filter(({ softwareVersion }) => softwareVersion === version));
+    const urgency = (group: readonly EngineRecord[]): number =>
+        lacksStage(group) ? (group[0]?.stage === "prefill" ? 2 : 1) : 0;
+    return groups.sort((left, right) => urgency(right) - urgency(left));
+}
+
+/** Whether no engine of a software version is left in a stage, although there are engines for both. */
 export function isStageMissing(engines: readonly EngineRecord[]): boolean {
+    return byVersion(engines).some(lacksStage);
+}
+
+function lacksStage(engines: readonly EngineRecord[]): boolean {
     const stages = new Set(engines.map(engine => engine.stage));
     return engines.length > 1 && !(stages.has("prefill") && stages.has("decode"));
 }
 
+/** The next change of stage, or `undefined` if the splits of all software versions are on target. */
+export function nextStageChange(
+    engines: readonly EngineRecord[],
+    prefillFraction: number,
+    requestsAt: (engineId: string) => number,
+): StageChange | undefined {
+    for (const group of byVersion(engines)) {
+        const change = nextChangeOf(group, prefillFraction, requestsAt);
+        if (change !== undefined) {
+            return change;
+        }
+    }
+    return undefined;
+}
+
 /**
- * The next change of stage, or `undefined` if the split is on target. Of the stage with too many engines, the one with
+ * The next change among the engines of one software version. Of the stage with too many engines, the one with
  * the fewest requests changes; `requestsAt` returns the requests in flight at an engine.
  */
-export function nextStageChange(
+function nextChangeOf(
     engines: readonly EngineRecord[],
     prefillFraction: number,
     requestsAt: (engineId: string) => number,
--- a/src/stages/stages.test.ts
+++ b/src/stages/stages.test.ts
@@ -260,6 +260,48 @@
     },
 ];
 
+interface VersionSplitCase {
+    readonly name: string;
+    /** Engines as `version stage`. */
+    readonly engines: readonly string[];
+    /** The next change as `version stage`; `undefined` for none. */
+    readonly change: string | undefined;
+}
+
+const versionSplitCases: readonly VersionSplitCase[] = [
+    {
+        name: "a version without a prefill engine gets one, although there are enough of another version",
+        engines: ["v1 prefill", "v1 decode", "v1 decode", "v2 decode", "v2 decode", "v2 decode"],
+        change: "v2 prefill",
+    },
+    {
+        name: "a version without a decode engine gets one first",
+        engines: ["v1 decode", "v1 decode", "v1 decode", "v2 prefill", "v2 prefill"],
+        change: "v2 decode",
+    },
+    {
+        name: "the last engine of a version generates, since it serves no other version",
+        engines: ["v1 prefill", "v2 prefill", "v2 decode", "v2 decode", "v2 decode"],
+        change: "v1 decode",
+    },
+    {
+        name: "both versions have both stages",
+        engines: ["v1 prefill", "v1 decode", "v2 prefill", "v2 decode"],
+        change: undefined,
+    },
+];
+
+describe("split of the engines of several software versions", () => {
+    it.each(versionSplitCases)("$name", ({ engines, change }) => {
+        const records = engines.map((text, index) => {
+            const [softwareVersion = "", stage] = text.split(" ");
+            return engineRecord(`i-${index}`, stage === "prefill" ? "prefill" : "decode", { softwareVersion });
+        });
+        const next = nextStageChange(records, 0.25, () => 0);
+        expect(next === undefined ? undefined : `${next.engine.softwareVersion} ${next.stage}`).toBe(change);
+    });
+});
+
 describe("the stage controller", () => {
     it.each(controllerCases)("$name", async ({ leaving, orders }) => {
         const clock = createVirtualClock();
