Sites with agents: generations and KV caches stay with one software version

Engines name their software version with each prefill and each import. A decode stream whose version is not that of the KV cache ends before its first token, and the cache goes to another endpoint; a generation that has begun goes on only at its version and fails otherwise. Entries remember what endpoints named last, so that they try the right ones first.

--- a/fakes/engine.ts
+++ b/fakes/engine.ts
@@ -42,6 +42,8 @@
     /** After each token but the first, sends the previous index with a wrong text and then the token again. */
     readonly crossTokens?: boolean;
     readonly prefillDelayMs?: number;
+    /** As the engine names it from now on; `v1` by default. */
+    readonly softwareVersion?: string;
     /** Ends this process when it begins to work on a prompt that contains this text. */
     readonly endOn?: string;
 }
@@ -125,6 +127,8 @@
     let decodingCount = 0;
     let lastPrefill: Promise<unknown> = Promise.resolve();
 
+    const softwareVersion = (): string => faults.softwareVersion ?? "v1";
+
     async function readJson(request: IncomingMessage): Promise<Record<string, never>> {
         const body = await readBody(request, maxBodyBytes);
         const text = body.isOk ? body.value.toString("utf8") : "{}";
@@ -208,6 +212,7 @@
             promptTokens,
             cachedTokens,
             expiresInMs: timings.kvLifeMs,
+            softwareVersion: softwareVersion(),
         });
     };
 
@@ -279,7 +284,7 @@
             response.end(formatEvent({ type: "failed", stage: "import", cause: "KV could not be imported" }));
             return;
         }
-        response.write(formatEvent({ type: "imported" }));
+        response.write(formatEvent({ type: "imported", softwareVersion: softwareVersion() }));
         if (faults.endOn !== undefined && kv.prompt.includes(faults.endOn)) {
             process.exit(1);
         }
--- a/fakes/requestHarness.ts
+++ b/fakes/requestHarness.ts
@@ -17,6 +17,7 @@
 import type { RequestAttributes, RequestContext } from "../src/requests/context.js";
 import type { RetryBudget } from "../src/requests/retryBudget.js";
 import { defaultPolicies } from "../src/routing/choose.js";
+import { createEndpointVersions } from "../src/routing/endpointVersions.js";
 import { createLoadView } from "../src/routing/loadView.js";
 import { createPrefixIndex } from "../src/routing/prefixIndex.js";
 import type { RpcClient, StreamResponse } from "../src/rpc/rpcClient.js";
@@ -57,9 +58,12 @@
     promptTokens: 10,
     cachedTokens: 0,
     expiresInMs: 10_000,
+    softwareVersion: "v1",
     load: idleLoad,
 };
 
+export const imported: DecodeEvent = { type: "imported", softwareVersion: "v1" };
+
 export const requestAttributes: RequestAttributes = {
     requestId: "r-1",
     clientAccount: "account",
@@ -111,6 +115,7 @@
         policies: defaultPolicies,
         loads: createLoadView(clock),
         prefixes: createPrefixIndex(),
+        versions: createEndpointVersions(),
         retryBudget,
         quarantine: createRequestQuarantine({ clock, log: silentDecisionLog, onEvidence: () => undefined }),
         timeouts: defaultTimeouts,
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -29,6 +29,7 @@
 import { createCandidateIndex } from "../routing/candidates.js";
 import { defaultPolicies } from "../routing/choose.js";
 import type { RoutingPolicies } from "../routing/choose.js";
+import { createEndpointVersions } from "../routing/endpointVersions.js";
 import { createLoadView } from "../routing/loadView.js";
 import { createPrefixIndex } from "../routing/prefixIndex.js";
 import { listen, sendJson } from "../rpc/httpServer.js";
@@ -209,6 +210,7 @@
             policies: options.policies ?? defaultPolicies,
             loads,
             prefixes,
+            versions: createEndpointVersions(),
             retryBudget,
             quarantine,
             timeouts: options.timeouts ?? defaultTimeouts,
--- a/src/endpoint/engineClient.ts
+++ b/src/endpoint/engineClient.ts
@@ -37,6 +37,7 @@
     promptTokens: nonNegativeInteger,
     cachedTokens: nonNegativeInteger,
     expiresInMs: z.number(),
+    softwareVersion: z.string().min(1),
 });
 
 const runningSchema = z.object({
--- a/src/endpoint/messages.ts
+++ b/src/endpoint/messages.ts
@@ -97,6 +97,8 @@
         promptTokens: nonNegativeInteger,
         cachedTokens: nonNegativeInteger,
         expiresInMs: durationMs,
+        /** Software version of the engine; only engines of this version can use the KV cache. */
+        softwareVersion: z.string().min(1),
         load: loadSchema,
     }),
     refusedSchema,
@@ -127,7 +129,8 @@
 export const decodeEventSchema = z.discriminatedUnion("type", [
     z.object({ type: z.literal("reserved"), load: loadSchema }),
     z.object({ type: z.literal("refused"), reason: refusalReasonSchema, load: loadSchema }),
-    z.object({ type: z.literal("imported") }),
+    /** Names the software version of the engine that writes the tokens. */
+    z.object({ type: z.literal("imported"), softwareVersion: z.string().min(1) }),
     z.object({ type: z.literal("token"), index: nonNegativeInteger, text: z.string() }),
     z.object({
         type: z.literal("end"),
--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -26,10 +26,18 @@
     readonly emittedText: string;
     /** Number of tokens in `emittedText`. */
     readonly emittedTokens: number;
+    /**
+     * Software version that wrote the emitted text, which only engines of this version may continue; `undefined` while
+     * there is none.
+     */
+    readonly softwareVersion: string | undefined;
     /** Endpoints that were already tried or have failed. The attempt adds to the set. */
     readonly excluded: Set<string>;
-    /** Receives each token; returns false to end the stream, at a stop string or after cancellation. */
-    readonly onToken: (text: string) => boolean;
+    /**
+     * Receives each token and the software version that wrote it; returns false to end the stream, at a stop string or
+     * after cancellation.
+     */
+    readonly onToken: (text: string, softwareVersion: string) => boolean;
     readonly signal: AbortSignal;
 }
 
@@ -71,13 +79,19 @@
     request: GenerationRequest,
     input: AttemptInput,
 ): Promise<Result<CompletedAttempt, AttemptFailure>> {
-    const reserved = await reserve(context, request, input);
+    const reserved = await reserve(context, request, input, input.softwareVersion);
     if (reserved.isErr) {
         return Result.err(reserved.error);
     }
     let reservation = reserved.value;
     try {
-        const prefilled = await prefill(context, request, input);
+        const { endpoint } = reservation.candidate;
+        const prefilled = await prefill(
+            context,
+            request,
+            input,
+            input.softwareVersion ?? context.versions.versionOf(endpoint),
+        );
         if (prefilled.isErr) {
             return Result.err(prefilled.error);
         }
@@ -92,7 +106,7 @@
             }
             context.counters.add("requests.retransfers");
             reservation.stream.close();
-            const next = await reserve(context, request, input);
+            const next = await reserve(context, request, input, prefilled.value.softwareVersion);
             if (next.isErr) {
                 break;
             }
@@ -102,7 +116,7 @@
         if (transfer.isErr) {
             return Result.err(transfer.error);
         }
-        return await relayTokens(context, input, reservation, prefilled.value.promptTokens);
+        return await relayTokens(context, input, reservation, prefilled.value);
     }
     finally {
         reservation.stream.close();
@@ -113,9 +127,10 @@
     context: RequestContext,
     request: GenerationRequest,
     input: AttemptInput,
+    softwareVersion: string | undefined,
 ): Promise<Result<Reservation, AttemptFailure>> {
     const promptTokens = estimateTokens(request.prompt) + input.emittedTokens;
-    const candidates = candidatesFor(context, request, "decode", input.excluded);
+    const candidates = candidatesFor(context, request, "decode", input.excluded, softwareVersion);
     const candidate = context.policies.chooseDecode(context, candidates, { promptTokens, blockHashes: [] });
     if (candidate === undefined) {
         return fail("route", "none", `no decode endpoint of pool "${request.poolName}" can be reached`);
@@ -178,14 +193,20 @@
     return fail("reserve", kind === "rejected" ? "refused" : kind, `${candidate.endpoint}: ${cause}`);
 }
 
+/** Prefills at an engine of a software version, as far as it is known; the result names the version. */
 async function prefill(
     context: RequestContext,
     request: GenerationRequest,
     input: AttemptInput,
+    softwareVersion: string | undefined,
 ): Promise<Result<PrefillResult, AttemptFailure>> {
     const prompt = request.prompt + input.emittedText;
     const hint = { promptTokens: estimateTokens(prompt), blockHashes: promptBlockHashes(prompt) };
-    const candidates = candidatesFor(context, request, "prefill", input.excluded);
+    const compatible = candidatesFor(context, request, "prefill", input.excluded, softwareVersion);
+    // Without one for the reserved endpoint, a new generation's cache goes to a decode endpoint of another version.
+    const candidates = compatible.length === 0 && input.softwareVersion === undefined
+        ? candidatesFor(context, request, "prefill", input.excluded, undefined)
+        : compatible;
     const candidate = context.policies.choosePrefill(context, candidates, hint);
     if (candidate === undefined) {
         return fail("route", "none", `no prefill endpoint of pool "${request.poolName}" can be reached`);
@@ -221,6 +242,10 @@
         const endedEndpoint = startOf(candidate.endpoint, checked.endpointEndedAtMs);
         return fail("prefill", "engineFailed", checked.cause, endedEndpoint);
     }
+    context.versions.record(candidate.endpoint, checked.softwareVersion);
+    if (input.softwareVersion !== undefined && checked.softwareVersion !== input.softwareVersion) {
+        return fail("prefill", "refused", describeVersion(candidate, checked.softwareVersion));
+    }
     context.prefixes.recordPrefill(candidate.endpoint, hint.blockHashes);
     context.counters.add("requests.prefillTokens", checked.promptTokens);
     return Result.ok(checked);
@@ -265,14 +290,18 @@
         const { cause, endedEndpoint } = describeFailure(candidate, event.value);
         return fail("transfer", "engineFailed", cause, endedEndpoint);
     }
-    return Result.ok(undefined);
+    const { softwareVersion } = event.value;
+    context.versions.record(candidate.endpoint, softwareVersion);
+    return softwareVersion === prefilled.softwareVersion
+        ? Result.ok(undefined)
+        : fail("transfer", "refused", describeVersion(candidate, softwareVersion));
 }
 
 async function relayTokens(
     context: RequestContext,
     input: AttemptInput,
     reservation: Reservation,
-    promptTokens: number,
+    { promptTokens, softwareVersion }: PrefillResult,
 ): Promise<Result<CompletedAttempt, AttemptFailure>> {
     const { candidate, stream } = reservation;
     const startedAtMs = context.clock.monotonicMs();
@@ -292,7 +321,7 @@
                 return fail("decode", "broken", `${candidate.endpoint}: token ${nextIndex} is missing`);
             }
             nextIndex += 1;
-            if (!input.onToken(text)) {
+            if (!input.onToken(text, softwareVersion)) {
                 return Result.ok({ finishReason: "stop", promptTokens });
             }
         }
@@ -310,15 +339,22 @@
     }
 }
 
-/** The candidates that are not excluded; if all are excluded, all candidates. */
+function describeVersion({ endpoint }: Candidate, softwareVersion: string): string {
+    return `${endpoint} has another software version: ${softwareVersion}`;
+}
+
+/** The candidates of a software version that are not excluded; if all are excluded, all candidates of that version. */
 function candidatesFor(
     context: RequestContext,
     request: GenerationRequest,
     role: "prefill" | "decode",
     excluded: ReadonlySet<string>,
+    softwareVersion: string | undefined,
 ): readonly Candidate[] {
-    const untried = context.candidates.candidates(request.poolName, role, excluded);
-    return untried.length > 0 ? untried : context.candidates.candidates(request.poolName, role, new Set());
+    const compatible = context.candidates.candidates(request.poolName, role, new Set())
+        .filter(({ endpoint }) => softwareVersion === undefined || context.versions.mayHave(endpoint, softwareVersion));
+    const untried = compatible.filter(({ endpoint }) => !excluded.has(endpoint));
+    return untried.length > 0 ? untried : compatible;
 }
 
 function attemptAttributes(request: GenerationRequest, attempt: number): Pick<
--- a/src/requests/context.ts
+++ b/src/requests/context.ts
@@ -8,6 +8,7 @@
 import type { RequestQuarantine } from "../quarantine/requestQuarantine.js";
 import type { CandidateIndex } from "../routing/candidates.js";
 import type { RoutingPolicies } from "../routing/choose.js";
+import type { EndpointVersions } from "../routing/endpointVersions.js";
 import type { LoadView } from "../routing/loadView.js";
 import type { PrefixIndex } from "../routing/prefixIndex.js";
 import type { RpcClient } from "../rpc/rpcClient.js";
@@ -25,6 +26,7 @@
     readonly policies: RoutingPolicies;
     readonly loads: LoadView;
     readonly prefixes: PrefixIndex;
+    readonly versions: EndpointVersions;
     readonly retryBudget: RetryBudget;
     readonly quarantine: RequestQuarantine;
     readonly timeouts: RequestTimeouts;
--- a/src/requests/deadlyGenerations.test.ts
+++ b/src/requests/deadlyGenerations.test.ts
@@ -4,7 +4,7 @@
  */
 
 import { expect, test } from "vitest";
-import { createRequestContext, idleLoad, requestAttributes } from "../../fakes/requestHarness.js";
+import { createRequestContext, idleLoad, imported, requestAttributes } from "../../fakes/requestHarness.js";
 import { createVirtualClock } from "../../fakes/virtualClock.js";
 import type { DecodeEvent } from "../endpoint/messages.js";
 import type { GenerationOutcome, GenerationRequest } from "./context.js";
@@ -35,10 +35,10 @@
 /** What an agent sends on a decode stream whose endpoint ends, after the reservation. */
 const endings: readonly { readonly name: string; readonly events: readonly DecodeEvent[]; }[] = [
     { name: "while it imports the KV cache", events: [failed("import")] },
-    { name: "before its first token", events: [{ type: "imported" }, failed("decode")] },
+    { name: "before its first token", events: [imported, failed("decode")] },
     {
         name: "after its first token",
-        events: [{ type: "imported" }, { type: "token", index: 0, text: "a" }, failed("decode")],
+        events: [imported, { type: "token", index: 0, text: "a" }, failed("decode")],
     },
 ];
 
--- a/src/requests/endedEndpoints.test.ts
+++ b/src/requests/endedEndpoints.test.ts
@@ -4,7 +4,7 @@
  */
 
 import { describe, expect, test } from "vitest";
-import { createRequestContext, idleLoad, prefilled, requestAttributes } from "../../fakes/requestHarness.js";
+import { createRequestContext, idleLoad, imported, prefilled, requestAttributes } from "../../fakes/requestHarness.js";
 import { createVirtualClock } from "../../fakes/virtualClock.js";
 import type { EndpointLoad } from "../endpoint/messages.js";
 import { callService } from "./callService.js";
@@ -87,7 +87,7 @@
                             ? [{ ...refusal, type: "refused" }]
                             : [
                                 { type: "reserved", load: idleLoad },
-                                { type: "imported" },
+                                imported,
                                 { type: "end", finishReason: "stop", completionTokens: 0 },
                             ],
                 },
--- a/src/requests/generate.ts
+++ b/src/requests/generate.ts
@@ -34,12 +34,14 @@
     const excluded = new Set<string>();
     let emittedText = "";
     let emittedTokens = 0;
+    let beganAtVersion: string | undefined;
     const parts = [generationFingerprint(request)];
     let mayHaveRun = false;
     let endedEndpoints = 0;
     context.retryBudget.recordRequest(request.clientAccount, request.poolName);
 
-    function onToken(text: string): boolean {
+    function onToken(text: string, softwareVersion: string): boolean {
+        beganAtVersion ??= softwareVersion;
         emittedText += text;
         emittedTokens += 1;
         const matched = stopMatcher.push(text);
@@ -69,7 +71,15 @@
         if (!await context.confirmAdmission()) {
             return failed({ stage: "route", failure: "none", cause: "the admission became stale" });
         }
-        const input = { attempt, emittedText, emittedTokens, excluded, onToken, signal };
+        const input = {
+            attempt,
+            emittedText,
+            emittedTokens,
+            softwareVersion: beganAtVersion,
+            excluded,
+            onToken,
+            signal,
+        };
         const result = await runAttempt(context, request, input);
         if (signal.aborted) {
             context.counters.add("requests.cancelled");
