Confirm the start of an engine before a stream goes on there

An engine that had started again under its id with another software version, while the registry's copy did not show that, got streams that are taken up, and streams that began there were recorded with the version of its earlier start. That lasts for a second, and throughout an outage of the store.

A connection leads to one process, so the engine's report is asked for its birth time once after a connection to it was opened, and only for resumable streams. A stream that is taken up waits for that; a new one does not, and its origin is withdrawn if the start is not the recorded one.

The engines of responseEnds.test.ts shared an address with two birth times, which no engine can; they have an address each now and report one.

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -24,6 +24,7 @@
 } from "../src/engines/enginePort.js";
 import { createEngineRates } from "../src/engines/engineRates.js";
 import type { EngineRates } from "../src/engines/engineRates.js";
+import { createStartChecks } from "../src/engines/startChecks.js";
 import type { ForwardContext } from "../src/forwarding/context.js";
 import type { ForwardOutcome, ForwardRequest, GenerationSize } from "../src/forwarding/forwardRequest.js";
 import { createResponseTimes } from "../src/forwarding/responseTimes.js";
@@ -87,6 +88,8 @@
     ) => Promise<Result<PrefilledCache, EngineError>>;
     readonly reserve?: (engine: EngineRecord, tokens: number) => Promise<Result<Reservation, EngineError>>;
     readonly report?: (engine: EngineRecord) => Promise<Result<EngineReport, EngineError>>;
+    /** By default no connection was opened after the engine was confirmed to be the start that its record names. */
+    readonly connectedAtMs?: (engine: EngineRecord) => number;
 }
 
 export interface EngineCalls {
@@ -130,6 +133,7 @@
         releaseReservation: engine => void calls.push(`releaseReservation ${engine.id}`),
         report: async engine => script.report?.(engine) ?? errorOf("unreachable"),
         orderStage: async () => "rejected",
+        connectedAtMs: engine => script.connectedAtMs?.(engine) ?? Number.NEGATIVE_INFINITY,
         keepOnly: () => undefined,
         setMaxConnections: () => undefined,
         close: async () => undefined,
@@ -287,6 +291,7 @@
             stableEntries: () => [entryUrl],
         }),
         engineRuns: createEngineRuns({ clock, quarantine, report: engines.report, isReplaced: () => false }),
+        startChecks: createStartChecks(engines, clock, log),
         responseTimes: createResponseTimes(),
         shutdownDeadlineMs: () => undefined,
     };
--- a/fakes/platformEngine.ts
+++ b/fakes/platformEngine.ts
@@ -39,6 +39,8 @@
     readonly eventMs: number;
     /** Maximum number of concurrent reservations and streams. */
     readonly capacity: number;
+    /** Unix milliseconds of the engine's start, as it reports them. */
+    readonly bornMs?: () => number | undefined;
     /** Called when the engine has started again. */
     readonly onRestart?: () => void;
 }
@@ -80,6 +82,8 @@
     /** Number of reservations, caches and streams held now. */
     readonly held: () => number;
     readonly setFault: (fault: EngineFault) => void;
+    /** Ends the engine, and starts it again soon after. */
+    readonly restart: () => void;
     readonly close: () => Promise<void>;
 }
 
@@ -273,7 +277,11 @@
             respond(response, caches.delete(id) ? 200 : 404, "");
         }
         else if (call === "report") {
-            respond(response, 200, JSON.stringify({ stage: options.stage, busy: false, sequence: 0 }));
+            respond(
+                response,
+                200,
+                JSON.stringify({ stage: options.stage, busy: false, sequence: 0, born: options.bornMs?.() }),
+            );
         }
         else if (call === "order") {
             respond(response, 409, "");
@@ -327,6 +335,7 @@
         endOnDeadlyBody: () => {
             endsOnDeadlyBody = true;
         },
+        restart: endAndRestart,
         held: () => reservations.size + caches.size + streams,
         setFault: next => {
             fault = next;
--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -50,6 +50,8 @@
     readonly register: (engine: FakePlatformEngine, state: "ready" | "draining") => void;
     /** Removes the registry record of an engine. */
     readonly unregister: (engine: FakePlatformEngine) => void;
+    /** Lets an engine end and start again under its id and at its address without a new registry record. */
+    readonly restartUnnoticed: (engine: FakePlatformEngine) => void;
     /** The software version of an engine. */
     readonly softwareVersionOf: (engineId: string) => string;
     /** Writes the newest desired state and records again, as the operator and the engines do after a restoration. */
@@ -194,6 +196,10 @@
 export async function startPlatformSite(options: PlatformSiteOptions): Promise<PlatformSite> {
     const directory = mkdtempSync(join(tmpdir(), "gooseberrywell-"));
     const store = await startFakeStore();
+    let version = 0;
+    /** Start version of each engine as the engine reports it, and the restarts that the registry does not show. */
+    const reportedStarts = new Map<string, number>();
+    const unnoticedRestarts = new Set<string>();
     const engineOf = (id: string, stage: FakePlatformEngine["stage"]): Promise<FakePlatformEngine> =>
         startFakePlatformEngine({
             id,
@@ -201,9 +207,14 @@
             events: options.events ?? 5,
             eventMs: options.eventMs ?? 10,
             capacity: 50,
+            bornMs: () => reportedStarts.get(id),
             onRestart: () => {
                 const restarted = engines.find(engine => engine.id === id);
-                if (restarted !== undefined) {
+                if (unnoticedRestarts.delete(id)) {
+                    version += 1;
+                    reportedStarts.set(id, version);
+                }
+                else if (restarted !== undefined) {
                     register(restarted, "ready");
                 }
             },
@@ -223,7 +234,6 @@
     }
     /** Start version of each engine; each registration as ready counts as a new start. */
     const startVersions = new Map<string, number>();
-    let version = 0;
 
     const written = new Map<string, readonly [table: string, key: string, text: string]>();
     function write(table: string, key: string, text: string): void {
@@ -261,6 +271,7 @@
         version += 1;
         if (state === "ready") {
             startVersions.set(engine.id, version);
+            reportedStarts.set(engine.id, version);
             const limit = engine.limits.at(-1);
             if (limit?.untilMs === undefined) {
                 // The new start names the limit for the first time with its own first response.
@@ -315,6 +326,10 @@
             written.delete(`servers ${id}`);
             store.remove("servers", id);
         },
+        restartUnnoticed: engine => {
+            unnoticedRestarts.add(engine.id);
+            engine.restart();
+        },
         softwareVersionOf,
         writeAgain: () => written.forEach(row => store.put(...row)),
         close: async () => {
--- a/fakes/simulatedFleet.ts
+++ b/fakes/simulatedFleet.ts
@@ -81,6 +81,7 @@
         releaseCache: ({ address, handle }) => void engineOf(address).takeCache(handle, false),
         report: async () => Result.err({ kind: "unreachable", cause: "the simulation has no reports" }),
         orderStage: async () => "rejected",
+        connectedAtMs: () => Number.NEGATIVE_INFINITY,
         keepOnly: () => undefined,
         setMaxConnections: () => undefined,
         close: async () => undefined,
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -16,6 +16,7 @@
 import type { EngineNotices } from "../engines/engineNotices.js";
 import type { EnginePort, EngineRecord, EngineRecordDecoder } from "../engines/enginePort.js";
 import type { EngineRates } from "../engines/engineRates.js";
+import { createStartChecks } from "../engines/startChecks.js";
 import type { ForwardContext } from "../forwarding/context.js";
 import { forward } from "../forwarding/forward.js";
 import type { ForwardRequest, ForwardResult } from "../forwarding/forwardRequest.js";
@@ -144,6 +145,7 @@
     const engines = limitControlCalls(ports.engines, engineRates, directory, log);
     rates.onChange(() => peerSync.syncNow());
     const health = createEngineHealth(clock);
+    const startChecks = createStartChecks(engines, clock, log);
     const loads = createEngineLoads();
     const quota = createFleetQuota(clock, {
         burstTolerance: settings.quotaSlack * quotaSlackFraction,
@@ -237,6 +239,7 @@
         const known = directory.known();
         engines.keepOnly(known);
         health.keepOnly(known);
+        startChecks.keepOnly(known);
     });
 
     function applyPeerState(state: EntryState): void {
@@ -352,6 +355,7 @@
         quarantine,
         engineRuns,
         streamOrigins,
+        startChecks,
         responseTimes: createResponseTimes(),
         shutdownDeadlineMs: () => shutdownDeadlineMs,
     };
--- a/src/engines/enginePort.ts
+++ b/src/engines/enginePort.ts
@@ -169,6 +169,8 @@
     readonly releaseReservation: (engine: EngineRecord, reservation: Reservation) => void;
     readonly report: (engine: EngineRecord, timeoutMs: number) => Promise<Result<EngineReport, EngineError>>;
     readonly orderStage: (engine: EngineRecord, order: StageOrder, timeoutMs: number) => Promise<OrderOutcome>;
+    /** Monotonic time at which the newest connection to an engine was opened; infinite if there is none. */
+    readonly connectedAtMs: (engine: EngineRecord) => number;
     /** Closes the connections to engines that are not in `engines`, once their requests have ended. */
     readonly keepOnly: (engines: readonly EngineRecord[]) => void;
     /** Sets the number of connections that each engine of a service accepts. */
--- a/src/forwarding/context.ts
+++ b/src/forwarding/context.ts
@@ -8,6 +8,7 @@
 import type { EngineHealth } from "../engines/engineHealth.js";
 import type { EngineLoads } from "../engines/engineLoads.js";
 import type { EnginePort } from "../engines/enginePort.js";
+import type { StartChecks } from "../engines/startChecks.js";
 import type { EngineRateLimiter } from "../limits/engineRateLimiter.js";
 import type { FleetQuota } from "../limits/fleetQuota.js";
 import type { FleetRetryBudget } from "../limits/fleetRetryBudget.js";
@@ -40,6 +41,7 @@
     readonly quarantine: RequestQuarantine;
     readonly engineRuns: EngineRuns;
     readonly streamOrigins: StreamOrigins;
+    readonly startChecks: StartChecks;
     readonly responseTimes: ResponseTimes;
     /** Monotonic time at which draining ends at the latest; `undefined` unless this process is shutting down. */
     readonly shutdownDeadlineMs: () => number | undefined;
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -6,6 +6,7 @@
  * Reservations and caches are released as soon as the request can no longer use them.
  */
 
+import type { Readable } from "node:stream";
 import { Result } from "true-myth";
 import { provesNotRun } from "../engines/enginePort.js";
 import type { EngineError, EngineRecord, EngineResponse, PrefilledCache } from "../engines/enginePort.js";
@@ -33,12 +34,14 @@
     /** Monotonic time at which its engine returned the response's headers. */
     readonly startedAtMs: number;
     readonly run: EngineRun;
+    /** Whether its engine is found to have the software version of its record; else the stream can't be resumed. */
+    readonly isVersionKnown: Promise<boolean>;
     /** Ends the load accounting of the allocation. */
     readonly end: () => void;
 }
 
 /** A request that an engine has accepted. */
-type StartedRun = Pick<RunningStream, "response" | "run">;
+type StartedRun = Pick<RunningStream, "response" | "run" | "isVersionKnown">;
 
 interface StartFailure {
     readonly kind: "refused";
@@ -161,7 +164,7 @@
     allocation: DecodeAllocation,
     lastEventId: string | undefined,
 ): Promise<Result<StartedRun, EngineError>> {
-    const { request, callBudget } = generation;
+    const { request, service, callBudget } = generation;
     if (isQuarantined(context, generation)) {
         releaseResources(context, allocation, undefined);
         return Result.err({ kind: "unreachable", cause: quarantinedCause });
@@ -215,7 +218,7 @@
         void run.end(isBroken ? "broken" : "abandoned");
     }
     if (request.callerDisconnected.aborted) {
-        return sent.map(response => ({ response, run }));
+        return sent.map(response => ({ response, run, isVersionKnown: Promise.resolve(false) }));
     }
     if (sent.isErr) {
         if (provesNotRun(sent.error)) {
@@ -227,7 +230,26 @@
         return Result.err(sent.error);
     }
     context.health.recordOutcome(allocation.engine.id, sent.value.status >= serverError ? "failed" : "succeeded");
-    return Result.ok({ response: sent.value, run });
+    if (!generation.route.isResumable) {
+        return Result.ok({ response: sent.value, run, isVersionKnown: Promise.resolve(false) });
+    }
+    const isVersionKnown = context.startChecks.isConfirmed(allocation.engine);
+    if (lastEventId === undefined) {
+        // A new stream is passed on at once; it may go on elsewhere only if its version is found to be the recorded one.
+        void isVersionKnown.then(isKnown => isKnown || context.streamOrigins.withdraw(request.requestId, service));
+    }
+    else if (!await isVersionKnown) {
+        discardBody(sent.value.body);
+        void run.end("abandoned");
+        return Result.err({ kind: "interrupted", cause: "the engine may have started again with another version" });
+    }
+    return Result.ok({ response: sent.value, run, isVersionKnown });
+}
+
+/** Closes the connection of a response that is not passed on. */
+export function discardBody(body: Readable): void {
+    body.on("error", () => undefined);
+    body.destroy();
 }
 
 function releaseResources(
--- a/src/forwarding/limitedEngines.test.ts
+++ b/src/forwarding/limitedEngines.test.ts
@@ -177,6 +177,7 @@
                 reserve: count,
                 report: count,
                 orderStage: async () => (sent += 1, "rejected"),
+                connectedAtMs: () => Number.NEGATIVE_INFINITY,
                 releaseCache: () => void (sent += 1),
                 releaseReservation: () => void (sent += 1),
             },
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -21,6 +21,7 @@
 import type { EventBoundaryTracker } from "./eventStream.js";
 import { answered, refuse } from "./forwardRequest.js";
 import type { ForwardOutcome } from "./forwardRequest.js";
+import { discardBody } from "./generation.js";
 import { endBrokenRun, isQuarantined } from "./quarantineChecks.js";
 import { hasVersionFor, suspectsOf } from "./routedRequest.js";
 import type { RoutedRequest } from "./routedRequest.js";
@@ -99,7 +100,13 @@
         }
     }
     state.running.forEach(attempt => attempt.cancel());
-    return outcomeOf(context, routed, state.last, state.possibleRuns + state.running.size);
+    const possibleRuns = state.possibleRuns + state.running.size;
+    const { last } = state;
+    if (last?.result.isOk && isResumableStream(routed) && !await settleVersion(context, routed, last.engine)) {
+        discardBody(last.result.value.body);
+        return refuse(502, `the outcome is unknown: ${last.engine.id} may have started again with another version`);
+    }
+    return outcomeOf(context, routed, last, possibleRuns);
 }
 
 function isRepeatable({ route }: RoutedRequest): boolean {
@@ -364,15 +371,24 @@
     });
 }
 
-/** Records which version began a resumable stream, before its caller gets the first event. */
-function recordOrigin(
-    { streamOrigins }: ForwardContext,
-    { request, route, service, softwareVersion }: RoutedRequest,
+function isResumableStream({ route }: RoutedRequest): boolean {
+    return route.kind === "stream" && route.isResumable;
+}
+
+/**
+ * Records which version began a stream, before its caller gets the first event; whether the response may be passed on, as
+ * one that goes on at the version that began it.
+ */
+async function settleVersion(
+    { streamOrigins, startChecks }: ForwardContext,
+    { request, service, softwareVersion }: RoutedRequest,
     engine: EngineRecord,
-): void {
-    if (route.kind === "stream" && route.isResumable && softwareVersion === undefined) {
+): Promise<boolean> {
+    const isVersionKnown = await startChecks.isConfirmed(engine);
+    if (softwareVersion === undefined && isVersionKnown) {
         streamOrigins.record(request.requestId, { service, softwareVersion: engine.softwareVersion });
     }
+    return softwareVersion === undefined || isVersionKnown;
 }
 
 function outcomeOf(
@@ -382,7 +398,6 @@
     possibleRuns: number,
 ): ForwardOutcome {
     if (last?.result.isOk) {
-        recordOrigin(context, routed, last.engine);
         return answered(last.result.value);
     }
     const usable = context.directory.usable(routed.service).filter(engine => hasVersionFor(routed, engine));
--- a/src/forwarding/softwareVersions.test.ts
+++ b/src/forwarding/softwareVersions.test.ts
@@ -272,3 +272,83 @@
         expect(harness.calls.filter(call => !call.startsWith("reserve "))).toEqual(calls);
     });
 });
+
+interface RestartCase {
+    readonly name: string;
+    readonly request: Partial<ForwardRequest>;
+    readonly services: readonly string[];
+    readonly engines: readonly EngineRecord[];
+    /** Whether the engine reports the start that its record names. */
+    readonly isSameStart: boolean;
+    readonly outcome: string;
+    /** Whether the stream that begins with the request can be taken up. */
+    readonly isKnown: boolean;
+}
+
+const models = { services: ["models"], engines: [decoders[0]].filter(engine => engine !== undefined) };
+const desk = { services: ["desk"], engines: [engineOf("d-1", undefined, "v1")] };
+
+const restartCases: readonly RestartCase[] = [models, desk].flatMap(at => [
+    {
+        ...at,
+        name: `a new stream of ${at.services} is known`,
+        request: {},
+        isSameStart: true,
+        outcome: "200 ok",
+        isKnown: true,
+    },
+    {
+        ...at,
+        name: `a new stream of ${at.services} is served, but not known`,
+        request: {},
+        isSameStart: false,
+        outcome: "200 ok",
+        isKnown: false,
+    },
+    {
+        ...at,
+        name: `a stream of ${at.services} that is taken up goes on`,
+        request: takeUp,
+        isSameStart: true,
+        outcome: "200 ok",
+        isKnown: false,
+    },
+    {
+        ...at,
+        name: `a stream of ${at.services} that is taken up does not go on`,
+        request: takeUp,
+        isSameStart: false,
+        outcome: "502",
+        isKnown: false,
+    },
+]);
+
+describe("at an engine to which a connection was opened after its record was read", () => {
+    it.each(restartCases)(
+        "$name if it reports the same start: $isSameStart",
+        async ({ request, services, engines, isSameStart, outcome, isKnown }) => {
+            const route = { ...resumable, services: services.map(service => ({ service, weight: 1 })) };
+            const [bornMs, laterMs] = [1, 2];
+            const harness = createForwardingHarness(desiredStateOf([route]), {
+                connectedAtMs: () => 0,
+                report: async ({ stage }) =>
+                    Result.ok({
+                        stage,
+                        bornMs: isSameStart ? bornMs : laterMs,
+                        isReconfiguring: false,
+                        orderSequence: 0,
+                        running: 0,
+                        queued: 0,
+                        kvUsedTokens: 0,
+                        kvTotalTokens: 1,
+                    }),
+            });
+            harness.load(engines);
+            const [service = ""] = services;
+            harness.context.streamOrigins.record("r-0", { service, softwareVersion: "v1" });
+            const result = await forward(harness.context, requestTo("/stream/x", { size: smallSize, ...request }));
+            expect(await describeOutcome(result)).toBe(outcome);
+            expect((await harness.context.streamOrigins.find("r-1")).kind).toBe(isKnown ? "found" : "unknown");
+        },
+    );
+});
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -19,7 +19,7 @@
     withoutLength,
 } from "./eventStream.js";
 import type { EventBoundaryTracker } from "./eventStream.js";
-import { startStream } from "./generation.js";
+import { discardBody, startStream } from "./generation.js";
 import type { RunningStream } from "./generation.js";
 import type { GenerationRequest } from "./routedRequest.js";
 
@@ -90,7 +90,7 @@
         const isCallerWaiting = !relayed.destroyed && !request.callerDisconnected.aborted;
         const runEnded = stream.run.end(isCallerWaiting ? "broken" : "abandoned");
         logBreak(context, generation, stream, failure);
-        if (!route.isResumable) {
+        if (!route.isResumable || !await stream.isVersionKnown) {
             relayed.destroy(failure);
             return;
         }
@@ -152,18 +152,13 @@
         return undefined;
     }
     if (started.stream.response.status !== successStatus) {
-        destroyBody(started.stream.response);
+        discardBody(started.stream.response.body);
         started.stream.end();
         return undefined;
     }
     return started.stream;
 }
 
-function destroyBody(response: EngineResponse): void {
-    response.body.on("error", () => undefined);
-    response.body.destroy();
-}
-
 interface StreamPosition {
     /** Id of the last complete event that was relayed. */
     lastEventId: string | undefined;
--- a/src/resumption/streamOrigins.ts
+++ b/src/resumption/streamOrigins.ts
@@ -36,6 +36,8 @@
 export interface StreamOrigins {
     /** Records with which version a stream begins; its request must not have been sent to an engine yet. */
     readonly record: (requestId: string, origin: KnownOrigin) => void;
+    /** Makes an origin that was recorded unknown for good: the version can't be shown. */
+    readonly withdraw: (requestId: string, service: string) => void;
     /** Looks up with which version the stream of a request began. */
     readonly find: (requestId: string) => Promise<FoundOrigin>;
     /** Methods that other entries call. */
@@ -108,6 +110,13 @@
         return known.softwareVersion === undefined ? undefined : conflicting;
     }
 
+    function recordKey(key: string, origin: StreamOrigin): void {
+        const changed = remember(key, origin);
+        if (changed !== undefined) {
+            passOn(key, changed);
+        }
+    }
+
     function passOn(key: string, origin: StreamOrigin): void {
         const holders = rankByRendezvous(key, currentRecorders()).slice(0, holdersPerStream);
         holders.forEach((holder, index) => {
@@ -192,13 +201,8 @@
     }
 
     return {
-        record: (requestId, origin) => {
-            const key = streamKey(requestId);
-            const changed = remember(key, origin);
-            if (changed !== undefined) {
-                passOn(key, changed);
-            }
-        },
+        record: (requestId, origin) => recordKey(streamKey(requestId), origin),
+        withdraw: (requestId, service) => recordKey(streamKey(requestId), { service }),
         find,
         methods: {
             [resumptionMethods.record]: rpcMethod(recordOriginsSchema, async ({ origins }) => {
--- a/test/responseEnds.test.ts
+++ b/test/responseEnds.test.ts
@@ -131,8 +131,11 @@
     }
 });
 
+const bornMs = 1;
+
 interface EngineServer {
-    readonly address: string;
+    /** One for each of two engines. */
+    readonly addresses: readonly string[];
     readonly sends: () => number;
     readonly lastEventIds: readonly (string | undefined)[];
 }
@@ -153,6 +156,11 @@
                 socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
                 return;
             }
+            if (head.startsWith("GET /report ")) {
+                const body = JSON.stringify({ born: bornMs });
+                socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+                return;
+            }
             if (!head.includes("x-gooseberrywell-request-id")) {
                 socket.write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
                 return;
@@ -165,13 +173,13 @@
             }
         });
     });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", () => resolve()));
+    await new Promise<void>(resolve => server.listen(0, () => resolve()));
     cleanups.push(() => {
         sockets.forEach(socket => socket.destroy());
         server.close();
     });
     const { port } = server.address() as AddressInfo;
-    return { address: `127.0.0.1:${port}`, sends: () => lastEventIds.length, lastEventIds };
+    return { addresses: [`127.0.0.1:${port}`, `127.0.0.2:${port}`], sends: () => lastEventIds.length, lastEventIds };
 }
 
 function closeAs(socket: Socket, close: Close): void {
@@ -183,7 +191,7 @@
     }
 }
 
-/** Starts an entry with one route whose service has two engines, all at the engine server's address. */
+/** Starts an entry with one route whose service has two engines, both at the engine server. */
 async function startEntry(engine: EngineServer, route: Route): Promise<string> {
     const clock = createVirtualClock();
     const notices = createEngineNotices(clock, silentDecisionLog);
@@ -196,7 +204,7 @@
     const context = createTestForwardContext({ clock, notices, engines, state: desiredStateOf([route]) });
     const stage = route.services[0]?.service === "models" ? "decode" : undefined;
     context.directory.load(
-        ["e-1", "e-2"].map((id, index) => engineRecord(id, stage, { bornMs: index, address: engine.address })),
+        engine.addresses.map((address, index) => engineRecord(`e-${index + 1}`, stage, { bornMs, address })),
         "current",
     );
     const ingress = await listenForCallers({ ip: "127.0.0.1", port: 0 }, {
--- a/test/resumedStreams.test.ts
+++ b/test/resumedStreams.test.ts
@@ -188,6 +188,24 @@
         expect(await resumeAll(entry(0), again)).toEqual(begun.map(() => goesOn));
     });
 
+    // The registry still named the version of the engine's earlier start.
+    it("when its engine has started again under its id, and the registry does not show that", async () => {
+        const [prefill, decode] = [modelEngines[0], modelEngines[2]];
+        site = await startPlatformSite({ entries: 2, events, eventMs, modelEngines: [prefill, decode] });
+        await waitUntilReady();
+        const begun = await beginAll();
+        const restarted = site.engines.find(({ id }) => id === decode.id);
+        if (restarted === undefined) {
+            throw new Error(`the site has no engine ${decode.id}`);
+        }
+        site.restartUnnoticed(restarted);
+        await delay(settleMs);
+        const begunLater = await beginStream(entry(1), path, eventsBeforeBreak);
+        for (const outcome of await resumeAll(entry(1), [...begun, begunLater])) {
+            expect(outcome).toMatch(/^50[23], /u);
+        }
+    });
+
     it.each([
         { name: "does not say with which request it began", began: undefined },
         { name: "says that it began with a request that is not known", began: "r-unknown" },
