--- a/fakes/platformEngine.ts
+++ b/fakes/platformEngine.ts
@@ -13,8 +13,9 @@
  * not resumed, `endInEvent` sends streams without a length or chunks and closes the connection in order in the middle of
  * one, `lost` executes the request and resets without a response, `error` responds to plain calls with status 500,
  * `endOnPart` ends the engine when it begins to write on a prompt with `deadlyPromptPart`, and starts it again soon after,
- * `rest` rejects requests and asks for a pause, `leaving` announces in all responses that the engine is leaving, and
- * `endless` sends bytes that are no response until the connection is closed.
+ * `rest` rejects requests and asks for a pause, `leaving` announces in all responses that the engine is leaving,
+ * `endless` sends bytes that are no response until the connection is closed, and `oldRejection` rejects one plain call and
+ * then executes the others, but writes that rejection once more instead of their responses.
  */
 export type EngineFault =
     | "none"
@@ -29,7 +30,8 @@
     | "error"
     | "rest"
     | "leaving"
-    | "endless";
+    | "endless"
+    | "oldRejection";
 
 export interface FakePlatformEngineOptions {
     readonly id: string;
@@ -109,6 +111,8 @@
     const arrivedAtMs: number[] = [];
     const limits: NamedLimit[] = [];
     let endsOnDeadlyBody = false;
+    /** The response to the call that was rejected with the fault `oldRejection`. */
+    let oldRejection = "";
 
     function respond(
         response: ServerResponse,
@@ -209,6 +213,12 @@
             rejectAsNotExecuted(response, 503, requestId);
             return;
         }
+        if (fault === "oldRejection" && options.stage === undefined && oldRejection === "") {
+            oldRejection = `HTTP/1.1 421 Misdirected\r\n${headerPrefix}request-id: ${requestId}\r\n`
+                + `${headerPrefix}not-executed: 1\r\ncontent-length: 0\r\n\r\n`;
+            request.socket.write(oldRejection);
+            return;
+        }
         if (header(`${headerPrefix}serving-stage`) === "prefill") {
             prefill(response);
             return;
@@ -221,6 +231,10 @@
             body,
             atMs: Date.now(),
         });
+        if (fault === "oldRejection" && options.stage === undefined) {
+            request.socket.write(oldRejection);
+            return;
+        }
         if (fault === "lost") {
             request.socket.resetAndDestroy();
             return;
--- a/test/platformPath.test.ts
+++ b/test/platformPath.test.ts
@@ -165,6 +165,19 @@
 });
 
 describe("engines that fail", () => {
+    // With status 421, callers were told that calls had not run which an engine had executed, or they ran twice.
+    it("an earlier rejection once more: no call runs twice, and none that ran is said not to have run", async () => {
+        await start({ entries: 2 });
+        site.engines.forEach(engine => engine.setFault("oldRejection"));
+        for (let call = 0; call < 12; call++) {
+            const response = await callSite(entry(call % 2), "/pay/x");
+            const runs = runsOf(response.requestId);
+            expect(runs).toBeLessThanOrEqual(1);
+            expect([503, 502]).toContain(response.status);
+            expect(response.status === 503 && runs > 0).toBe(false);
+        }
+    });
+
     it("lost responses: a call that must not run twice runs once, and its caller gets 502", async () => {
         await start({ entries: 1 });
         site.engines.forEach(engine => engine.setFault("lost"));
