Follow the registry whatever another writer leaves in it

- Values nested very deeply were read, but any function that recurses over them exhausted the stack: the copy could not be sent to other entries, and the comparison of two copies at one position ended the following for good.

--- a/src/common/json.ts
+++ b/src/common/json.ts
@@ -13,6 +13,20 @@
     | readonly JsonValue[]
     | { readonly [key: string]: JsonValue; };
 
+const maxNesting = 100;
+
+/** Whether a value is nested so deeply that a function which recurses over it may exhaust the stack. */
+export function isDeeplyNested(value: unknown): boolean {
+    let level: readonly unknown[] = [value];
+    for (let depth = 0; depth <= maxNesting; depth++) {
+        level = level.flatMap(each => typeof each === "object" && each !== null ? Object.values(each) : []);
+        if (level.length === 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /** Why a text or value is invalid: the dotted path of the field, empty for the whole value, and the cause. */
 export interface InvalidInput {
     readonly path: string;
--- a/src/peerSync/messages.ts
+++ b/src/peerSync/messages.ts
@@ -4,6 +4,7 @@
  */
 
 import { z } from "zod";
+import { isDeeplyNested } from "../common/json.js";
 import type { JsonValue } from "../common/json.js";
 import { rateNoticeSchema } from "../engines/engineRates.js";
 import { crashEvidenceSchema } from "../quarantine/crashEvidence.js";
@@ -74,7 +75,11 @@
     era: z.number().default(unknownPosition.era),
     revision: z.number(),
     rows: z.array(z.object({ key: z.string(), value: z.custom<JsonValue>(value => value !== undefined) })),
-}).transform(({ era, revision, rows }): TableCopy => ({ position: { era, revision }, rows }));
+}).transform(({ era, revision, rows }): TableCopy => ({
+    position: { era, revision },
+    // A value that can't be read is kept as `null`, so that it does not hide the other rows.
+    rows: rows.map(({ key, value }) => ({ key, value: isDeeplyNested(value) ? null : value })),
+}));
 
 /** A copy of a table as it is sent to other entries. */
 export function encodeTableCopy({ position, rows }: TableCopy): z.input<typeof tableCopySchema> {
--- a/src/peerSync/tableReplica.ts
+++ b/src/peerSync/tableReplica.ts
@@ -157,6 +157,13 @@
         }
     }
 
+    /** A row that no reader expects must not end the following of the whole table. */
+    function recordUnexpected(error: unknown): Result<undefined, FeedError> {
+        const cause = error instanceof Error ? String(error.stack) : String(error);
+        log.warn("a copy of a table could not be read", { table: settings.table, position, cause });
+        return Result.err({ kind: "unknown", cause });
+    }
+
     async function readAll(): Promise<Result<undefined, FeedError>> {
         const askedAtMs = clock.monotonicMs();
         isRefreshRequested = false;
@@ -207,7 +214,7 @@
             let isHistoryUsable = false;
             while (!signal.aborted) {
                 const isFullRead = needsFullRead || position.revision < 0;
-                const read = isFullRead ? await readAll() : await readChanges();
+                const read = await (isFullRead ? readAll() : readChanges()).catch(recordUnexpected);
                 if (read.isOk) {
                     needsFullRead = false;
                     isHistoryUsable ||= !isFullRead;
