Docs of software versions and origins; queues of the decode scheduler in a file of their own

No behaviour changes: the scheduler's queues, the discarding of a response and the lookup of an origin are split off. The soak's two versions and streams that are taken up are not run yet.

--- a/fakes/platformEngine.ts
+++ b/fakes/platformEngine.ts
@@ -41,6 +41,8 @@
     readonly eventMs: number;
     /** Maximum number of concurrent reservations and streams. */
     readonly capacity: number;
+    /** Software version of the engine's current start; its streams name it in each event. */
+    readonly softwareVersion: () => string;
     /** Unix milliseconds of the engine's start, as it reports them. */
     readonly bornMs?: () => number | undefined;
     /** Called when the engine has started again. */
@@ -91,7 +93,8 @@
 
 export const deadlyPromptPart = "dead";
 export const deadlyBody = "deadly";
-const restartMs = 300;
+/** Time from the end of an engine until it listens again. */
+export const restartMs = 300;
 /** How long a request with `deadlyBody` runs before it ends the engine. */
 const deadlyRunMs = 20;
 const headerPrefix = "x-gooseberrywell-";
@@ -167,7 +170,10 @@
         respond(response, 200, JSON.stringify({ kv_handle: handle, tokens: 1, version: 1 }));
     }
 
-    /** Streams the events after `lastEventId`. Each contains the request id, so that a test detects a mixed-up response. */
+    /**
+     * Streams the events after `lastEventId`. Each contains the request id and the software version, so that a test detects
+     * a mixed-up response, and one that is joined from two versions.
+     */
     function stream(request: IncomingMessage, response: ServerResponse, requestId: string, lastEventId: number): void {
         streams += 1;
         // Without chunks, the response ends with its connection.
@@ -177,6 +183,7 @@
             [`${headerPrefix}request-id`]: requestId,
             [`${headerPrefix}response-seal`]: `seal-${options.id}`,
         });
+        const softwareVersion = options.softwareVersion();
         let next = lastEventId + 1;
         const endsInEvent = fault === "endInEvent";
         const isCut = fault === "cut" || endsInEvent || (fault === "cutFirst" && lastEventId === 0);
@@ -190,7 +197,7 @@
                 );
                 return;
             }
-            response.write(`id: ${next}\ndata: ${requestId}\n\n`);
+            response.write(`id: ${next}\ndata: ${requestId} ${softwareVersion}\n\n`);
             next += 1;
             if (next > options.events) {
                 response.end();
--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -12,7 +12,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { request } from "undici";
 import type { Dispatcher } from "undici";
-import { startFakePlatformEngine } from "./platformEngine.js";
+import { restartMs, startFakePlatformEngine } from "./platformEngine.js";
 import type { FakePlatformEngine } from "./platformEngine.js";
 import { startFakeStore } from "./platformStore.js";
 import type { FakeStore } from "./platformStore.js";
@@ -52,6 +52,11 @@
     readonly unregister: (engine: FakePlatformEngine) => void;
     /** Lets an engine end and start again under its id and at its address without a new registry record. */
     readonly restartUnnoticed: (engine: FakePlatformEngine) => void;
+    /**
+     * Lets an engine end and start again under its id with another software version. The registry shows that after
+     * `unnoticedMs`.
+     */
+    readonly release: (engine: FakePlatformEngine, softwareVersion: string, unnoticedMs: number) => Promise<void>;
     /** The software version of an engine. */
     readonly softwareVersionOf: (engineId: string) => string;
     /** Writes the newest desired state and records again, as the operator and the engines do after a restoration. */
@@ -200,6 +205,9 @@
     /** Start version of each engine as the engine reports it, and the restarts that the registry does not show. */
     const reportedStarts = new Map<string, number>();
     const unnoticedRestarts = new Set<string>();
+    const modelEngines = options.modelEngines ?? defaultModelEngines;
+    const softwareVersions = new Map(modelEngines.map(({ id, softwareVersion }) => [id, softwareVersion]));
+    const softwareVersionOf = (engineId: string): string => softwareVersions.get(engineId) ?? defaultSoftwareVersion;
     const engineOf = (id: string, stage: FakePlatformEngine["stage"]): Promise<FakePlatformEngine> =>
         startFakePlatformEngine({
             id,
@@ -207,6 +215,7 @@
             events: options.events ?? 5,
             eventMs: options.eventMs ?? 10,
             capacity: 50,
+            softwareVersion: () => softwareVersionOf(id),
             bornMs: () => reportedStarts.get(id),
             onRestart: () => {
                 const restarted = engines.find(engine => engine.id === id);
@@ -219,9 +228,6 @@
                 }
             },
         });
-    const modelEngines = options.modelEngines ?? defaultModelEngines;
-    const softwareVersionOf = (engineId: string): string =>
-        modelEngines.find(({ id }) => id === engineId)?.softwareVersion ?? defaultSoftwareVersion;
     const engines: readonly FakePlatformEngine[] = await Promise.all([
         ...modelEngines.map(({ id, stage }) => engineOf(id, stage)),
         ...Array.from({ length: options.plainEngines ?? 2 }, (unused, index) => engineOf(`d-${index + 1}`, undefined)),
@@ -330,6 +336,13 @@
             unnoticedRestarts.add(engine.id);
             engine.restart();
         },
+        release: async (engine, softwareVersion, unnoticedMs) => {
+            softwareVersions.set(engine.id, softwareVersion);
+            unnoticedRestarts.add(engine.id);
+            engine.restart();
+            await delay(restartMs + unnoticedMs);
+            register(engine, "ready");
+        },
         softwareVersionOf,
         writeAgain: () => written.forEach(row => store.put(...row)),
         close: async () => {
@@ -347,8 +360,10 @@
 export interface SiteResponse {
     readonly requestId: string;
     readonly status: number;
-    /** `undefined` if the connection failed before the end of the body. */
+    /** Without the software versions that events name; `undefined` if the connection failed before the end of the body. */
     readonly body: string | undefined;
+    /** The software versions that events name, each once. */
+    readonly softwareVersions: readonly string[];
     readonly retryAfter: string | null;
     /** Id of the engine that made the response; `undefined` for a response of the entry. */
     readonly engine: string | undefined;
@@ -377,10 +392,11 @@
     path: string,
     lastEventId: string,
     began?: string,
+    key: string = siteKey,
 ): Promise<SiteResponse> {
     const requestId = nextRequestId();
     const headers = { "last-event-id": lastEventId, ...began === undefined ? {} : { resumes: began } };
-    return readResponse(requestId, await sendToSite(entry, path, siteKey, requestId, headers));
+    return readResponse(requestId, await sendToSite(entry, path, key, requestId, headers));
 }
 
 /** A stream that its caller left, or that broke off, after some events. */
@@ -388,6 +404,8 @@
     readonly requestId: string;
     readonly engine: string;
     readonly lastEventId: string;
+    /** The software versions that its events name, each once. */
+    readonly softwareVersions: readonly string[];
 }
 
 /** Begins a stream, or takes one up, and leaves it after its next `events` events. */
@@ -396,12 +414,13 @@
     path: string,
     events: number,
     resumed?: PartialStream,
+    key: string = siteKey,
 ): Promise<PartialStream> {
     const requestId = nextRequestId();
     const headers: Record<string, string> = resumed === undefined
         ? {}
         : { "last-event-id": resumed.lastEventId, resumes: resumed.requestId };
-    const response = await sendToSite(entry, path, siteKey, requestId, headers);
+    const response = await sendToSite(entry, path, key, requestId, headers);
     const engine = engineOfResponse(response);
     if (engine === undefined) {
         throw new Error(`no stream began: status ${response.statusCode}`);
@@ -412,12 +431,18 @@
         const ids = [...text.matchAll(/^id: (\d+)\ndata: .*\n\n/gmu)].map(match => match[1] ?? "");
         if (ids.length >= events) {
             response.body.destroy();
-            return { requestId, engine, lastEventId: ids.at(-1) ?? "" };
+            return { requestId, engine, lastEventId: ids.at(-1) ?? "", softwareVersions: versionsIn(text) };
         }
     }
     throw new Error(`the stream ended after ${text.length} bytes`);
 }
 
+const versionInEvent = /^(data: \S+) (\S+)$/gmu;
+
+function versionsIn(events: string): readonly string[] {
+    return [...new Set([...events.matchAll(versionInEvent)].map(match => match[2] ?? ""))];
+}
+
 function nextRequestId(): string {
     lastRequestNumber += 1;
     return `r-${lastRequestNumber}`;
@@ -455,12 +480,13 @@
 }
 
 async function readResponse(requestId: string, response: Dispatcher.ResponseData): Promise<SiteResponse> {
-    const body = await response.body.text().catch(() => undefined);
+    const text = await response.body.text().catch(() => undefined);
     const retryAfter = response.headers["retry-after"];
     return {
         requestId,
         status: response.statusCode,
-        body,
+        body: text?.replace(versionInEvent, "$1"),
+        softwareVersions: versionsIn(text ?? ""),
         retryAfter: retryAfter === undefined ? null : String(retryAfter),
         engine: engineOfResponse(response),
     };
--- a/fakes/soakRun.ts
+++ b/fakes/soakRun.ts
@@ -16,6 +16,8 @@
 import type { EntryProcess, PlatformSite, SiteResponse } from "./platformSite.js";
 import type { StoreFault } from "./platformStore.js";
 import { checkDeadlyRuns, checkRates } from "./soakChecks.js";
+import { checkTakenUp, soakModelEngines, softwareVersions, takeUpOnce } from "./soakStreams.js";
+import type { TakenUpStream } from "./soakStreams.js";
 import { startTcpProxy } from "./tcpProxy.js";
 import type { ProxyFault, TcpProxy } from "./tcpProxy.js";
 
@@ -29,6 +31,9 @@
 
 export interface SoakResult {
     readonly requests: number;
+    /** Streams that their callers took up, and those of them that went on. */
+    readonly takenUp: number;
+    readonly goingOn: number;
     readonly faults: number;
     /** One line for each violated invariant. */
     readonly broken: readonly string[];
@@ -77,6 +82,10 @@
     "leaving",
     "endless",
 ];
+/** Fraction of the calls that begin a stream, leave it and take it up. */
+const takeUpFraction = 0.15;
+/** Longest time after which the registry shows that an engine has started again. */
+const maxUnnoticedMs = 1_500;
 /** Revisions that a restoration of the store loses at most. */
 const maxLostRevisions = 8;
 const mayRunTwice = (path: string): boolean => path === "/look/x" || path === "/long/x";
@@ -93,11 +102,13 @@
         entries: options.entries,
         events,
         eventMs,
+        modelEngines: soakModelEngines,
         proxyEngineAddress: proxiedInto(engineProxies),
         proxyStoreAddress: proxiedInto(storeProxies),
     });
     site.engines.forEach(engine => engine.endOnDeadlyBody());
     const completed: CompletedRequest[] = [];
+    const takenUp: TakenUpStream[] = [];
     const timeline: string[] = [];
     const withdrawnAtMs = new Map<string, number>();
     const state = { key: siteKey, keyNumber: 0, stopped: false, storeFaultEndMs: 0 };
@@ -109,6 +120,13 @@
 
     async function caller(entry: EntryProcess, random: Random): Promise<void> {
         while (!state.stopped) {
+            if (random() < takeUpFraction) {
+                const stream = await takeUpOnce(entry, site.entries, state.key, random).catch(() => undefined);
+                if (stream !== undefined) {
+                    takenUp.push(stream);
+                }
+                continue;
+            }
             const path = pickOne(random, paths) ?? "/look/x";
             // Some callers continue with a withdrawn key.
             const withdrawnKey = pickOne(random, [...withdrawnAtMs.keys()]);
@@ -164,13 +182,22 @@
                 })),
             ),
             ...checkDeadlyRuns(site.engines),
+            ...checkTakenUp(takenUp, site.engines),
         ];
         const logFile = join(mkdtempSync(join(tmpdir(), "gooseberrywell-soak-")), `seed-${options.seed}.log`);
         if (violations.length > 0) {
             const logs = site.entries.map(entry => `== ${entry.name}\n${entry.wholeLog()}`);
             writeFileSync(logFile, [...violations, "", ...timeline, "", ...logs].join("\n"));
         }
-        return { requests: completed.length, faults: injected, broken: violations, logFile };
+        const { length: goingOn } = takenUp.filter(({ resumed }) => resumed.status === statusOk);
+        return {
+            requests: completed.length,
+            takenUp: takenUp.length,
+            goingOn,
+            faults: injected,
+            broken: violations,
+            logFile,
+        };
     }
     finally {
         await site.close();
@@ -249,6 +276,21 @@
         await until(`${entry.name} is ready after ${signal}`, () => isReady(entry));
     }
 
+    /** Kills all entries at the same time, unless one of them has another fault. */
+    function killAll(): Fault | undefined {
+        if (site.entries.some(entry => busy.has(entry))) {
+            return undefined;
+        }
+        return {
+            name: "SIGKILL of all entries",
+            inject: async () => {
+                site.entries.forEach(entry => busy.add(entry));
+                await Promise.all(site.entries.map(entry => restartAfterSignal(entry, "SIGKILL")));
+                site.entries.forEach(entry => busy.delete(entry));
+            },
+        };
+    }
+
     async function pause(entry: EntryProcess): Promise<void> {
         entry.signal("SIGSTOP");
         await delay(200 + durations() * 1_500);
@@ -287,7 +329,15 @@
             exclusiveFault(pickOne(random, site.entries), "SIGTERM", entry => restartAfterSignal(entry, "SIGTERM")),
         random =>
             exclusiveFault(pickOne(random, site.entries), "SIGKILL", entry => restartAfterSignal(entry, "SIGKILL")),
+        killAll,
         random => exclusiveFault(pickOne(random, site.entries), "SIGSTOP", pause),
+        random =>
+            exclusiveFault(
+                pickOne(random, site.engines.filter(({ stage }) => stage === "decode")),
+                "engine released with another version",
+                engine =>
+                    site.release(engine, pickOne(durations, softwareVersions) ?? "v1", durations() * maxUnnoticedMs),
+            ),
         random => exclusiveFault(pickOne(random, site.entries), "SIGHUP", async entry => entry.signal("SIGHUP")),
         random => {
             const fault = pickOne<StoreFault>(random, ["unavailable", "tooMany", "silent", "reset", "lostAnswer"])
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -27,7 +27,8 @@
             runPaymentTwice: flags["plant"] === true,
         });
         console.log(
-            `seed ${seed}: ${result.requests} requests, ${result.faults} faults, ${result.broken.length} broken`,
+            `seed ${seed}: ${result.requests} requests, ${result.takenUp} streams taken up, ${result.goingOn} went on, `
+                + `${result.faults} faults, ${result.broken.length} broken`,
         );
         result.broken.forEach(line => console.log(`  ${line}`));
         if (result.broken.length > 0) {
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -6,7 +6,6 @@
  * Reservations and caches are released as soon as the request can no longer use them.
  */
 
-import type { Readable } from "node:stream";
 import { Result } from "true-myth";
 import { provesNotRun } from "../engines/enginePort.js";
 import type { EngineError, EngineRecord, EngineResponse, PrefilledCache } from "../engines/enginePort.js";
@@ -19,6 +18,7 @@
     rankForPrefill,
 } from "../scheduling/placement.js";
 import type { ForwardContext } from "./context.js";
+import { discardBody } from "./discardBody.js";
 import type { EngineCallBudget } from "./engineCallBudget.js";
 import { answered, refuse } from "./forwardRequest.js";
 import type { ForwardOutcome } from "./forwardRequest.js";
@@ -246,12 +246,6 @@
     return Result.ok({ response: sent.value, run, isVersionKnown });
 }
 
-/** Closes the connection of a response that is not passed on. */
-export function discardBody(body: Readable): void {
-    body.on("error", () => undefined);
-    body.destroy();
-}
-
 function releaseResources(
     context: ForwardContext,
     allocation: DecodeAllocation,
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -10,6 +10,7 @@
 import { finished, Readable } from "node:stream";
 import type { BodyFraming, EngineResponse } from "../engines/enginePort.js";
 import type { ForwardContext } from "./context.js";
+import { discardBody } from "./discardBody.js";
 import {
     completeEventsLength,
     createEventBoundaryTracker,
@@ -19,7 +20,7 @@
     withoutLength,
 } from "./eventStream.js";
 import type { EventBoundaryTracker } from "./eventStream.js";
-import { discardBody, startStream } from "./generation.js";
+import { startStream } from "./generation.js";
 import type { RunningStream } from "./generation.js";
 import type { GenerationRequest } from "./routedRequest.js";
 
--- a/src/resumption/originStore.ts
+++ b/src/resumption/originStore.ts
@@ -18,7 +18,7 @@
 export interface OriginStore {
     /** Writes an origin soon. */
     readonly write: (key: string, origin: StreamOrigin) => void;
-    /** `undefined` if the store has no such row; the error says why the store is not known to lack it. */
+    /** Reads the row of a stream. */
     readonly read: (key: string) => Promise<StoredOrigin>;
     /** Writes what is pending now, once. */
     readonly flush: () => Promise<void>;
@@ -29,6 +29,7 @@
 export type StoredOrigin =
     | { readonly kind: "found"; readonly origin: StreamOrigin; }
     | { readonly kind: "absent"; }
+    /** The store did not answer, so it may have the row. */
     | { readonly kind: "unavailable"; readonly cause: string; };
 
 /** How long after its beginning a stream may be taken up, at least. */
--- a/src/resumption/streamOrigins.ts
+++ b/src/resumption/streamOrigins.ts
@@ -24,6 +24,7 @@
 import { findOriginResponseSchema, findOriginSchema, recordOriginsSchema, resumptionMethods } from "./messages.js";
 import type { RecordOrigins, StreamOrigin } from "./messages.js";
 import { createOriginStore } from "./originStore.js";
+import type { StoredOrigin } from "./originStore.js";
 
 /** An origin whose version is known. */
 export type KnownOrigin = StreamOrigin & { readonly softwareVersion: string; };
@@ -164,37 +165,43 @@
     }
 
     /** Asks the recorders and the store at the same time; the first that knows the stream decides. */
-    async function look(key: string): Promise<StreamOrigin | string> {
-        let unavailableCause = "";
+    async function look(key: string): Promise<StoredOrigin> {
+        let stored: StoredOrigin = { kind: "absent" };
         const answers = [
             ...currentRecorders().filter(entry => entry !== url).map(entry => ask(entry, key)),
-            store.read(key).then(stored => {
-                unavailableCause = stored.kind === "unavailable" ? stored.cause : "";
-                return stored.kind === "found" ? stored.origin : undefined;
+            store.read(key).then(read => {
+                stored = read;
+                return read.kind === "found" ? read.origin : undefined;
             }),
         ];
         return new Promise(resolve => {
             answers.forEach(answer =>
                 void answer.then(origin => {
                     if (origin !== undefined) {
-                        resolve(origin);
+                        resolve({ kind: "found", origin });
                     }
                 })
             );
-            void Promise.all(answers).then(() => resolve(unavailableCause));
+            void Promise.all(answers).then(() => resolve(stored));
         });
     }
 
     async function find(requestId: string): Promise<FoundOrigin> {
         const key = streamKey(requestId);
-        const origin = remembered.get(key) ?? await look(key);
-        if (typeof origin === "string") {
-            return origin === ""
-                ? { kind: "unknown", isFinal: true, cause: "no entry and no row of the store knows the stream" }
-                : { kind: "unknown", isFinal: false, cause: `the store does not answer: ${origin}` };
+        if (!remembered.has(key)) {
+            const found = await look(key);
+            if (found.kind === "unavailable") {
+                return { kind: "unknown", isFinal: false, cause: `the store does not answer: ${found.cause}` };
+            }
+            if (found.kind === "found") {
+                remember(key, found.origin);
+            }
+        }
+        const origin = remembered.get(key);
+        if (origin === undefined) {
+            return { kind: "unknown", isFinal: true, cause: "no entry and no row of the store knows the stream" };
         }
-        remember(key, origin);
-        const { service, softwareVersion } = remembered.get(key) ?? origin;
+        const { service, softwareVersion } = origin;
         return softwareVersion === undefined
             ? { kind: "unknown", isFinal: true, cause: "requests with its id began with different versions" }
             : { kind: "found", origin: { service, softwareVersion } };
--- a/src/scheduling/decodeScheduler.ts
+++ b/src/scheduling/decodeScheduler.ts
@@ -18,9 +18,10 @@
 import type { EngineRateLimiter } from "../limits/engineRateLimiter.js";
 import type { DecisionLog } from "../telemetry/decisionLog.js";
 import type { PrometheusMetrics } from "../telemetry/prometheusMetrics.js";
-import { createDecodeQueue } from "./decodeQueue.js";
-import type { DecodeQueue, QueuedRequest } from "./decodeQueue.js";
+import type { QueuedRequest } from "./decodeQueue.js";
 import type { DecodeSchedulerSettings } from "./decodeSchedulerSettings.js";
+import { createEngineQueues } from "./engineQueues.js";
+import type { EngineChoice, EngineQueue } from "./engineQueues.js";
 import {
     allowsLocalPrefill,
     prefillEnginesFor,
@@ -76,18 +77,7 @@
     readonly resolve: (result: Result<DecodeAllocation, AllocationRefusal>) => void;
 }
 
-/** Which engines a request may use: those of a service, or those of one software version of it. */
-type EngineChoice = Pick<GenerationRequest, "service" | "softwareVersion">;
-
-/** The queued requests with the same choice of engines, so that none waits behind one that needs other engines. */
-interface EngineQueue {
-    readonly choice: EngineChoice;
-    readonly pending: DecodeQueue<QueuedGeneration>;
-    /** KV memory of one engine of the service. */
-    kvTokens: number;
-    isProcessing: boolean;
-    wake: () => void;
-}
+type GenerationQueue = EngineQueue<QueuedGeneration>;
 
 /** Maximum number of engines that are asked for one request in one pass over the queue. */
 const maxEnginesPerPass = 3;
@@ -115,41 +105,20 @@
     return Math.min(size.maxOutputTokens, size.outputHintTokens ?? Math.ceil(size.maxOutputTokens / 2));
 }
 
-function keyOf({ service, softwareVersion }: EngineChoice): string {
-    return JSON.stringify([service, softwareVersion]);
-}
-
 export function createDecodeScheduler(
     dependencies: DecodeSchedulerDependencies,
     settings: DecodeSchedulerSettings,
 ): DecodeScheduler {
     const { clock, view, directory, health, loads, engines, engineRates, log, metrics } = dependencies;
-    const queues = new Map<string, EngineQueue>();
+    const queues = createEngineQueues<QueuedGeneration>();
+    const { queueOf } = queues;
     const backoffUntilMs = new Map<string, number>();
     const durations = createStreamDurations();
     let recentAllocations: readonly { readonly atMs: number; readonly tokens: number; readonly service: string; }[] =
         [];
 
-    function queueOf(choice: EngineChoice): EngineQueue {
-        const { service, softwareVersion } = choice;
-        const key = keyOf(choice);
-        const existing = queues.get(key);
-        if (existing !== undefined) {
-            return existing;
-        }
-        const created: EngineQueue = {
-            choice: { service, softwareVersion },
-            pending: createDecodeQueue(),
-            kvTokens: 0,
-            isProcessing: false,
-            wake: () => undefined,
-        };
-        queues.set(key, created);
-        return created;
-    }
-
-    loads.onEnd(() => queues.forEach(queue => queue.wake()));
-    directory.onChange(() => queues.forEach(queue => queue.wake()));
+    loads.onEnd(() => queues.all().forEach(queue => queue.wake()));
+    directory.onChange(() => queues.all().forEach(queue => queue.wake()));
 
     function decodeEngines(choice: EngineChoice): readonly EngineRecord[] {
         const engines = view.enginesFor(choice.service, "decode");
@@ -315,7 +284,7 @@
     }
 
     /** Refuses the requests that can get no allocation before their queue deadline. */
-    function refuseExpired(queue: EngineQueue): void {
+    function refuseExpired(queue: GenerationQueue): void {
         const restMs = directory.allRestingMs(queue.choice.service, "decode");
         const nextAllocationMs = clock.monotonicMs() + (restMs ?? 0);
         for (const item of queue.pending.takeExpired(nextAllocationMs)) {
@@ -329,7 +298,7 @@
     }
 
     /** Refuses all queued requests if no engine may take one, by the rates that the engines name. */
-    function refuseIfExhausted(queue: EngineQueue): void {
+    function refuseIfExhausted(queue: GenerationQueue): void {
         const { service } = queue.choice;
         const decoders = decodeEngines(queue.choice);
         if (engineRates.areExhausted(decoders)) {
@@ -340,7 +309,7 @@
     }
 
     /** Refuses the queued requests that need a software version of which no engine is left. */
-    function refuseIfVersionLeft(queue: EngineQueue): void {
+    function refuseIfVersionLeft(queue: GenerationQueue): void {
         if (queue.choice.softwareVersion === undefined || decodeEngines(queue.choice).length > 0) {
             return;
         }
@@ -350,7 +319,7 @@
     }
 
     /** Processes a queue until it is empty; one loop runs at a time, and a further call wakes it. */
-    async function processQueue(queue: EngineQueue): Promise<void> {
+    async function processQueue(queue: GenerationQueue): Promise<void> {
         if (queue.isProcessing) {
             queue.wake();
             return;
@@ -371,9 +340,7 @@
             }
         }
         queue.isProcessing = false;
-        if (queue.choice.softwareVersion !== undefined) {
-            queues.delete(keyOf(queue.choice));
-        }
+        queues.removeIfOfVersion(queue);
     }
 
     function toQueuedGeneration(generation: GenerationRequest, resolve: QueuedGeneration["resolve"]): QueuedGeneration {
@@ -397,7 +364,7 @@
     return {
         expectedResponseMs: (service, size) => durations.expectedMs(service, expectedOutputTokens(size)),
         retryAfterMs: service => retryAfterMs({ service, softwareVersion: undefined }),
-        queuedRequests: () => [...queues.values()].reduce((sum, queue) => sum + queue.pending.size(), 0),
+        queuedRequests: () => queues.all().reduce((sum, queue) => sum + queue.pending.size(), 0),
         allocate: async generation => {
             const { service, size, engineSpec, request } = generation;
             if (size.promptTokens + size.maxOutputTokens > engineSpec.kvTokens) {
--- a/test/resumedStreams.test.ts
+++ b/test/resumedStreams.test.ts
@@ -67,7 +67,7 @@
         return `${resumed.status}, ${runsOf(resumed.requestId) === 0 ? "not run" : "run"}`;
     }
     const isWhole = resumed.body === expectedStream(resumed.requestId, events, Number(began.lastEventId));
-    const isSameVersion = site.softwareVersionOf(resumed.engine) === site.softwareVersionOf(began.engine);
+    const isSameVersion = new Set([...began.softwareVersions, ...resumed.softwareVersions]).size === 1;
     return `${resumed.status}, ${isSameVersion ? "same version" : "joined"}${isWhole ? "" : ", incomplete"}`;
 }
 
