--- a/fakes/soakStreams.ts
+++ b/fakes/soakStreams.ts
@@ -54,7 +54,7 @@
 /** Checks that no stream has events of two versions, and that a take-up that is said not to have run has not. */
 export function checkTakenUp(
     streams: readonly TakenUpStream[],
-    engines: readonly FakePlatformEngine[],
+    engines: readonly Pick<FakePlatformEngine, "runs">[],
 ): readonly string[] {
     const executed = new Set(engines.flatMap(({ runs }) => runs.map(({ requestId }) => requestId)));
     return streams.flatMap(({ parts, resumed }) => {
--- a/test/soakChecks.test.ts
+++ b/test/soakChecks.test.ts
@@ -5,6 +5,7 @@
 import { expect, it } from "vitest";
 import { checkRates } from "../fakes/soakChecks.js";
 import type { PassedOnResponse } from "../fakes/soakChecks.js";
+import { checkTakenUp } from "../fakes/soakStreams.js";
 
 const limit = { value: "2", fromMs: 1_000, untilMs: undefined };
 /** Requests in 4 s; 17 are allowed. */
@@ -51,3 +52,34 @@
     const engine = { id: "e-1", stage, limits: [limit], arrivedAtMs: [...arrivedAtMs] };
     expect(checkRates([engine], passedOn)).toHaveLength(isBroken ? 1 : 0);
 });
+
+interface TakenUpCase {
+    readonly name: string;
+    /** Software versions of the events before and after the take-up. */
+    readonly versions: readonly [string, string | undefined];
+    readonly status: number;
+    readonly hasRun: boolean;
+    readonly violations: number;
+}
+
+const takenUpCases: readonly TakenUpCase[] = [
+    { name: "one version", versions: ["v1", "v1"], status: 200, hasRun: true, violations: 0 },
+    { name: "two versions", versions: ["v1", "v2"], status: 200, hasRun: true, violations: 1 },
+    { name: "refused", versions: ["v1", undefined], status: 503, hasRun: false, violations: 0 },
+    { name: "refused, but run", versions: ["v1", undefined], status: 503, hasRun: true, violations: 1 },
+];
+
+describe("the soak's check of streams that are taken up", () => {
+    it.each(takenUpCases)(
+        "$name: $violations violations",
+        ({ versions: [began, resumed], status, hasRun, violations }) => {
+            const requestId = "r-2";
+            const parts = [{ requestId: "r-1", engine: "m-1", lastEventId: "3", softwareVersions: [began] }];
+            const softwareVersions = resumed === undefined ? [] : [resumed];
+            const response = { requestId, status, body: "", softwareVersions, retryAfter: null, engine: "m-1" };
+            const run = { requestId, headers: {}, target: "/long/x", body: "", atMs: 0 };
+            const found = checkTakenUp([{ parts, resumed: response }], [{ runs: hasRun ? [run] : [] }]);
+            expect(found).toHaveLength(violations);
+        },
+    );
+});
