--- a/test/soakChecks.test.ts
+++ b/test/soakChecks.test.ts
@@ -2,7 +2,7 @@
  * The soak's check of the rates that engines name: which requests count, and that too many of them are found.
  */
 
-import { expect, it } from "vitest";
+import { describe, expect, it } from "vitest";
 import { checkRates } from "../fakes/soakChecks.js";
 import type { PassedOnResponse } from "../fakes/soakChecks.js";
 import { checkTakenUp } from "../fakes/soakStreams.js";
