Odd registry entries: read the table again while it is unchanged

The case that ended the following for good, a whole read after an outage at an unchanged position, was not on the test's way: its deeply nested cases failed when the copy was sent to another entry.

--- a/test/oddRecords.test.ts
+++ b/test/oddRecords.test.ts
@@ -129,6 +129,8 @@
         store.setFault("reset");
         await until("the outage is seen", () => !replica.isStoreReachable());
         store.setFault("none");
+        // The whole read finds the table unchanged, and compares it with the copy.
+        await until("the store answers again", () => replica.isStoreReachable());
         store.put(table, "c", JSON.stringify(record));
         await expectEngines(replica, ["a", "b", "c"]);
         store.restore(store.revision());
