End streams at their route's timeout whatever the garbage collector does

Cause: the timeout was only a source of an AbortSignal.any. Node.js 20 refers to the sources weakly, so a full garbage collection removes the timeout with its timer while the call runs. limitCall holds timer and listeners until the call has ended, for a stream until its body has, and removes them then. A request that left the decode queue kept its listener on the caller's signal.

Ruled out: late timers (without a collection the calls end in time), and the time limits of the connection pool, which are off.

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -4,6 +4,7 @@
 
 import { Readable } from "node:stream";
 import { Result } from "true-myth";
+import type { Clock } from "../src/common/clock.js";
 import type { Random } from "../src/common/random.js";
 import { createEngineDirectory } from "../src/engines/engineDirectory.js";
 import { createEngineHealth } from "../src/engines/engineHealth.js";
@@ -197,7 +198,7 @@
 
 /** Dependencies and settings of a context that a test or an experiment chooses. */
 export interface ForwardContextOptions {
-    readonly clock: VirtualClock;
+    readonly clock: Clock;
     readonly engines: EnginePort;
     readonly state: DesiredState;
     readonly random?: Random;
--- a/fakes/virtualClock.ts
+++ b/fakes/virtualClock.ts
@@ -70,6 +70,11 @@
             timers = [...timers, { dueMs, fire }];
             return controller.signal;
         },
+        startTimer: (durationMs, onExpired) => {
+            const timer: Timer = { dueMs: nowMs + Math.max(1, durationMs), fire: onExpired };
+            timers = [...timers, timer];
+            return () => removeTimer(timer);
+        },
         settle,
         advance: async durationMs => {
             const untilMs = nowMs + durationMs;
@@ -113,6 +118,7 @@
                 await pass();
             },
             timeout: base.timeout,
+            startTimer: base.startTimer,
         },
         pass,
         pause: () => {
--- /dev/null
+++ b/src/common/callLimit.ts
@@ -0,0 +1,83 @@
+/**
+ * Limits a call to another process: by time, and by signals that cancel it.
+ *
+ * A limit keeps its timer and its listeners until the call has ended, and removes them then. The platform's combined and
+ * timed signals do not: Node.js refers to the sources of `AbortSignal.any` weakly, so a full garbage collection removes a
+ * timeout that nothing else refers to, and the call is not ended any more.
+ */
+
+import { finished } from "node:stream";
+import type { Readable } from "node:stream";
+import { systemClock } from "./clock.js";
+import type { Clock } from "./clock.js";
+
+export interface CallLimitOptions {
+    /** By default the clock of this machine. */
+    readonly clock?: Pick<Clock, "startTimer">;
+    /** Time until the call is aborted with a `TimeoutError`; `undefined` for no limit. */
+    readonly timeoutMs?: number;
+    /** Signals that abort the call, with their reason. */
+    readonly cancelledBy?: readonly AbortSignal[];
+}
+
+export interface CallLimit {
+    /** Aborts when the time is over or the call is cancelled, unless the call has ended before. */
+    readonly signal: AbortSignal;
+    /** Whether the time was over before the call ended and before it was cancelled. */
+    readonly isTimedOut: () => boolean;
+    /** Removes the timer and the listeners; to be called when the call has ended. */
+    readonly end: () => void;
+    /** Ends the limit once `body`, the last part of the call, has been read or has broken off. */
+    readonly endWith: (body: Readable) => void;
+}
+
+export function limitCall({ clock = systemClock, timeoutMs, cancelledBy = [] }: CallLimitOptions): CallLimit {
+    const controller = new AbortController();
+    let stopTimer: () => void = () => undefined;
+    let isTimedOut = false;
+    const cancellations = cancelledBy.map(signal => ({ signal, cancel: () => abort(signal.reason) }));
+
+    function end(): void {
+        stopTimer();
+        cancellations.forEach(({ signal, cancel }) => signal.removeEventListener("abort", cancel));
+    }
+
+    function abort(reason: unknown): void {
+        end();
+        controller.abort(reason);
+    }
+
+    const cancelled = cancelledBy.find(signal => signal.aborted);
+    if (cancelled !== undefined) {
+        controller.abort(cancelled.reason);
+    }
+    else {
+        cancellations.forEach(({ signal, cancel }) => signal.addEventListener("abort", cancel));
+        if (timeoutMs !== undefined) {
+            stopTimer = clock.startTimer(timeoutMs, () => {
+                isTimedOut = true;
+                abort(new DOMException("the timeout has elapsed", "TimeoutError"));
+            });
+        }
+    }
+    return {
+        signal: controller.signal,
+        isTimedOut: () => isTimedOut,
+        end,
+        endWith: body => void finished(body, end),
+    };
+}
+
+/** Runs a call under a limit, which ends with it. */
+export async function runLimited<Value>(
+    options: CallLimitOptions,
+    run: (limit: CallLimit) => Promise<Value>,
+): Promise<Value> {
+    const limit = limitCall(options);
+    try {
+        return await run(limit);
+    }
+    finally {
+        limit.end();
+    }
+}
--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -18,8 +18,16 @@
     readonly sleep: (durationMs: number, signal?: AbortSignal) => Promise<void>;
     /** A signal that aborts with a `TimeoutError` after `durationMs`, which may be fractional, zero or negative. */
     readonly timeout: (durationMs: number) => AbortSignal;
+    /**
+     * Calls `onExpired` once after `durationMs`, which may be fractional, zero or negative, unless the returned function is
+     * called before.
+     */
+    readonly startTimer: (durationMs: number, onExpired: () => void) => () => void;
 }
 
+/** Longest duration of a timer of Node.js; a longer one would expire at once. */
+const maxTimerMs = 2_147_483_647;
+
 /** The clocks of this machine. */
 export const systemClock: Clock = {
     monotonicMs: () => performance.now(),
@@ -33,4 +41,8 @@
         }
     },
     timeout: durationMs => AbortSignal.timeout(Math.max(1, Math.ceil(durationMs))),
+    startTimer: (durationMs, onExpired) => {
+        const timer = setTimeout(onExpired, Math.min(maxTimerMs, Math.max(1, Math.ceil(durationMs))));
+        return () => clearTimeout(timer);
+    },
 };
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -7,6 +7,7 @@
  */
 
 import { Result } from "true-myth";
+import { limitCall, runLimited } from "../common/callLimit.js";
 import { provesNotRun } from "../engines/enginePort.js";
 import type { EngineError, EngineRecord, EngineResponse, PrefilledCache } from "../engines/enginePort.js";
 import type { EngineRun } from "../quarantine/engineRuns.js";
@@ -202,14 +203,25 @@
         return Result.err({ kind: "unreachable", cause: "the retry budget is used up" });
     }
     const run = context.engineRuns.start(allocation.engine, suspectsOf(generation));
+    const limit = limitCall({
+        clock: context.clock,
+        timeoutMs: timeLeftMs(context, generation),
+        cancelledBy: [request.callerDisconnected],
+    });
     const sent = await context.engines.send(allocation.engine, request, {
         remainingMs: Math.max(1, timeLeftMs(context, generation)),
-        signal: AbortSignal.any([request.callerDisconnected, context.clock.timeout(timeLeftMs(context, generation))]),
+        signal: limit.signal,
         ...allocation.reservation === undefined ? {} : { reservation: allocation.reservation },
         ...cache === undefined ? {} : { cache },
         ...lastEventId === undefined ? {} : { lastEventId },
     });
     endPrefillLoad();
+    if (sent.isOk) {
+        limit.endWith(sent.value.body);
+    }
+    else {
+        limit.end();
+    }
     if (sent.isOk || sent.error.kind !== "unreachable") {
         callBudget.recordCall();
     }
@@ -288,14 +300,18 @@
         }
         const expectedMs = (context.view.workAt(engine.id).prefillTokens + size.promptTokens)
             / minPrefillTokensPerMs;
-        const timeout = context.clock.timeout(expectedMs + prefillTimeoutMarginMs);
+        const timeoutMs = Math.min(expectedMs + prefillTimeoutMarginMs, timeLeftMs(context, generation));
         const endLoad = context.loads.start(engine.id, { requests: 1, kvTokens: 0, prefillTokens: size.promptTokens });
         const sentAtMs = context.clock.monotonicMs();
         const run = context.engineRuns.start(engine, suspectsOf(generation));
-        const result = await context.engines.prefill(engine, request, {
-            remainingMs: Math.max(1, timeLeftMs(context, generation)),
-            signal: AbortSignal.any([request.callerDisconnected, timeout]),
-        });
+        const result = await runLimited(
+            { clock: context.clock, timeoutMs, cancelledBy: [request.callerDisconnected] },
+            ({ signal }) =>
+                context.engines.prefill(engine, request, {
+                    remainingMs: Math.max(1, timeLeftMs(context, generation)),
+                    signal,
+                }),
+        );
         endLoad();
         recordPrefill(callBudget, result);
         if (result.isOk) {
--- a/src/scheduling/decodeScheduler.ts
+++ b/src/scheduling/decodeScheduler.ts
@@ -390,16 +390,20 @@
                 });
             }
             return new Promise(resolve => {
-                const item = toQueuedGeneration(generation, resolve);
+                const { callerDisconnected } = request;
+                const item = toQueuedGeneration(generation, result => {
+                    callerDisconnected.removeEventListener("abort", onCallerDisconnect);
+                    resolve(result);
+                });
                 const onCallerDisconnect = (): void => {
                     queue.pending.remove(item);
-                    resolve(Result.err({ cause: "the caller went away", retryAfterMs: minimumRetryAfterMs }));
+                    item.resolve(Result.err({ cause: "the caller went away", retryAfterMs: minimumRetryAfterMs }));
                 };
-                if (request.callerDisconnected.aborted) {
+                if (callerDisconnected.aborted) {
                     onCallerDisconnect();
                     return;
                 }
-                request.callerDisconnected.addEventListener("abort", onCallerDisconnect, { once: true });
+                callerDisconnected.addEventListener("abort", onCallerDisconnect);
                 queue.pending.add(item);
                 void processQueue(queue);
             });
