End large plain answers at their route's timeout

Once a body of over 256 KB is passed on as it arrives, only the combined signal knew the timeout of the attempt. The attempt's limit now ends with its body; the rest breaks off with it also for a caller that does not read, and 64 KB of it are buffered instead of up to 16 chunks. Clock.timeout is removed, since nothing uses it.

Ruled out: calls without any answer; these ended in time before as well.

--- a/fakes/virtualClock.ts
+++ b/fakes/virtualClock.ts
@@ -63,13 +63,6 @@
                 timers = [...timers, timer];
                 signal?.addEventListener("abort", onAbort, { once: true });
             }),
-        timeout: durationMs => {
-            const controller = new AbortController();
-            const dueMs = nowMs + Math.max(1, durationMs);
-            const fire = (): void => controller.abort(new DOMException("the timeout has elapsed", "TimeoutError"));
-            timers = [...timers, { dueMs, fire }];
-            return controller.signal;
-        },
         startTimer: (durationMs, onExpired) => {
             const timer: Timer = { dueMs: nowMs + Math.max(1, durationMs), fire: onExpired };
             timers = [...timers, timer];
@@ -117,7 +110,6 @@
                 await base.sleep(durationMs, signal);
                 await pass();
             },
-            timeout: base.timeout,
             startTimer: base.startTimer,
         },
         pass,
--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -16,8 +16,6 @@
     readonly wallMs: () => number;
     /** Resolves after `durationMs`, or at once when `signal` aborts. Never rejects. */
     readonly sleep: (durationMs: number, signal?: AbortSignal) => Promise<void>;
-    /** A signal that aborts with a `TimeoutError` after `durationMs`, which may be fractional, zero or negative. */
-    readonly timeout: (durationMs: number) => AbortSignal;
     /**
      * Calls `onExpired` once after `durationMs`, which may be fractional, zero or negative, unless the returned function is
      * called before.
@@ -40,7 +38,6 @@
             // An aborted sleep resolves early; the caller checks its own signal.
         }
     },
-    timeout: durationMs => AbortSignal.timeout(Math.max(1, Math.ceil(durationMs))),
     startTimer: (durationMs, onExpired) => {
         const timer = setTimeout(onExpired, Math.min(maxTimerMs, Math.max(1, Math.ceil(durationMs))));
         return () => clearTimeout(timer);
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -9,8 +9,9 @@
  * sent again, since it may be the cause.
  */
 
-import { Readable } from "node:stream";
+import { finished, Readable } from "node:stream";
 import { Result } from "true-myth";
+import { limitCall } from "../common/callLimit.js";
 import { isConnectionRefused, provesNotRun } from "../engines/enginePort.js";
 import type { BodyFraming, EngineError, EngineRecord, EngineResponse } from "../engines/enginePort.js";
 import type { EngineRun } from "../quarantine/engineRuns.js";
@@ -36,6 +37,8 @@
 const serverError = 500;
 /** Many times a usual response of a plain service; limits the memory that one response takes. */
 const maxBufferedBytes = 262_144;
+/** Limit on what is buffered of the rest of a larger response while its caller is slow. */
+const readAheadBytes = 65_536;
 
 interface Attempt {
     readonly engine: EngineRecord;
@@ -223,21 +226,31 @@
 ): Promise<Attempt> {
     const { request } = routed;
     const remainingMs = Math.max(1, timeLeftMs(context, routed));
-    const timeout = context.clock.timeout(remainingMs);
+    const limit = limitCall({
+        clock: context.clock,
+        timeoutMs: remainingMs,
+        cancelledBy: [overtaken, request.callerDisconnected],
+    });
     const sentAtMs = context.clock.monotonicMs();
     const endLoad = context.loads.start(engine.id, { requests: 1, kvTokens: 0, prefillTokens: 0 });
     const run = context.engineRuns.start(engine, suspectsOf(routed));
     const sent = await context.engines.send(engine, request, {
         remainingMs,
         ...request.lastEventId === undefined ? {} : { lastEventId: request.lastEventId },
-        signal: AbortSignal.any([timeout, overtaken, request.callerDisconnected]),
+        signal: limit.signal,
     });
     const result = sent.isErr ? sent : await bufferBody(sent.value, routed.route.kind);
+    if (sent.isErr) {
+        limit.end();
+    }
+    else {
+        limit.endWith(sent.value.body);
+    }
     endLoad();
     if (result.isOk && result.value.status < serverError) {
         context.responseTimes.record(routed.service, context.clock.monotonicMs() - sentAtMs);
     }
-    recordHealth(context, engine, result, timeout.aborted, request.callerDisconnected.aborted);
+    recordHealth(context, engine, result, limit.isTimedOut(), request.callerDisconnected.aborted);
     const isCancelled = overtaken.aborted || request.callerDisconnected.aborted;
     if (result.isErr && result.error.kind === "interrupted" && !isCancelled) {
         context.log.decision("a call broke off at its engine", {
@@ -255,7 +268,7 @@
     }
     return {
         engine,
-        result: timeout.aborted && result.isErr && result.error.kind === "cancelled"
+        result: limit.isTimedOut() && result.isErr && result.error.kind === "cancelled"
             ? Result.err({ kind: "timeout", cause: "no whole answer in time" })
             : result,
         isSuspected,
@@ -324,11 +337,13 @@
             boundaries?.push(chunk);
             sizeBytes += chunk.length;
             if (sizeBytes > maxBufferedBytes) {
-                return Result.ok({
-                    ...response,
-                    headers: isChecked ? withoutLength(headers) : headers,
-                    body: Readable.from(concatenate(chunks, body, boundaries, framing)),
+                const whole = Readable.from(concatenate(chunks, body, boundaries, framing), {
+                    objectMode: false,
+                    highWaterMark: readAheadBytes,
                 });
+                // A caller that has stopped reading would not notice otherwise that the rest broke off.
+                finished(body, error => error && whole.destroy(error));
+                return Result.ok({ ...response, headers: isChecked ? withoutLength(headers) : headers, body: whole });
             }
         }
         failIfIncomplete(boundaries, framing);
--- a/test/callLimits.test.ts
+++ b/test/callLimits.test.ts
@@ -62,6 +62,13 @@
 const chunkOf = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
 
 const silent: Behavior = () => undefined;
+const endlessBlock = chunkOf("z".repeat(16_384));
+const blockIntervalMs = 2;
+const endsNever: Behavior = socket => {
+    socket.write(`${responseHead}\r\n`);
+    const timer = setInterval(() => socket.write(endlessBlock), blockIntervalMs);
+    socket.once("close", () => clearInterval(timer));
+};
 const beginsStream: Behavior = socket => void socket.write(`${streamHead}${chunkOf(firstEvent)}`);
 
 interface ForwardCase {
@@ -74,7 +81,22 @@
 const routeTimeoutMs = 400;
 const bounded = { timeoutMs: routeTimeoutMs };
 
-const forwardCases: readonly ForwardCase[] = [
+const plainCases: readonly ForwardCase[] = [
+    {
+        name: "a plain call that its engine leaves unanswered",
+        route: routeOf("nonIdempotent", bounded),
+        behave: silent,
+        outcome: "504",
+    },
+    {
+        name: "a plain call whose response never ends",
+        route: routeOf("nonIdempotent", bounded),
+        behave: endsNever,
+        outcome: "200, broken",
+    },
+];
+
+const streamCases: readonly ForwardCase[] = [
     {
         name: "a stream that its engine leaves unanswered",
         route: routeOf("stream", bounded),
@@ -133,10 +155,11 @@
 
 describe("a forwarded request ends at its route's timeout", () => {
     // A full garbage collection removed the timeout of a call with its timer, and the call never ended.
-    it.each(forwardCases)("$name: $outcome", async ({ route, behave, outcome }) => {
+    it.each([...streamCases, ...plainCases])("$name: $outcome", async ({ route, behave, outcome }) => {
         const forwardTo = await createForwarder(route, behave);
         const { signal } = new AbortController();
-        expect(await collectGarbageDuring(forwardTo(requestOn(route, signal)))).toBe(outcome);
+        const received = await collectGarbageDuring(forwardTo(requestOn(route, signal)));
+        expect(received.replace(/ z+,/u, ",")).toBe(outcome);
         expect(getEventListeners(signal, "abort")).toHaveLength(0);
     });
 });
