Limit all calls in one way, held until they end; forbid combined signals

The agent's relay of a stream needs no signal of its own: leaving the loop destroys the body. The limits leave no timers and no listeners (callLimit.test).

Ruled out: the loop that follows a table, which retries whatever fails.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -19,6 +19,14 @@
                 { selector: "variable", format: ["camelCase"] },
             ],
             "@typescript-eslint/no-unused-vars": ["error", { ignoreRestSiblings: true }],
+            "no-restricted-properties": [
+                "error",
+                ...["any", "timeout"].map(property => ({
+                    object: "AbortSignal",
+                    property,
+                    message: "A garbage collection may remove the limit. Use limitCall of src/common/callLimit.ts.",
+                })),
+            ],
             "curly": ["error", "all"],
             "eqeqeq": "error",
             "no-console": "error",
--- a/src/callers/accessControl.ts
+++ b/src/callers/accessControl.ts
@@ -6,6 +6,7 @@
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Result } from "true-myth";
+import { runLimited } from "../common/callLimit.js";
 import type { AccountLimits } from "../configuration/objects.js";
 import { limitsOf } from "../configuration/state.js";
 import type { KeyOwner } from "../keys/keyring.js";
@@ -108,7 +109,7 @@
                 sendError(response, { code: "key_withdrawn", message: "the key has been withdrawn", notRun: true });
                 return;
             }
-            await run(AbortSignal.any([disconnected, withdrawn.signal]));
+            await runLimited({ cancelledBy: [disconnected, withdrawn.signal] }, ({ signal }) => run(signal));
         }
         finally {
             keyUse.end();
--- a/src/common/callLimit.ts
+++ b/src/common/callLimit.ts
@@ -25,6 +25,8 @@
     readonly signal: AbortSignal;
     /** Whether the time was over before the call ended and before it was cancelled. */
     readonly isTimedOut: () => boolean;
+    /** Removes the timer: from now on the call may only be cancelled. */
+    readonly liftTimeout: () => void;
     /** Removes the timer and the listeners; to be called when the call has ended. */
     readonly end: () => void;
     /** Ends the limit once `body`, the last part of the call, has been read or has broken off. */
@@ -63,6 +65,7 @@
     return {
         signal: controller.signal,
         isTimedOut: () => isTimedOut,
+        liftTimeout: () => stopTimer(),
         end,
         endWith: body => void finished(body, end),
     };
--- a/src/configuration/distribution.ts
+++ b/src/configuration/distribution.ts
@@ -3,6 +3,7 @@
  * other entries and to agents. `distributionTree` selects the sources.
  */
 
+import { runLimited } from "../common/callLimit.js";
 import type { Clock } from "../common/clock.js";
 import { checkValue } from "../common/json.js";
 import { pickSome } from "../common/random.js";
@@ -222,7 +223,10 @@
         const wakeup = new AbortController();
         pollWakeups.add(wakeup);
         const jitteredPollMs = settings.pollMs * (0.75 + random() / 2);
-        await clock.sleep(jitteredPollMs, AbortSignal.any([wakeup.signal, stopped]));
+        await runLimited(
+            { cancelledBy: [wakeup.signal, stopped] },
+            ({ signal }) => clock.sleep(jitteredPollMs, signal),
+        );
         pollWakeups.delete(wakeup);
         return read;
     }
--- a/src/endpoint/decodeStreams.ts
+++ b/src/endpoint/decodeStreams.ts
@@ -5,6 +5,7 @@
 
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
+import { runLimited } from "../common/callLimit.js";
 import type { Clock } from "../common/clock.js";
 import { disconnectSignal } from "../rpc/httpServer.js";
 import type { Counters } from "../telemetry/telemetry.js";
@@ -46,12 +47,15 @@
 
     function waitForStart(request: ReserveDecodeRequest, signal: AbortSignal): Promise<StartDecodeRequest | undefined> {
         const key = attemptKey(request.requestId, request.attempt);
-        const timer = new AbortController();
+        const settled = new AbortController();
         const started = new Promise<StartDecodeRequest>(resolve => reservations.set(key, resolve));
-        const expired = clock.sleep(request.startWithinMs, AbortSignal.any([timer.signal, signal]));
+        const expired = runLimited(
+            { cancelledBy: [settled.signal, signal] },
+            limit => clock.sleep(request.startWithinMs, limit.signal),
+        );
         return Promise.race([started, expired.then(() => undefined)]).finally(() => {
             reservations.delete(key);
-            timer.abort();
+            settled.abort();
         });
     }
 
@@ -62,9 +66,7 @@
         disconnected: AbortSignal,
     ): Promise<number> {
         const priority = request.requestClass === "interactive" ? interactivePriority : deferrablePriority;
-        const engineReadAbort = new AbortController();
-        const signal = AbortSignal.any([disconnected, engineReadAbort.signal]);
-        const engineResponse = await engine.decode({ ...startRequest, priority }, signal);
+        const engineResponse = await engine.decode({ ...startRequest, priority }, disconnected);
         if (engineResponse.isErr) {
             counters.add("endpoint.decodeFailed");
             dependencies.onEngineError(engineResponse.error);
@@ -78,6 +80,7 @@
         }
         const scanner = createEventScanner();
         try {
+            // Leaving the loop early destroys the body, which ends the call.
             for await (const chunk of engineResponse.value.body as AsyncIterable<Buffer>) {
                 scanner.push(chunk);
                 if (!response.write(chunk) && !await waitForDrain(response, clock, disconnected)) {
@@ -88,7 +91,6 @@
         catch {
             // A broken engine stream is detected below by its missing end event.
         }
-        engineReadAbort.abort();
         if (!scanner.ended()) {
             counters.add("endpoint.decodeBroken");
             const endpointEndedAtMs = disconnected.aborted ? undefined : await dependencies.checkEnded();
@@ -153,13 +155,10 @@
 
 /** Waits until `response` accepts data again; false if the entry disconnects or the write stalls. */
 async function waitForDrain(response: ServerResponse, clock: Clock, disconnected: AbortSignal): Promise<boolean> {
-    const stallTimer = new AbortController();
-    const drain = once(response, "drain", { signal: AbortSignal.any([disconnected, stallTimer.signal]) })
-        .then(() => true, () => false);
-    const stalled = clock.sleep(writeStallTimeoutMs, stallTimer.signal).then(() => false);
-    const isWritable = await Promise.race([drain, stalled]);
-    stallTimer.abort();
-    return isWritable;
+    return runLimited(
+        { clock, timeoutMs: writeStallTimeoutMs, cancelledBy: [disconnected] },
+        ({ signal }) => once(response, "drain", { signal }).then(() => true, () => false),
+    );
 }
 
 interface EventScanner {
--- a/src/endpoint/engineClient.ts
+++ b/src/endpoint/engineClient.ts
@@ -6,6 +6,7 @@
 import { Agent } from "undici";
 import type { Dispatcher } from "undici";
 import { z } from "zod";
+import { runLimited } from "../common/callLimit.js";
 import { checkValue, describeInvalidInput } from "../common/json.js";
 
 export interface AttemptId {
@@ -133,7 +134,10 @@
         body: unknown,
         schema: Schema,
     ): Promise<Result<z.output<Schema>, EngineError>> {
-        return sendForJson(path, body, schema, AbortSignal.timeout(controlTimeoutMs));
+        return runLimited(
+            { timeoutMs: controlTimeoutMs },
+            ({ signal }) => sendForJson(path, body, schema, signal),
+        );
     }
 
     return {
--- a/src/endpoint/serviceCalls.ts
+++ b/src/endpoint/serviceCalls.ts
@@ -3,6 +3,7 @@
  */
 
 import { Agent } from "undici";
+import { runLimited } from "../common/callLimit.js";
 import type { Clock } from "../common/clock.js";
 import { createResetDetectingConnector } from "../rpc/resetDetectingConnector.js";
 import type { Counters } from "../telemetry/telemetry.js";
@@ -49,10 +50,13 @@
         return sentAtMs.has(requestId);
     }
 
-    async function send(call: ServiceCall, signal: AbortSignal): Promise<ServiceResponse> {
-        const timeout = AbortSignal.timeout(call.timeoutMs);
+    function send(call: ServiceCall, disconnected: AbortSignal): Promise<ServiceResponse> {
         // A non-idempotent call is not aborted when the caller disconnects; only the timeout ends it.
-        const callSignal = call.idempotent ? AbortSignal.any([timeout, signal]) : timeout;
+        const cancelledBy = call.idempotent ? [disconnected] : [];
+        return runLimited({ timeoutMs: call.timeoutMs, cancelledBy }, ({ signal }) => sendLimited(call, signal));
+    }
+
+    async function sendLimited(call: ServiceCall, signal: AbortSignal): Promise<ServiceResponse> {
         try {
             const response = await dispatcher.request({
                 origin: serviceUrl,
@@ -60,7 +64,7 @@
                 method: call.method as "POST",
                 headers: call.headers,
                 body: call.bodyBase64 === "" ? undefined : Buffer.from(call.bodyBase64, "base64"),
-                signal: callSignal,
+                signal,
             });
             const body = Buffer.from(await response.body.arrayBuffer());
             return {
@@ -78,7 +82,7 @@
                 sentAtMs.delete(call.requestId);
             }
             counters.add(`endpoint.serviceCalls.${kind}`);
-            if (kind === "unreachable" || callSignal.aborted) {
+            if (kind === "unreachable" || signal.aborted) {
                 return { kind, cause, load: queue.load() };
             }
             return { kind, cause, endpointEndedAtMs: await checkEnded(), load: queue.load() };
--- a/src/platform/httpPlatform.ts
+++ b/src/platform/httpPlatform.ts
@@ -6,6 +6,7 @@
 import { Result } from "true-myth";
 import { Agent } from "undici";
 import { z } from "zod";
+import { runLimited } from "../common/callLimit.js";
 import { checkValue, describeInvalidInput } from "../common/json.js";
 import type { JsonValue } from "../common/json.js";
 import { readText } from "../common/readText.js";
@@ -51,10 +52,19 @@
 export function createHttpPlatform(settings: HttpPlatformSettings): Platform {
     const dispatcher = new Agent({ connections: maxConnections, pipelining: 1 });
 
-    async function request<Schema extends z.ZodType>(
+    function request<Schema extends z.ZodType>(
         path: string,
         body: unknown,
         schema: Schema,
+    ): Promise<Result<z.output<Schema>, PlatformError>> {
+        return runLimited({ timeoutMs: settings.timeoutMs }, ({ signal }) => send(path, body, schema, signal));
+    }
+
+    async function send<Schema extends z.ZodType>(
+        path: string,
+        body: unknown,
+        schema: Schema,
+        signal: AbortSignal,
     ): Promise<Result<z.output<Schema>, PlatformError>> {
         try {
             const response = await dispatcher.request({
@@ -63,7 +73,7 @@
                 method: "POST",
                 headers: { "content-type": "application/json" },
                 body: JSON.stringify(body),
-                signal: AbortSignal.timeout(settings.timeoutMs),
+                signal,
             });
             const responseBody: unknown = JSON.parse(await readText(response.body, maxResponseBytes));
             if (response.statusCode !== statusOk) {
--- a/src/requests/agentStream.ts
+++ b/src/requests/agentStream.ts
@@ -5,6 +5,7 @@
 import { createParser } from "eventsource-parser";
 import { StringDecoder } from "node:string_decoder";
 import { Result } from "true-myth";
+import { limitCall } from "../common/callLimit.js";
 import type { Clock } from "../common/clock.js";
 import { parseJson } from "../common/json.js";
 import { decodeEventSchema, decodePath } from "../endpoint/messages.js";
@@ -34,14 +35,16 @@
     signal: AbortSignal,
 ): Promise<Result<AgentStream, RpcError>> {
     const closing = new AbortController();
-    const streamSignal = AbortSignal.any([closing.signal, signal]);
+    const limit = limitCall({ cancelledBy: [closing.signal, signal] });
     const response = await rpc.stream(agentUrl, decodePath, reservationRequest, {
         timeoutMs: responseHeadersTimeoutMs,
-        signal: streamSignal,
+        signal: limit.signal,
     });
     if (response.isErr) {
+        limit.end();
         return Result.err(response.error);
     }
+    limit.endWith(response.value.body);
     return Result.ok(createAgentStream(response.value, clock, closing));
 }
 
--- a/src/rpc/rpcClient.ts
+++ b/src/rpc/rpcClient.ts
@@ -7,6 +7,8 @@
 import { Result } from "true-myth";
 import { Agent } from "undici";
 import type { Dispatcher } from "undici";
+import { limitCall, runLimited } from "../common/callLimit.js";
+import type { CallLimit, CallLimitOptions } from "../common/callLimit.js";
 import { readText } from "../common/readText.js";
 import { toRpcError } from "./errors.js";
 import type { RpcError } from "./errors.js";
@@ -56,10 +58,8 @@
         url: string,
         path: string,
         body: unknown,
-        options: CallOptions,
-        timeout: AbortSignal,
+        { signal, isTimedOut }: CallLimit,
     ): Promise<Result<StreamResponse, RpcError>> {
-        const signals = options.signal === undefined ? [timeout] : [timeout, options.signal];
         try {
             const response = await dispatcher.request({
                 origin: url,
@@ -67,37 +67,45 @@
                 method: "POST",
                 headers: jsonHeaders,
                 body: JSON.stringify(body),
-                signal: AbortSignal.any(signals),
+                signal,
             });
             return Result.ok(response);
         }
         catch (error) {
-            return Result.err(toRpcError(error, timeout.aborted));
+            return Result.err(toRpcError(error, isTimedOut()));
         }
     }
 
     return {
-        call: async (url, method, params, options) => {
-            const timeout = AbortSignal.timeout(options.timeoutMs);
-            const request = createJSONRPCRequest(nextId++, method, params as never);
-            const response = await post(url, rpcPath, request, options, timeout);
+        call: (url, method, params, options) =>
+            runLimited(toLimit(options), async limit => {
+                const request = createJSONRPCRequest(nextId++, method, params as never);
+                const response = await post(url, rpcPath, request, limit);
+                return response.isErr ? Result.err(response.error) : readResponse(response.value, limit);
+            }),
+        stream: async (url, path, body, options) => {
+            const limit = limitCall(toLimit(options));
+            const response = await post(url, path, body, limit);
             if (response.isErr) {
-                return Result.err(response.error);
+                limit.end();
+                return response;
             }
-            return readResponse(response.value, timeout);
-        },
-        stream: async (url, path, body, options) => {
-            const responseTimeout = new AbortController();
-            const timer = setTimeout(() => responseTimeout.abort(), options.timeoutMs);
-            const response = await post(url, path, body, options, responseTimeout.signal);
-            clearTimeout(timer);
+            limit.liftTimeout();
+            limit.endWith(response.value.body);
             return response;
         },
         close: () => dispatcher.destroy(),
     };
 }
 
-async function readResponse(response: StreamResponse, timeout: AbortSignal): Promise<Result<unknown, RpcError>> {
+function toLimit({ timeoutMs, signal }: CallOptions): CallLimitOptions {
+    return { timeoutMs, cancelledBy: signal === undefined ? [] : [signal] };
+}
+
+async function readResponse(
+    response: StreamResponse,
+    { isTimedOut }: CallLimit,
+): Promise<Result<unknown, RpcError>> {
     try {
         const rpcResponse = JSON.parse(await readText(response.body, maxRpcBodyBytes)) as JSONRPCResponse;
         if (rpcResponse.error !== undefined && rpcResponse.error !== null) {
@@ -107,6 +115,6 @@
         return Result.ok(rpcResponse.result);
     }
     catch (error) {
-        return Result.err(toRpcError(error, timeout.aborted));
+        return Result.err(toRpcError(error, isTimedOut()));
     }
 }
--- a/test/callLimits.test.ts
+++ b/test/callLimits.test.ts
@@ -19,12 +19,14 @@
 } from "../fakes/forwardingHarness.js";
 import { collectGarbageDuring } from "../fakes/garbage.js";
 import { createEngineClient } from "../platform/engineClient.js";
+import { createStoreClient } from "../platform/storeClient.js";
 import { systemClock } from "../src/common/clock.js";
 import { createEngineNotices } from "../src/engines/engineNotices.js";
 import { createEngineRates } from "../src/engines/engineRates.js";
 import { forward } from "../src/forwarding/forward.js";
 import type { ForwardRequest } from "../src/forwarding/forwardRequest.js";
 import type { Route } from "../src/routes/desiredState.js";
+import { createPrometheusMetrics } from "../src/telemetry/prometheusMetrics.js";
 
 /** What a process does with a connection on which a request has arrived. */
 type Behavior = (socket: Socket) => void;
@@ -163,3 +165,31 @@
         expect(getEventListeners(signal, "abort")).toHaveLength(0);
     });
 });
+
+const warmUpCalls = 6_000;
+const storeRows = JSON.stringify({ rows: [], row_version: 1 });
+const storeResponse = `HTTP/1.1 200 OK\r\ncontent-length: ${storeRows.length}\r\n\r\n${storeRows}`;
+
+describe("a call to the store", () => {
+    // Once the store's client was compiled, a call for changes on a connection that had gone silent never ended.
+    it("for changes ends at its timeout on a silent connection, after many calls", async () => {
+        let isSilent = false;
+        const address = await startServer(socket => {
+            const answer = (): unknown => isSilent || socket.write(storeResponse);
+            socket.on("data", answer);
+            answer();
+        });
+        const client = createStoreClient(address, createPrometheusMetrics());
+        cleanups.push(() => client.close());
+        const feed = client.feed("t");
+        const { signal } = new AbortController();
+        const position = { era: 0, revision: 1 };
+        for (let call = 0; call < warmUpCalls; call++) {
+            await feed.changesAfter(position, 0, signal);
+        }
+        isSilent = true;
+        const changes = await collectGarbageDuring(feed.changesAfter(position, 0, signal));
+        expect(changes.isErr && changes.error.kind).toBe("unknown");
+        expect(getEventListeners(signal, "abort")).toHaveLength(0);
+    });
+});
