Take no request in a shutdown that might outlast the entry

Cause: only streams were refused near the end of the grace period. From 2.5 s after the signal on, when requests come only over kept connections, a request is taken only if its own time limit ends before the entry does; before that, an estimate is enough. The rest is refused at once as not run, also when it waited for an engine. What still runs at the end gets a 502 before the process exits; the check of the engine had kept it from being written.

Reproduced with real processes: kept connections, each used once more for a call of 1.2 to 2.8 s with its body in chunks; a second case stops two entries in turn, with signals and new desired states. The existing table of streams in forward.test.ts is unchanged; it sets the same deadline in the new form. Ruled out: connections closed under requests; none of the calls was on one.

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -275,6 +275,7 @@
             log,
             metrics,
             entries,
+            mayStart: () => true,
         }),
         quota: createFleetQuota(clock, {
             burstTolerance: 0,
@@ -294,7 +295,7 @@
         engineRuns: createEngineRuns({ clock, quarantine, report: engines.report, isReplaced: () => false }),
         startChecks: createStartChecks(engines, clock, log),
         responseTimes: createResponseTimes(),
-        shutdownDeadlineMs: () => undefined,
+        shutdown: () => undefined,
     };
 }
 
@@ -303,6 +304,7 @@
     script: EngineScript = {},
     schedulerSettings: Partial<DecodeSchedulerSettings> = {},
     budget: RetryBudgetSettings = ampleBudget,
+    mayStart: DecodeSchedulerDependencies["mayStart"] = () => true,
 ): ForwardingHarness {
     const clock = createVirtualClock();
     const calls: string[] = [];
@@ -316,7 +318,10 @@
         state,
         budget,
         createScheduler: dependencies =>
-            createDecodeScheduler(dependencies, { ...defaultDecodeSchedulerSettings, ...schedulerSettings }),
+            createDecodeScheduler(
+                { ...dependencies, mayStart },
+                { ...defaultDecodeSchedulerSettings, ...schedulerSettings },
+            ),
     });
     return { context, clock, calls, notices, rates, load: records => context.directory.load(records, "current") };
 }
--- a/fakes/platformEngine.ts
+++ b/fakes/platformEngine.ts
@@ -97,11 +97,21 @@
 export const restartMs = 300;
 /** How long a request with `deadlyBody` runs before it ends the engine. */
 const deadlyRunMs = 20;
+const durationInBody = /^takes (\d+) ms/u;
 const headerPrefix = "x-gooseberrywell-";
 const cacheLifetimeMs = 500;
 const restS = 0.8;
 const endlessBlock = Buffer.alloc(65_536, "z");
 
+/** Body of a plain call that runs for `durationMs`. */
+export function bodyOfDuration(durationMs: number): string {
+    return `takes ${durationMs} ms`;
+}
+
+function durationMsOf(body: string): number {
+    return Number(durationInBody.exec(body)?.[1] ?? 0);
+}
+
 export async function startFakePlatformEngine(options: FakePlatformEngineOptions): Promise<FakePlatformEngine> {
     const runs: EngineRun[] = [];
     const seen: string[] = [];
@@ -258,10 +268,13 @@
             stream(request, response, requestId, Number(header("last-event-id") || 0));
             return;
         }
-        respond(response, fault === "error" ? 500 : 200, `done ${requestId}`, {
-            [`${headerPrefix}request-id`]: requestId,
-            [`${headerPrefix}response-seal`]: `seal-${options.id}`,
-        });
+        const status = fault === "error" ? 500 : 200;
+        setTimeout(() => {
+            respond(response, status, `done ${requestId}`, {
+                [`${headerPrefix}request-id`]: requestId,
+                [`${headerPrefix}response-seal`]: `seal-${options.id}`,
+            });
+        }, durationMsOf(body));
     }
 
     async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -21,6 +21,8 @@
 import { forward } from "../forwarding/forward.js";
 import type { ForwardRequest, ForwardResult } from "../forwarding/forwardRequest.js";
 import { createResponseTimes } from "../forwarding/responseTimes.js";
+import { mayOutlastEntry } from "../forwarding/shutdownChecks.js";
+import type { Shutdown } from "../forwarding/shutdownChecks.js";
 import { limitControlCalls } from "../limits/controlCallLimits.js";
 import { createEngineRateLimiter } from "../limits/engineRateLimiter.js";
 import { createFleetQuota } from "../limits/fleetQuota.js";
@@ -41,6 +43,7 @@
 import { createRpcClient } from "../rpc/rpcClient.js";
 import { createRpcHandler, rpcPath } from "../rpc/rpcServer.js";
 import { createDecodeScheduler } from "../scheduling/decodeScheduler.js";
+import type { DecodeScheduler } from "../scheduling/decodeScheduler.js";
 import { defaultDecodeSchedulerSettings } from "../scheduling/decodeSchedulerSettings.js";
 import type { PlacementView } from "../scheduling/placement.js";
 import { createOrderLeadership } from "../stages/orderLeadership.js";
@@ -76,8 +79,8 @@
     /** Whether both the desired state and the engine registry are known. */
     readonly isReady: () => boolean;
     /**
-     * Sets the monotonic time at which draining ends at the latest; streams that would probably not finish by then are
-     * refused.
+     * Begins the shutdown: sets the monotonic time at which draining ends at the latest. Requests that might not end by then
+     * are refused.
      */
     readonly setShutdownDeadline: (deadlineMs: number) => void;
     /** Stops the background tasks, notifies the other entries, and removes this entry's row from the store. */
@@ -161,7 +164,7 @@
         isReplaced: ({ address, id, bornMs }) =>
             directory.known().some(other => other.address === address && (other.id !== id || other.bornMs > bornMs)),
     });
-    let shutdownDeadlineMs: number | undefined;
+    let shutdown: Shutdown | undefined;
 
     const desiredState = createDesiredStateSync({
         clock,
@@ -187,7 +190,7 @@
             directory.usable(service).filter(engine => engine.stage === stage && !stages.isReconfiguring(engine.id)),
         random,
     };
-    const decodeScheduler = createDecodeScheduler(
+    const decodeScheduler: DecodeScheduler = createDecodeScheduler(
         {
             clock,
             view,
@@ -199,6 +202,7 @@
             log,
             metrics,
             entries: () => peerSync.members(),
+            mayStart: generation => !mayOutlastEntry({ clock, decodeScheduler, shutdown: () => shutdown }, generation),
         },
         defaultDecodeSchedulerSettings,
     );
@@ -357,7 +361,7 @@
         streamOrigins,
         startChecks,
         responseTimes: createResponseTimes(),
-        shutdownDeadlineMs: () => shutdownDeadlineMs,
+        shutdown: () => shutdown,
     };
 
     return {
@@ -366,7 +370,7 @@
         desiredStateVersion: () => desiredState.routes()?.state.version,
         isReady: () => desiredState.routes() !== undefined && registryReplica.position().revision >= 0,
         setShutdownDeadline: deadlineMs => {
-            shutdownDeadlineMs = deadlineMs;
+            shutdown = { startedAtMs: clock.monotonicMs(), deadlineMs };
         },
         leave: async () => {
             stopping.abort();
--- a/src/daemon/shutDown.test.ts
+++ b/src/daemon/shutDown.test.ts
@@ -58,6 +58,7 @@
                 ingress: {
                     announceClose: () => void steps.push("announceClose"),
                     closeIdle: () => void steps.push("closeIdle"),
+                    endRunning: () => void steps.push("endRunning"),
                     requestsRunning: () => clock.monotonicMs() < runningUntilMs ? 1 : 0,
                 },
             }).then(() => {
--- a/src/daemon/shutDown.ts
+++ b/src/daemon/shutDown.ts
@@ -4,6 +4,7 @@
  */
 
 import type { Clock } from "../common/clock.js";
+import { balancerDetectionMs } from "../forwarding/shutdownChecks.js";
 import type { DecisionLog } from "../telemetry/decisionLog.js";
 import type { ForwardingEntry } from "./forwardingEntry.js";
 
@@ -14,6 +15,8 @@
     /** Accepts no new connections and closes idle ones. */
     readonly closeIdle: () => void;
     readonly requestsRunning: () => number;
+    /** Ends the requests that are without a response, as ones whose outcome is unknown. */
+    readonly endRunning: () => void;
 }
 
 export interface ShutDownDependencies {
@@ -25,8 +28,6 @@
     readonly ingress: DrainableListener;
 }
 
-/** The load balancer checks readiness every second and needs two failures before it sends callers to other entries. */
-const balancerDetectionMs = 2_500;
 /** Draining stops this long before the process would be killed. */
 const exitMarginMs = 500;
 /** Time limit for notifying the other entries and the store, since one of them may be dead or cut off. */
@@ -51,6 +52,7 @@
     }
     ingress.closeIdle();
     await Promise.race([entry.leave(), clock.sleep(leaveTimeoutMs)]);
+    ingress.endRunning();
     log.info("stopped", { requestsRunning: ingress.requestsRunning(), tookMs: Math.round(elapsedMs()) });
     await Promise.race([Promise.all([entry.close(), log.flush()]), clock.sleep(pollMs)]);
 }
--- a/src/forwarding/context.ts
+++ b/src/forwarding/context.ts
@@ -21,6 +21,7 @@
 import type { DecisionLog } from "../telemetry/decisionLog.js";
 import type { PrometheusMetrics } from "../telemetry/prometheusMetrics.js";
 import type { ResponseTimes } from "./responseTimes.js";
+import type { Shutdown } from "./shutdownChecks.js";
 
 export interface ForwardContext {
     readonly clock: Clock;
@@ -43,6 +44,6 @@
     readonly streamOrigins: StreamOrigins;
     readonly startChecks: StartChecks;
     readonly responseTimes: ResponseTimes;
-    /** Monotonic time at which draining ends at the latest; `undefined` unless this process is shutting down. */
-    readonly shutdownDeadlineMs: () => number | undefined;
+    /** `undefined` unless this process is shutting down. */
+    readonly shutdown: () => Shutdown | undefined;
 }
--- a/src/forwarding/forward.test.ts
+++ b/src/forwarding/forward.test.ts
@@ -343,6 +343,8 @@
     });
 });
 
+const ampleRetries = { ratio: 1, slack: 100, windowMs: 10_000 };
+
 interface TimeCase {
     readonly name: string;
     readonly outputTokens: number;
@@ -423,7 +425,10 @@
             harness.load(modelEngines);
             const size = { promptTokens: 1_000, maxOutputTokens: outputTokens, outputHintTokens: outputTokens };
             const decodeScheduler = { ...harness.context.decodeScheduler, expectedResponseMs: learnedMs };
-            const context = { ...harness.context, decodeScheduler, shutdownDeadlineMs: () => shutdownDeadlineMs };
+            const shutdown = shutdownDeadlineMs === undefined
+                ? undefined
+                : { startedAtMs: 0, deadlineMs: shutdownDeadlineMs };
+            const context = { ...harness.context, decodeScheduler, shutdown: () => shutdown };
             const result = await forward(context, requestTo("/stream/x", { size, ...request }));
             expect(await describeOutcome(result)).toBe(outcome);
             expect(harness.calls.length > 0).toBe(outcome === "200 ok");
@@ -431,6 +436,109 @@
     );
 });
 
+interface LateCase {
+    readonly name: string;
+    readonly kind: RouteKind;
+    readonly request: Partial<ForwardRequest>;
+    /** Time since the shutdown began, and from now to its deadline. */
+    readonly sinceBeginMs: number;
+    readonly toDeadlineMs: number;
+    readonly outcome: string;
+}
+
+const timeLimited = { callerTimeoutMs: 1_500 };
+const lateCases: readonly LateCase[] = [
+    {
+        name: "a call that ends in time in any case",
+        kind: "nonIdempotent",
+        request: timeLimited,
+        sinceBeginMs: 5_000,
+        toDeadlineMs: 2_500,
+        outcome: "200 ok",
+    },
+    {
+        name: "a call that might not end in time",
+        kind: "nonIdempotent",
+        request: timeLimited,
+        sinceBeginMs: 6_500,
+        toDeadlineMs: 1_000,
+        outcome: "503",
+    },
+    {
+        name: "a repeatable call that might not end in time",
+        kind: "idempotent",
+        request: timeLimited,
+        sinceBeginMs: 6_500,
+        toDeadlineMs: 1_000,
+        outcome: "503",
+    },
+    {
+        name: "a long call while the load balancer still sends callers",
+        kind: "nonIdempotent",
+        request: { callerTimeoutMs: 14_000 },
+        sinceBeginMs: 1_000,
+        toDeadlineMs: 6_500,
+        outcome: "200 ok",
+    },
+    {
+        name: "a long call on a connection that its caller kept",
+        kind: "nonIdempotent",
+        request: { callerTimeoutMs: 14_000 },
+        sinceBeginMs: 3_000,
+        toDeadlineMs: 4_500,
+        outcome: "503",
+    },
+    {
+        name: "a long call on a kept connection, long before the deadline",
+        kind: "nonIdempotent",
+        request: { callerTimeoutMs: 14_000 },
+        sinceBeginMs: 17_000,
+        toDeadlineMs: 12_500,
+        outcome: "503",
+    },
+    {
+        name: "a stream on a kept connection",
+        kind: "stream",
+        request: { size: smallSize, callerTimeoutMs: 14_000 },
+        sinceBeginMs: 3_000,
+        toDeadlineMs: 12_500,
+        outcome: "503",
+    },
+];
+
+describe("requests that come during a shutdown", () => {
+    // Plain calls were taken until the end of the grace period and then broken off.
+    it.each(lateCases)("$name: $outcome", async ({ kind, request, sinceBeginMs, toDeadlineMs, outcome }) => {
+        const harness = createForwardingHarness(desiredStateOf([routeOf(kind, { timeoutMs: 14_000 })]));
+        harness.load([...plainEngines, ...modelEngines]);
+        const shutdown = { startedAtMs: -sinceBeginMs, deadlineMs: toDeadlineMs };
+        const result = await forward(
+            { ...harness.context, shutdown: () => shutdown },
+            requestTo(`/${kind}/x`, request),
+        );
+        expect(await describeOutcome(result)).toBe(outcome);
+        expect(harness.calls.length > 0).toBe(outcome === "200 ok");
+    });
+
+    // A request that waited for an engine when the shutdown began was sent later, or ended without an answer.
+    it("a stream that waits for an engine is refused once it might not end in time", async () => {
+        let isShutDown = false;
+        const harness = createForwardingHarness(
+            desiredStateOf([routeOf("stream", { timeoutMs: 14_000, objectiveMs: 14_000 })]),
+            { reserve: async () => errorOf("notExecuted") },
+            {},
+            ampleRetries,
+            () => !isShutDown,
+        );
+        harness.load(modelEngines);
+        const result = forward(harness.context, requestTo("/stream/x", { size: smallSize, callerTimeoutMs: 14_000 }));
+        await harness.clock.advance(500);
+        isShutDown = true;
+        await harness.clock.advance(100);
+        expect(await describeOutcome(await result)).toBe("503");
+    });
+});
+
 interface RestingCase {
     readonly kind: "nonIdempotent" | "stream";
     readonly resting: readonly string[];
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -16,20 +16,10 @@
 import { refuseQuarantined } from "./quarantineChecks.js";
 import { findResumedOrigin, isResumed } from "./resumedStream.js";
 import type { RoutedRequest } from "./routedRequest.js";
+import { refuseIfTooLate } from "./shutdownChecks.js";
 
 /** Retry delay for callers while this entry has no usable desired state: it is starting or cut off. */
 const noDesiredStateRetryMs = 500;
-/** Retry delay during shutdown: none, since the load balancer sends the retry to another entry. */
-const shutdownRetryMs = 0;
-/** Expected duration of a stream of unknown size or of a service that has not ended any: the platform's average. */
-const averageStreamMs = 3_600;
-/** 5% of responses take longer than this multiple of their expected time. */
-const slowResponseFactor = 1.8;
-/**
- * Minimum time to the shutdown deadline for any stream to start, even a short one: callers' estimates are
- * often far off.
- */
-const minTimeToDeadlineMs = 4_500;
 
 export async function forward(context: ForwardContext, request: ForwardRequest): Promise<ForwardResult> {
     const table = context.routes();
@@ -67,12 +57,11 @@
     if (pickedService === undefined) {
         return refuse(503, `route ${route.name} names no service`, noDesiredStateRetryMs);
     }
-    const shutdownDeadlineMs = context.shutdownDeadlineMs();
-    if (
-        route.kind === "stream" && shutdownDeadlineMs !== undefined
-        && wouldBeInterrupted(context, pickedService, request, shutdownDeadlineMs)
-    ) {
-        return refuse(503, "this entry is shutting down", shutdownRetryMs);
+    const effectiveTimeoutMs = Math.min(route.timeoutMs, request.callerTimeoutMs ?? route.timeoutMs);
+    const deadlineMs = request.receivedAtMs + effectiveTimeoutMs;
+    const tooLate = refuseIfTooLate(context, { request, route, service: pickedService, deadlineMs });
+    if (tooLate !== undefined) {
+        return tooLate;
     }
     const fingerprint = fingerprintOf({ ...request, clientAccount: account?.name });
     const quarantined = refuseQuarantined(context, { request, service: pickedService, fingerprint });
@@ -101,14 +90,13 @@
     }
     const service = origin?.value.service ?? pickedService;
     context.retryBudget.recordRequest(service);
-    const effectiveTimeoutMs = Math.min(route.timeoutMs, request.callerTimeoutMs ?? route.timeoutMs);
     const routed: RoutedRequest = {
         request: { ...request, clientAccount: account?.name },
         route,
         service,
         softwareVersion: origin?.value.softwareVersion,
         fingerprint,
-        deadlineMs: request.receivedAtMs + effectiveTimeoutMs,
+        deadlineMs,
     };
     const outcome = await dispatch(context, table, routed);
     if (outcome.kind === "refused" && outcome.refusal.status === 503) {
@@ -117,19 +105,6 @@
     return outcome;
 }
 
-/** Whether a stream would probably be incomplete at the shutdown deadline. */
-function wouldBeInterrupted(
-    context: ForwardContext,
-    service: string,
-    { size }: ForwardRequest,
-    shutdownDeadlineMs: number,
-): boolean {
-    const timeToDeadlineMs = shutdownDeadlineMs - context.clock.monotonicMs();
-    const learnedMs = size === undefined ? undefined : context.decodeScheduler.expectedResponseMs(service, size);
-    const expectedMs = learnedMs ?? averageStreamMs;
-    return timeToDeadlineMs < Math.max(minTimeToDeadlineMs, expectedMs * slowResponseFactor);
-}
-
 /** What a request counts against its account's rate. */
 function costOf({ size }: ForwardRequest, { unit, plainTokens }: ClientAccount): number {
     if (unit !== "tokens") {
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -26,6 +26,7 @@
 import { endBrokenRun, isQuarantined, refuseQuarantined } from "./quarantineChecks.js";
 import { suspectsOf } from "./routedRequest.js";
 import type { GenerationRequest } from "./routedRequest.js";
+import { mayOutlastEntry, refuseIfTooLate } from "./shutdownChecks.js";
 import { relayStream } from "./streamRelay.js";
 
 /** A stream that is running at an engine, and its decode allocation. */
@@ -87,9 +88,9 @@
     let current = generation;
     let outcome: ForwardOutcome = refuse(503, "no engine is available", retryAfterMs(context, generation));
     for (let attempt = firstAttempt; attempt < maxAttempts; attempt++) {
-        const quarantined = refuseQuarantined(context, generation);
-        if (quarantined !== undefined) {
-            return { kind: "refused", outcome: quarantined };
+        const refusal = refuseQuarantined(context, generation) ?? refuseIfTooLate(context, generation);
+        if (refusal !== undefined) {
+            return { kind: "refused", outcome: refusal };
         }
         const allocation = await context.decodeScheduler.allocate(current);
         if (allocation.isErr) {
@@ -114,7 +115,7 @@
         if (!provesNotRun(result.error) || request.callerDisconnected.aborted) {
             return { kind: "refused", outcome };
         }
-        if (isQuarantined(context, generation)) {
+        if (isQuarantined(context, generation) || mayOutlastEntry(context, generation)) {
             continue;
         }
         if (timeLeftMs(context, generation) <= 0 || !generation.callBudget.tryAcquireCall()) {
@@ -187,6 +188,11 @@
         releaseResources(context, allocation, cache);
         return Result.err({ kind: "unreachable", cause: "its time was over before it was sent" });
     }
+    if (mayOutlastEntry(context, generation)) {
+        endPrefillLoad();
+        releaseResources(context, allocation, cache);
+        return Result.err({ kind: "unreachable", cause: "this entry is shutting down" });
+    }
     if (!context.directory.isUsable(allocation.engine)) {
         endPrefillLoad();
         releaseResources(context, allocation, cache);
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -26,6 +26,7 @@
 import { endBrokenRun, isQuarantined } from "./quarantineChecks.js";
 import { hasVersionFor, suspectsOf } from "./routedRequest.js";
 import type { RoutedRequest } from "./routedRequest.js";
+import { mayOutlastEntry, refuseIfTooLate } from "./shutdownChecks.js";
 
 /** Maximum attempts of one call, the first included, before the caller is asked to retry. */
 const maxAttempts = 3;
@@ -136,7 +137,7 @@
         if (context.engineRates.isLimited(engine) && !await context.engineRates.acquire(engine)) {
             continue;
         }
-        if (!takeRetryIfNeeded(context, routed, state)) {
+        if (mayOutlastEntry(context, routed) || !takeRetryIfNeeded(context, routed, state)) {
             return false;
         }
         sendTo(context, routed, state, engine);
@@ -426,6 +427,10 @@
         const isPastDeadline = timeLeftMs(context, routed) <= 0;
         return refuse(isPastDeadline ? 504 : 502, `the outcome is unknown: ${cause}`);
     }
+    const tooLate = refuseIfTooLate(context, routed);
+    if (tooLate !== undefined) {
+        return tooLate;
+    }
     if (areExhausted) {
         context.metrics.count("exhausted", routed.service);
         return refuse(503, cause, context.engineRates.retryAfterMs(routed.service, usable));
--- a/src/scheduling/decodeQueue.ts
+++ b/src/scheduling/decodeQueue.ts
@@ -28,6 +28,8 @@
     readonly candidates: (nowMs: number) => readonly Item[];
     /** Removes and returns the requests whose queue deadline has passed. */
     readonly takeExpired: (nowMs: number) => readonly Item[];
+    /** Removes and returns the requests for which `isTaken` holds. */
+    readonly takeWhere: (isTaken: (item: Item) => boolean) => readonly Item[];
     /** Counts tokens allocated to an account, for fairness between accounts. */
     readonly recordAllocatedTokens: (clientAccount: string, tokens: number, nowMs: number) => void;
 }
@@ -63,6 +65,12 @@
         return (isLate ? 1e9 : 0) + item.latestStartMs + fairnessPenaltyMs;
     }
 
+    function takeWhere(isTaken: (item: Item) => boolean): readonly Item[] {
+        const taken = [...items].filter(isTaken);
+        taken.forEach(item => items.delete(item));
+        return taken;
+    }
+
     return {
         add: item => void items.add(item),
         remove: item => void items.delete(item),
@@ -77,11 +85,8 @@
             const blocking = ordered.findIndex(item => nowMs - item.enqueuedAtMs > noOvertakingAfterMs);
             return blocking < 0 ? ordered : ordered.slice(0, blocking + 1);
         },
-        takeExpired: nowMs => {
-            const expired = [...items].filter(item => nowMs >= item.queueDeadlineMs);
-            expired.forEach(item => items.delete(item));
-            return expired;
-        },
+        takeExpired: nowMs => takeWhere(item => nowMs >= item.queueDeadlineMs),
+        takeWhere,
         recordAllocatedTokens: (clientAccount, tokens, nowMs) =>
             void allocatedByAccount.set(clientAccount, {
                 tokens: recentlyAllocatedTokens(clientAccount, nowMs) + tokens,
--- a/src/scheduling/decodeScheduler.ts
+++ b/src/scheduling/decodeScheduler.ts
@@ -70,6 +70,8 @@
     readonly metrics: PrometheusMetrics;
     /** Number of entries that share the engines, including this one. */
     readonly entries: () => number;
+    /** Whether a generation may still be started at this entry. */
+    readonly mayStart: (generation: GenerationRequest) => boolean;
 }
 
 interface QueuedGeneration extends QueuedRequest {
@@ -98,6 +100,9 @@
 const allocationWindowMs = 2_000;
 const noEngineCause = "no decode engine is available";
 const allExhaustedCause = "all decode engines have got as many requests as the rates that they name";
+const shuttingDownCause = "this entry is shutting down";
+/** The load balancer sends the retry to another entry. */
+const shutdownRetryMs = 0;
 const allRestingCause = "all decode engines accept no requests for some time";
 
 /** Number of output tokens that a generation is expected to produce. */
@@ -297,6 +302,13 @@
         }
     }
 
+    /** Refuses the requests that may not be started any more, because this entry shuts down. */
+    function refuseTooLate(queue: GenerationQueue): void {
+        for (const item of queue.pending.takeWhere(({ generation }) => !dependencies.mayStart(generation))) {
+            item.resolve(Result.err({ cause: shuttingDownCause, retryAfterMs: shutdownRetryMs }));
+        }
+    }
+
     /** Refuses all queued requests if no engine may take one, by the rates that the engines name. */
     function refuseIfExhausted(queue: GenerationQueue): void {
         const { service } = queue.choice;
@@ -327,6 +339,7 @@
         queue.isProcessing = true;
         while (queue.pending.size() > 0) {
             refuseExpired(queue);
+            refuseTooLate(queue);
             refuseIfVersionLeft(queue);
             const candidates = queue.pending.candidates(clock.monotonicMs()).filter(item =>
                 canPrefill(item.generation)
--- /dev/null
+++ b/test/stops.test.ts
@@ -0,0 +1,137 @@
+/**
+ * Planned stops of entries while callers keep using their open connections until the process is gone: each request that
+ * an entry has taken gets its whole response, or is refused as one that has not run.
+ */
+
+import { Readable } from "node:stream";
+import { setTimeout as delay } from "node:timers/promises";
+import { Client } from "undici";
+import type { Dispatcher } from "undici";
+import { afterEach, describe, expect, it } from "vitest";
+import { bodyOfDuration } from "../fakes/platformEngine.js";
+import { isReady, siteKey, startPlatformSite, until } from "../fakes/platformSite.js";
+import type { EntryProcess, PlatformSite } from "../fakes/platformSite.js";
+
+let site: PlatformSite;
+
+afterEach(() => site.close());
+
+const connections = 60;
+/** The grace period of the site's entries. */
+const graceMs = 6_000;
+/** Length of the calls: between these. */
+const minCallMs = 1_200;
+const maxCallMs = 2_800;
+/** Makes the lengths of successive calls differ. */
+const durationStepMs = 730;
+/** Pause between the chunks of a request's body. */
+const chunkPauseMs = 30;
+
+interface LateCall {
+    readonly requestId: string;
+    /** Status, or `closed` if the connection ended without a whole response. */
+    readonly outcome: string;
+}
+
+function callHeaders(requestId: string): Readonly<Record<string, string>> {
+    return {
+        host: "site.example",
+        "api-key": siteKey,
+        "x-gooseberrywell-request-id": requestId,
+        "x-gooseberrywell-request-deadline": "5000",
+    };
+}
+
+async function* inChunks(text: string): AsyncGenerator<Buffer> {
+    const middle = Math.floor(text.length / 2);
+    yield Buffer.from(text.slice(0, middle));
+    await delay(chunkPauseMs);
+    yield Buffer.from(text.slice(middle));
+}
+
+/** Opens a connection to an entry with a first call, and uses it once more at some time in the grace period. */
+async function callLate(entry: EntryProcess, number: number, begin: Promise<void>): Promise<LateCall> {
+    const name = `${entry.name}-${number}`;
+    const waitMs = Math.round(number * graceMs / connections);
+    const durationMs = minCallMs + (number * durationStepMs) % (maxCallMs - minCallMs);
+    const client = new Client(entry.callersUrl, { keepAliveTimeout: 60_000 });
+    const call = async (requestId: string, body: string): Promise<string> => {
+        try {
+            const response: Dispatcher.ResponseData = await client.request({
+                method: "POST",
+                path: "/pay/x",
+                headers: callHeaders(requestId),
+                body: Readable.from(inChunks(body)),
+            });
+            await response.body.text();
+            return String(response.statusCode);
+        }
+        catch {
+            return "closed";
+        }
+    };
+    expect(await call(`${name}-first`, "first")).toBe("200");
+    await begin;
+    await delay(waitMs);
+    const requestId = `${name}-late`;
+    const outcome = await call(requestId, bodyOfDuration(durationMs));
+    await client.destroy();
+    return { requestId, outcome };
+}
+
+interface StopCase {
+    readonly name: string;
+    readonly entries: number;
+    /** What happens from the first stop on. */
+    readonly stop: () => Promise<void>;
+}
+
+const cases: readonly StopCase[] = [
+    {
+        name: "of one entry",
+        entries: 1,
+        stop: async () => site.entries[0]?.signal("SIGTERM"),
+    },
+    {
+        name: "of two entries in turn, with further signals and new desired states",
+        entries: 2,
+        stop: async () => {
+            for (const entry of site.entries) {
+                entry.signal("SIGTERM");
+                for (let change = 0; change < 4; change++) {
+                    await delay(400);
+                    site.publish([siteKey, `key-${change}`]);
+                    entry.signal(change % 2 === 0 ? "SIGHUP" : "SIGTERM");
+                }
+            }
+        },
+    },
+];
+
+describe("late requests in a planned stop", () => {
+    // Calls that came late in the grace period were passed on and ended with an early 502 at its end.
+    it.each(cases)("$name: each is answered, or has not run", async ({ entries, stop }) => {
+        site = await startPlatformSite({ entries });
+        await until("all entries are ready", async () => (await Promise.all(site.entries.map(isReady))).every(Boolean));
+        let beginAll = (): void => undefined;
+        const begin = new Promise<void>(resolve => (beginAll = resolve));
+        const calls = site.entries.flatMap(entry =>
+            Array.from({ length: connections }, (unused, number) => callLate(entry, number, begin))
+        );
+        await until(
+            "all connections are open",
+            () => site.engines.flatMap(engine => engine.runs).length === entries * connections,
+        );
+        const stopped = stop();
+        beginAll();
+        const ended = await Promise.all(calls);
+        await stopped;
+        const runs = new Set(site.engines.flatMap(engine => engine.runs).map(({ requestId }) => requestId));
+        const wrong = ended.filter(({ requestId, outcome }) =>
+            runs.has(requestId) ? outcome !== "200" : outcome !== "503" && outcome !== "closed"
+        );
+        expect(wrong).toEqual([]);
+        expect(ended.filter(({ outcome }) => outcome === "200").length).toBeGreaterThan(0);
+        expect(ended.filter(({ outcome }) => outcome === "503").length).toBeGreaterThan(0);
+    });
+});
