Bear bytes without end in heads, trailers, 1xx responses and bodies

With 64 callers and a time limit of 1 s, 10 to 16 had no answer after 10 s for engines that send empty lines, 1xx responses or a reason phrase; header lines took up to 193 MB, trailers 214 MB.

The stand-in for a site runs entries with the heap limit of the deploy file.

Ruled out: single endless headers, chunk sizes and extensions: nothing is kept.

--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -5,7 +5,7 @@
 
 import { spawn } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -27,6 +27,8 @@
     /** Log output of all processes of this entry so far. */
     readonly wholeLog: () => string;
     readonly signal: (signal: NodeJS.Signals) => void;
+    /** Largest resident memory of the current process so far. */
+    readonly peakMemoryBytes: () => number;
     /** Resolves with the exit code, or with the signal that ended the process. */
     readonly exited: Promise<number | NodeJS.Signals | null>;
     readonly restart: () => Promise<void>;
@@ -70,6 +72,8 @@
     readonly eventMs?: number;
     /** By default one prefill engine and two decode engines of one software version. */
     readonly modelEngines?: readonly ModelEngineOptions[];
+    /** Longest reservation at the model engines; 2 s by default, 0 if they grant none. */
+    readonly maxReservationMs?: number;
     /** Number of instances of the plain service; 2 by default. */
     readonly plainEngines?: number;
     /** Maps an engine's address to the one that entries connect to, such as that of a proxy. */
@@ -90,6 +94,9 @@
 ];
 const graceS = 6;
 const waitTimeoutMs = 20_000;
+const bytesPerKilobyte = 1_024;
+/** As in `deploy/system.toml`. */
+const heapLimit = "--max-old-space-size=110";
 
 /**
  * Ports for the entries' listeners. They lie below the range from which the operating system takes ports of outgoing
@@ -137,7 +144,7 @@
 }
 
 function startProcess(settingsFile: string): { readonly child: ChildProcess; readonly log: () => string; } {
-    const child = spawn(process.execPath, ["dist/platform/main.js"], {
+    const child = spawn(process.execPath, [heapLimit, "dist/platform/main.js"], {
         env: { GOOSEBERRYWELL_BOOT: settingsFile, PATH: process.env["PATH"] },
         stdio: ["ignore", "pipe", "pipe"],
     });
@@ -187,6 +194,10 @@
         log: () => state.current.log(),
         wholeLog: () => state.earlierLog + state.current.log(),
         signal: (signal: NodeJS.Signals) => void state.current.child.kill(signal),
+        peakMemoryBytes: () => {
+            const status = readFileSync(`/proc/${state.current.child.pid}/status`, "utf8");
+            return Number(/^VmHWM:\s*(\d+) kB$/mu.exec(status)?.[1]) * bytesPerKilobyte;
+        },
         exited: exitOf(state.current.child),
         restart: async () => {
             await entry.exited;
@@ -250,7 +261,7 @@
     function publish(keys: readonly string[]): void {
         version += 3;
         const route = { host, timeout_ms: 5_000, target_latency_ms: 900, priority: 1, attempts: 2, public: false };
-        const engineSpec = { slots: 50, kv_tokens: 100_000, hold_ms: 2_000, stride: 1 };
+        const engineSpec = { slots: 50, kv_tokens: 100_000, hold_ms: options.maxReservationMs ?? 2_000, stride: 1 };
         write(
             "op",
             "config",
@@ -377,8 +388,8 @@
     signal?: AbortSignal,
     promptPrefix?: string,
     requestBody?: string,
+    requestId: string = nextRequestId(),
 ): Promise<SiteResponse> {
-    const requestId = nextRequestId();
     const prefixHeaders: Readonly<Record<string, string>> = promptPrefix === undefined
         ? {}
         : { "x-gooseberrywell-prompt-prefix": promptPrefix };
@@ -443,7 +454,7 @@
     return [...new Set([...events.matchAll(versionInEvent)].map(match => match[2] ?? ""))];
 }
 
-function nextRequestId(): string {
+export function nextRequestId(): string {
     lastRequestNumber += 1;
     return `r-${lastRequestNumber}`;
 }
--- a/src/common/readText.ts
+++ b/src/common/readText.ts
@@ -17,6 +17,11 @@
  * if it is larger than `maxBytes`; rejects with the body's own error if it breaks off.
  */
 export async function readText(body: Readable, maxBytes: number): Promise<string> {
+    return (await readBytes(body, maxBytes)).toString("utf8");
+}
+
+/** Reads a whole body, as `readText` does. */
+export async function readBytes(body: Readable, maxBytes: number): Promise<Buffer> {
     const chunks: Buffer[] = [];
     let sizeBytes = 0;
     // Leaving the loop by an error destroys the body.
@@ -27,5 +32,5 @@
         }
         chunks.push(chunk);
     }
-    return Buffer.concat(chunks).toString("utf8");
+    return Buffer.concat(chunks);
 }
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -115,6 +115,8 @@
 const feedRetryMs = 250;
 /** Interval for requesting missing table copies from other entries and for passing membership to the budgets. */
 const peerRefreshMs = 300;
+/** The largest response of another entry is its copy of a table. */
+const maxPeerResponseBytes = 4 * 1_024 * 1_024;
 /** Fraction of the platform's quota slack that is used, so that callers within their rate are not refused. */
 const quotaSlackFraction = 0.5;
 /** Fraction of a service's model engines that serve prefill. */
@@ -132,7 +134,7 @@
     const url = `http://${settings.exchange.ip}:${settings.exchange.port}`;
     const random = createRandom(Math.trunc(clock.wallMs()) ^ Number.parseInt(startId.slice(0, 8), 16));
     const stopping = new AbortController();
-    const rpc = createRpcClient();
+    const rpc = createRpcClient(maxPeerResponseBytes);
     const { notices, rates } = ports;
     const directory = createEngineDirectory(clock, log, notices);
     const engineRates = createEngineRateLimiter({
--- a/src/endpoint/engineClient.ts
+++ b/src/endpoint/engineClient.ts
@@ -8,6 +8,7 @@
 import { z } from "zod";
 import { runLimited } from "../common/callLimit.js";
 import { checkValue, describeInvalidInput } from "../common/json.js";
+import { readText } from "../common/readText.js";
 
 export interface AttemptId {
     readonly requestId: string;
@@ -72,6 +73,8 @@
 
 const maxEngineConnections = 512;
 const controlTimeoutMs = 2_000;
+/** Responses other than streams are small JSON objects; the largest lists the attempts that the engine runs. */
+const maxResponseBytes = 1_048_576;
 const statusOk = 200;
 
 export function createEngineClient(engineUrl: string): EngineClient {
@@ -97,7 +100,10 @@
                 signal,
             });
             if (response.statusCode !== statusOk) {
-                const cause = `${path}: status ${response.statusCode}: ${await response.body.text()}`;
+                const cause = `${path}: status ${response.statusCode}: ${await readText(
+                    response.body,
+                    maxResponseBytes,
+                )}`;
                 return Result.err({ kind: "refused", cause });
             }
             return Result.ok(response);
@@ -118,7 +124,7 @@
             return Result.err(response.error);
         }
         try {
-            const parsedBody = await response.value.body.json();
+            const parsedBody: unknown = JSON.parse(await readText(response.value.body, maxResponseBytes));
             return checkValue(schema, parsedBody).mapErr(invalid => ({
                 kind: "failed",
                 cause: `${path}: ${describeInvalidInput(invalid)}`,
--- a/src/endpoint/serviceCalls.ts
+++ b/src/endpoint/serviceCalls.ts
@@ -5,7 +5,8 @@
 import { Agent } from "undici";
 import { runLimited } from "../common/callLimit.js";
 import type { Clock } from "../common/clock.js";
-import { createResetDetectingConnector } from "../rpc/resetDetectingConnector.js";
+import { readBytes } from "../common/readText.js";
+import { createGuardedConnector } from "../rpc/guardedConnector.js";
 import type { Counters } from "../telemetry/telemetry.js";
 import type { EndpointHealth } from "./endpointHealth.js";
 import type { ServiceCall, ServiceResponse } from "./messages.js";
@@ -21,6 +22,8 @@
 const maxServiceConnections = 256;
 const connectTimeoutMs = 10_000;
 const plainCallCostTokens = 1;
+/** As base64 in a message, such a response takes less than the limit on messages between entries and agents. */
+const maxResponseBytes = 8 * 1_024 * 1_024;
 const forwardedResponseHeaders: ReadonlySet<string> = new Set(["content-type", "cache-control", "etag", "location"]);
 /** Errors after which it is certain that the service received nothing. */
 const notSentErrorCodes: ReadonlySet<string> = new Set(["ECONNREFUSED", "EHOSTUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
@@ -35,7 +38,7 @@
     const dispatcher = new Agent({
         connections: maxServiceConnections,
         pipelining: 1,
-        connect: createResetDetectingConnector(connectTimeoutMs),
+        connect: createGuardedConnector(connectTimeoutMs),
     });
     const sentAtMs = new Map<string, number>();
 
@@ -66,7 +69,7 @@
                 body: call.bodyBase64 === "" ? undefined : Buffer.from(call.bodyBase64, "base64"),
                 signal,
             });
-            const body = Buffer.from(await response.body.arrayBuffer());
+            const body = await readBytes(response.body, maxResponseBytes);
             return {
                 kind: "answered",
                 status: response.statusCode,
--- a/src/forwarding/eventStream.ts
+++ b/src/forwarding/eventStream.ts
@@ -18,6 +18,16 @@
     return byte === lineFeed || byte === carriageReturn;
 }
 
+/** A loop, since a function called for each byte takes several times as long. */
+function containsOnlyLineEnds(bytes: Uint8Array): boolean {
+    for (const byte of bytes) {
+        if (!isLineEnd(byte)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /** Whether the bytes before `position` end with a blank line. */
 function endsWithBlankLine(bytes: Uint8Array, position: number): boolean {
     const last = bytes[position - 1];
@@ -83,7 +93,7 @@
     return {
         push: chunk => {
             sizeBytes += chunk.length;
-            hasOnlyLineEnds &&= chunk.every(isLineEnd);
+            hasOnlyLineEnds &&= containsOnlyLineEnds(chunk);
             tail = chunk.length >= boundaryBytes
                 ? chunk.subarray(-boundaryBytes)
                 : Buffer.concat([tail, chunk]).subarray(-boundaryBytes);
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -26,7 +26,7 @@
 
 const successStatus = 200;
 /** Limit on an incomplete event, which is kept in memory: a faulty engine may send bytes that never end an event. */
-const maxEventBytes = 1_048_576;
+const maxEventBytes = 262_144;
 /** Limit on what is buffered for a slow caller: a few events. */
 const readAheadBytes = 4_096;
 const endOfStream = null;
--- a/src/requests/agentStream.ts
+++ b/src/requests/agentStream.ts
@@ -24,6 +24,8 @@
 }
 
 const responseHeadersTimeoutMs = 3_000;
+/** Limit on an incomplete event, which is kept in memory: a faulty engine may send bytes that never end an event. */
+const maxEventCharacters = 262_144;
 const deadlineCheckIntervalMs = 200;
 
 /** Sends a reservation request to an agent; the response is the decode stream. Aborting `signal` closes the stream. */
@@ -62,6 +64,7 @@
 
     const decoder = new StringDecoder("utf8");
     const parser = createParser({
+        maxBufferSize: maxEventCharacters,
         onEvent: ({ data }) => {
             const event = parseEvent(data);
             if (event === undefined) {
--- a/src/rpc/rpcClient.ts
+++ b/src/rpc/rpcClient.ts
@@ -12,6 +12,7 @@
 import { readText } from "../common/readText.js";
 import { toRpcError } from "./errors.js";
 import type { RpcError } from "./errors.js";
+import { createGuardedConnector } from "./guardedConnector.js";
 import { maxRpcBodyBytes, rpcPath } from "./rpcServer.js";
 
 export interface CallOptions {
@@ -42,10 +43,10 @@
 const connectionsPerPeer = 512;
 const jsonHeaders = { "content-type": "application/json" };
 
-/** Creates a client with its own connection pools. */
-export function createRpcClient(): RpcClient {
+/** Creates a client with its own connection pools; a response to a call that is larger than `maxResponseBytes` is an error. */
+export function createRpcClient(maxResponseBytes = maxRpcBodyBytes): RpcClient {
     const dispatcher = new Agent({
-        connect: { timeout: connectTimeoutMs },
+        connect: createGuardedConnector(connectTimeoutMs),
         connections: connectionsPerPeer,
         pipelining: 1,
         keepAliveTimeout: idleConnectionMs,
@@ -81,7 +82,9 @@
             runLimited(toLimit(options), async limit => {
                 const request = createJSONRPCRequest(nextId++, method, params as never);
                 const response = await post(url, rpcPath, request, limit);
-                return response.isErr ? Result.err(response.error) : readResponse(response.value, limit);
+                return response.isErr
+                    ? Result.err(response.error)
+                    : readResponse(response.value, maxResponseBytes, limit);
             }),
         stream: async (url, path, body, options) => {
             const limit = limitCall(toLimit(options));
@@ -104,10 +107,11 @@
 
 async function readResponse(
     response: StreamResponse,
+    maxResponseBytes: number,
     { isTimedOut }: CallLimit,
 ): Promise<Result<unknown, RpcError>> {
     try {
-        const rpcResponse = JSON.parse(await readText(response.body, maxRpcBodyBytes)) as JSONRPCResponse;
+        const rpcResponse = JSON.parse(await readText(response.body, maxResponseBytes)) as JSONRPCResponse;
         if (rpcResponse.error !== undefined && rpcResponse.error !== null) {
             const { code, message } = rpcResponse.error;
             return Result.err({ kind: "rejected", delivered: "yes", code, cause: message });
--- a/test/callLimits.test.ts
+++ b/test/callLimits.test.ts
@@ -6,6 +6,7 @@
 import { getEventListeners } from "node:events";
 import { createServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
+import type { Result } from "true-myth";
 import { afterEach, describe, expect, it } from "vitest";
 import {
     createTestForwardContext,
@@ -26,6 +27,9 @@
 import { forward } from "../src/forwarding/forward.js";
 import type { ForwardRequest } from "../src/forwarding/forwardRequest.js";
 import type { Route } from "../src/routes/desiredState.js";
+import type { RpcError } from "../src/rpc/errors.js";
+import { createRpcClient } from "../src/rpc/rpcClient.js";
+import type { RpcClient } from "../src/rpc/rpcClient.js";
 import { createPrometheusMetrics } from "../src/telemetry/prometheusMetrics.js";
 
 /** What a process does with a connection on which a request has arrived. */
@@ -193,3 +197,44 @@
         expect(getEventListeners(signal, "abort")).toHaveLength(0);
     });
 });
+
+interface RpcCase {
+    readonly name: string;
+    readonly behave: Behavior;
+    readonly call: (rpc: RpcClient, url: string, signal: AbortSignal) => Promise<Result<unknown, RpcError>>;
+    readonly outcome: string;
+}
+
+const options = { timeoutMs: routeTimeoutMs };
+const rpcCases: readonly RpcCase[] = [
+    {
+        name: "a call that is left unanswered",
+        behave: silent,
+        call: (rpc, url, signal) => rpc.call(url, "m", {}, { ...options, signal }),
+        outcome: "timeout",
+    },
+    {
+        name: "a call whose response never ends",
+        behave: endsNever,
+        call: (rpc, url, signal) => rpc.call(url, "m", {}, { ...options, signal }),
+        outcome: "interrupted",
+    },
+    {
+        name: "a stream that is left unanswered",
+        behave: silent,
+        call: (rpc, url, signal) => rpc.stream(url, "/s", {}, { ...options, signal }),
+        outcome: "timeout",
+    },
+];
+
+describe("between processes of a site", () => {
+    it.each(rpcCases)("$name ends: $outcome", async ({ behave, call, outcome }) => {
+        const rpc = createRpcClient(64 * 1_024);
+        cleanups.push(() => rpc.close());
+        const { signal } = new AbortController();
+        const address = await startServer(behave);
+        const ended = await collectGarbageDuring(call(rpc, `http://${address}`, signal));
+        expect(ended.isErr && ended.error.kind).toBe(outcome);
+        expect(getEventListeners(signal, "abort")).toHaveLength(0);
+    });
+});
