Record the version of a new stream once its engine is confirmed

Found on the way: the version was recorded before the request was sent, and withdrawn if the connection turned out to lead to another start of the engine. An entry that was cut off or stood still in between could not withdraw it, so that a stream of the new version went on elsewhere at the old one. It is recorded now once the engine is confirmed, at once on known connections.

Before: the new case of softwareVersions.test.ts failed. After: it passes. Cost: if the entry ends between the first event and the engine's report, the take-up is refused.

--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -97,7 +97,7 @@
             const { cause, retryAfterMs: waitMs } = allocation.error;
             return { kind: "refused", outcome: attempt === firstAttempt ? refuse(503, cause, waitMs) : outcome };
         }
-        current = bindToVersion(context, current, allocation.value.engine);
+        current = bindToVersion(current, allocation.value.engine);
         const result = await prefillAndSend(context, current, allocation.value, lastEventId);
         if (result.isOk) {
             return {
@@ -131,20 +131,11 @@
     return { kind: "refused", outcome };
 }
 
-/**
- * Binds a resumable generation to the software version of its first engine, and records that version as its stream's
- * origin before anything is sent to the engine. The origin never changes, so each further attempt needs that version.
- */
-function bindToVersion(
-    { streamOrigins }: ForwardContext,
-    generation: GenerationRequest,
-    { softwareVersion }: EngineRecord,
-): GenerationRequest {
-    if (!generation.route.isResumable || generation.softwareVersion !== undefined) {
-        return generation;
-    }
-    streamOrigins.record(generation.request.requestId, { service: generation.service, softwareVersion });
-    return { ...generation, softwareVersion };
+/** Binds a resumable generation to the software version of its first engine, which each further attempt needs. */
+function bindToVersion(generation: GenerationRequest, { softwareVersion }: EngineRecord): GenerationRequest {
+    return generation.route.isResumable && generation.softwareVersion === undefined
+        ? { ...generation, softwareVersion }
+        : generation;
 }
 
 function canCompleteInTime(context: ForwardContext, generation: GenerationRequest): boolean {
@@ -253,8 +244,12 @@
     }
     const isVersionKnown = context.startChecks.isConfirmed(allocation.engine);
     if (lastEventId === undefined) {
-        // A new stream is passed on at once; it may go on elsewhere only if its version is found to be the recorded one.
-        void isVersionKnown.then(isKnown => isKnown || context.streamOrigins.withdraw(request.requestId, service));
+        // A new stream is passed on at once, but it may go on elsewhere only once its version is known: a record that turns
+        // out to be wrong could not be taken back from entries that this one does not reach any more.
+        const { softwareVersion } = allocation.engine;
+        void isVersionKnown.then(isKnown =>
+            isKnown && context.streamOrigins.record(request.requestId, { service, softwareVersion })
+        );
     }
     else if (!await isVersionKnown) {
         discardBody(sent.value.body);
--- a/src/forwarding/softwareVersions.test.ts
+++ b/src/forwarding/softwareVersions.test.ts
@@ -324,6 +324,20 @@
 ]);
 
 describe("at an engine to which a connection was opened after its record was read", () => {
+    // An entry that was out of step told others the version of its outdated record. Cut off before it could take that back,
+    // it left a stream of a new version that went on elsewhere at the old one.
+    it("the version of a new stream is not known to others before the engine has reported its start", async () => {
+        const unanswered = new Promise<never>(() => undefined);
+        const harness = createForwardingHarness(desiredStateOf([resumable]), {
+            connectedAtMs: () => 0,
+            report: () => unanswered,
+        });
+        harness.load(decoders);
+        const result = await forward(harness.context, requestTo("/stream/x", { size: smallSize }));
+        expect(await describeOutcome(result)).toBe("200 ok");
+        expect((await harness.context.streamOrigins.find("r-1")).kind).toBe("unknown");
+    });
+
     it.each(restartCases)(
         "$name if it reports the same start: $isSameStart",
         async ({ request, services, engines, isSameStart, outcome, isKnown }) => {
--- a/src/resumption/streamOrigins.ts
+++ b/src/resumption/streamOrigins.ts
@@ -1,11 +1,11 @@
 /**
  * With which software version each resumable stream began, wherever its caller takes it up.
  *
- * An entry records the origin of a stream before it sends the request to an engine. It sends it to two other entries, the
- * stream's holders, one of which writes it to the store. So it is known when the entry has ended, when all entries have
- * ended, and in an outage of the store. In a fleet of many entries the holders are chosen from a few of them, the
- * recorders: their number bounds the writes to the store, since each recorder writes the origins of an interval in one
- * transaction, and the calls with which an entry asks for an origin.
+ * An entry records the origin of a stream when its engine is confirmed to be the start that the registry names, usually
+ * before the first event. It sends it to two other entries, the stream's holders, one of which writes it to the store. So it
+ * is known when the entry has ended, when all entries have ended, and in an outage of the store. In a fleet of many entries
+ * the holders are chosen from a few of them, the recorders: their number bounds the writes to the store, since each recorder
+ * writes the origins of an interval in one transaction, and the calls with which an entry asks for an origin.
  *
  * The origin of a stream never changes. If a request id is used for streams of different versions nevertheless, its
  * origin is unknown.
@@ -35,10 +35,8 @@
     | { readonly kind: "unknown"; readonly isFinal: boolean; readonly cause: string; };
 
 export interface StreamOrigins {
-    /** Records with which version a stream begins; its request must not have been sent to an engine yet. */
+    /** Records with which version a stream began; its engine must be known to have this version. */
     readonly record: (requestId: string, origin: KnownOrigin) => void;
-    /** Makes an origin that was recorded unknown for good: the version can't be shown. */
-    readonly withdraw: (requestId: string, service: string) => void;
     /** Looks up with which version the stream of a request began. */
     readonly find: (requestId: string) => Promise<FoundOrigin>;
     /** Methods that other entries call. */
@@ -209,7 +207,6 @@
 
     return {
         record: (requestId, origin) => recordKey(streamKey(requestId), origin),
-        withdraw: (requestId, service) => recordKey(streamKey(requestId), { service }),
         find,
         methods: {
             [resumptionMethods.record]: rpcMethod(recordOriginsSchema, async ({ origins }) => {
--- a/test/resumedStreams.test.ts
+++ b/test/resumedStreams.test.ts
@@ -206,6 +206,24 @@
         }
     });
 
+    // Elsewhere, an entry that stood still while a version joined let streams of that version go on at another one.
+    it("when it is taken up at an entry that stood still while the version joined", async () => {
+        await start();
+        await delay(settleMs);
+        entry(1).signal("SIGSTOP");
+        const joining = site.engines.filter(({ id }) => id === "m-2" || id === "p-2");
+        await Promise.all(joining.map(engine => site.release(engine, "v3", 0)));
+        await delay(settleMs);
+        const begun = await beginAll();
+        const isNew = ({ engine }: PartialStream): boolean => site.softwareVersionOf(engine) === "v3";
+        expect(begun.filter(isNew).length).toBeGreaterThan(0);
+        const resumed = resumeAll(entry(1), begun);
+        entry(1).signal("SIGCONT");
+        for (const outcome of await resumed) {
+            expect(outcome).toMatch(/^(?:200, same version|50[23], .*)$/u);
+        }
+    });
+
     it.each([
         { name: "does not say with which request it began", began: undefined },
         { name: "says that it began with a request that is not known", began: "r-unknown" },
