Soak: late and long calls, engines that never end, runs of planned work only

A fifth of the plain calls lasts up to 2.8 s; engines send heads and bodies of valid responses without end; no call may last longer than 15 s.

--- a/fakes/platformEngine.ts
+++ b/fakes/platformEngine.ts
@@ -6,6 +6,7 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import type { Writable } from "node:stream";
 
 /**
  * Fault applied to requests until the next one is set. `shed` rejects requests as not executed, `reset` resets the
@@ -14,7 +15,8 @@
  * one, `lost` executes the request and resets without a response, `error` responds to plain calls with status 500,
  * `endOnPart` ends the engine when it begins to write on a prompt with `deadlyPromptPart`, and starts it again soon after,
  * `rest` rejects requests and asks for a pause, `leaving` announces in all responses that the engine is leaving,
- * `endless` sends bytes that are no response until the connection is closed, and `oldRejection` rejects one plain call and
+ * `endless` sends bytes that are no response until the connection is closed, `endlessHead` and `endlessBody` do so in the
+ * head and in the body of a valid response, and `oldRejection` rejects one plain call and
  * then executes the others, but writes that rejection once more instead of their responses.
  */
 export type EngineFault =
@@ -31,6 +33,8 @@
     | "rest"
     | "leaving"
     | "endless"
+    | "endlessHead"
+    | "endlessBody"
     | "oldRejection";
 
 export interface FakePlatformEngineOptions {
@@ -102,6 +106,7 @@
 const cacheLifetimeMs = 500;
 const restS = 0.8;
 const endlessBlock = Buffer.alloc(65_536, "z");
+const endlessHeaders = Buffer.alloc(65_536, "x: z\r\n");
 
 /** Body of a plain call that runs for `durationMs`. */
 export function bodyOfDuration(durationMs: number): string {
@@ -142,13 +147,13 @@
         response.end(body);
     }
 
-    function sendWithoutEnd(response: ServerResponse): void {
+    function sendWithoutEnd(target: Writable, block: Buffer): void {
         const writeMore = (): void => {
-            while (!response.destroyed && response.write(endlessBlock)) {
+            while (!target.destroyed && target.write(block)) {
                 // Written until the socket's buffer is full.
             }
         };
-        response.on("drain", writeMore);
+        target.on("drain", writeMore);
         writeMore();
     }
 
@@ -292,8 +297,19 @@
         if (fault === "silent") {
             return;
         }
-        if (fault === "endless") {
-            sendWithoutEnd(response);
+        if (fault === "endless" || fault === "endlessBody") {
+            if (fault === "endlessBody") {
+                response.writeHead(200, {
+                    [`${headerPrefix}request-id`]: String(request.headers[`${headerPrefix}request-id`] ?? ""),
+                    [`${headerPrefix}response-seal`]: `seal-${options.id}`,
+                });
+            }
+            sendWithoutEnd(response, endlessBlock);
+            return;
+        }
+        if (fault === "endlessHead") {
+            request.socket.write("HTTP/1.1 200 OK\r\n");
+            sendWithoutEnd(request.socket, endlessHeaders);
             return;
         }
         if (fault === "reset") {
--- a/fakes/soakChecks.ts
+++ b/fakes/soakChecks.ts
@@ -1,5 +1,6 @@
 /**
- * Checks of the fault soak on what engines received: the rates that they name, and requests under which they end.
+ * Checks of the fault soak on what engines received, and on how calls ended: the rates that engines name, requests under
+ * which they end, calls that are left unanswered, and responses that planned work cuts off.
  */
 
 import { deadlyBody } from "./platformEngine.js";
@@ -93,3 +94,44 @@
             ];
     });
 }
+
+/** How a call ended for its caller; times are wall-clock times in ms. */
+export interface EndedCall {
+    readonly path: string;
+    readonly sentAtMs: number;
+    readonly endedAtMs: number;
+    readonly response: {
+        readonly requestId: string;
+        readonly status: number;
+        /** `undefined` if the connection failed before its end. */
+        readonly body: string | undefined;
+    };
+}
+
+/** Far beyond the time limit of all calls, 5 s, and of any fault; a call that lasts longer is left unanswered. */
+const maxCallMs = 15_000;
+const unknownOutcomes: ReadonlySet<number> = new Set([502, 504]);
+
+export function checkLateCalls(calls: readonly EndedCall[]): readonly string[] {
+    return calls.filter(({ sentAtMs, endedAtMs }) => endedAtMs - sentAtMs > maxCallMs).map(
+        ({ path, sentAtMs, endedAtMs, response }) =>
+            `${response.requestId} ${path}: ended ${endedAtMs - sentAtMs} ms after it was sent`,
+    );
+}
+
+/** Checks, for a run without unplanned faults, that each call that ran got its whole response. */
+export function checkWholeResponses(
+    calls: readonly EndedCall[],
+    unanswered: readonly string[],
+    engines: readonly { readonly runs: readonly { readonly requestId: string; }[]; }[],
+): readonly string[] {
+    const executed = new Set(engines.flatMap(({ runs }) => runs.map(({ requestId }) => requestId)));
+    const cut = calls.filter(({ response: { status, body } }) => body === undefined || unknownOutcomes.has(status))
+        .map(({ path, response: { requestId, status } }) => ({
+            requestId,
+            how: `${path}: ${status}, without its end`,
+        }));
+    return [...cut, ...unanswered.map(requestId => ({ requestId, how: "closed without a response" }))]
+        .filter(({ requestId }) => executed.has(requestId))
+        .map(({ requestId, how }) => `${requestId} ${how}, but ran`);
+}
--- a/fakes/soakRun.ts
+++ b/fakes/soakRun.ts
@@ -10,12 +10,12 @@
 import { request } from "undici";
 import { createRandom, pickOne } from "../src/common/random.js";
 import type { Random } from "../src/common/random.js";
-import { deadlyBody } from "./platformEngine.js";
+import { bodyOfDuration, deadlyBody } from "./platformEngine.js";
 import type { EngineFault } from "./platformEngine.js";
-import { callSite, expectedStream, isReady, siteKey, startPlatformSite, until } from "./platformSite.js";
+import { callSite, expectedStream, isReady, nextRequestId, siteKey, startPlatformSite, until } from "./platformSite.js";
 import type { EntryProcess, PlatformSite, SiteResponse } from "./platformSite.js";
 import type { StoreFault } from "./platformStore.js";
-import { checkDeadlyRuns, checkRates } from "./soakChecks.js";
+import { checkDeadlyRuns, checkLateCalls, checkRates, checkWholeResponses } from "./soakChecks.js";
 import { checkTakenUp, soakModelEngines, softwareVersions, takeUpOnce } from "./soakStreams.js";
 import type { TakenUpStream } from "./soakStreams.js";
 import { startTcpProxy } from "./tcpProxy.js";
@@ -25,6 +25,8 @@
     readonly seed: number;
     readonly seconds: number;
     readonly entries: number;
+    /** Injects planned work only: stops, reloads, new desired states and engines that drain. */
+    readonly isPlanned: boolean;
     /** Executes one payment twice, to verify that the checks detect a violation. */
     readonly runPaymentTwice: boolean;
 }
@@ -62,6 +64,9 @@
 /** Paths of calls that end engines with `deadlyBody`, and the fraction of calls on them that have it. */
 const deadlyPaths: ReadonlySet<string> = new Set(["/pay/x", "/look/x"]);
 const deadlyFraction = 0.01;
+/** Fraction of the other calls on these paths that last longer, and how long at most. */
+const slowFraction = 0.2;
+const maxSlowMs = 2_800;
 /**
  * The project requires that a withdrawn key is refused within this time, counted from the withdrawal or from the end of
  * the last store fault, whichever is later.
@@ -81,6 +86,8 @@
     "rest",
     "leaving",
     "endless",
+    "endlessHead",
+    "endlessBody",
 ];
 /** Fraction of the calls that begin a stream, leave it and take it up. */
 const takeUpFraction = 0.15;
@@ -108,6 +115,8 @@
     });
     site.engines.forEach(engine => engine.endOnDeadlyBody());
     const completed: CompletedRequest[] = [];
+    /** Ids of requests whose connections ended without the head of a response. */
+    const unanswered: string[] = [];
     const takenUp: TakenUpStream[] = [];
     const timeline: string[] = [];
     const withdrawnAtMs = new Map<string, number>();
@@ -132,9 +141,12 @@
             const withdrawnKey = pickOne(random, [...withdrawnAtMs.keys()]);
             const key = withdrawnKey !== undefined && random() < 0.2 ? withdrawnKey : state.key;
             const sentAtMs = Date.now();
-            const body = deadlyPaths.has(path) && random() < deadlyFraction ? deadlyBody : undefined;
-            const response = await callSite(entry, path, key, undefined, undefined, body).catch(() => undefined);
+            const body = deadlyPaths.has(path) ? plainBody(random, !options.isPlanned) : undefined;
+            const requestId = nextRequestId();
+            const response = await callSite(entry, path, key, undefined, undefined, body, requestId)
+                .catch(() => undefined);
             if (response === undefined) {
+                unanswered.push(requestId);
                 await delay(50);
                 continue;
             }
@@ -143,7 +155,8 @@
         }
     }
 
-    const nextFault = createFaults(site, { engines: engineProxies, store: storeProxies }, createRandom(options.seed), {
+    const proxies = { engines: engineProxies, store: storeProxies };
+    const nextFault = createFaults(site, proxies, createRandom(options.seed), options.isPlanned, {
         withdrawKey: () => {
             withdrawnAtMs.set(state.key, Date.now());
             state.keyNumber += 1;
@@ -182,6 +195,8 @@
                 })),
             ),
             ...checkDeadlyRuns(site.engines),
+            ...checkLateCalls(completed),
+            ...options.isPlanned ? checkWholeResponses(completed, unanswered, site.engines) : [],
             ...checkTakenUp(takenUp, site.engines),
         ];
         const logFile = join(mkdtempSync(join(tmpdir(), "gooseberrywell-soak-")), `seed-${options.seed}.log`);
@@ -205,6 +220,14 @@
     }
 }
 
+/** Body of a plain call: deadly, lasting some time, or neither. */
+function plainBody(random: Random, mayBeDeadly: boolean): string | undefined {
+    if (mayBeDeadly && random() < deadlyFraction) {
+        return deadlyBody;
+    }
+    return random() < slowFraction ? bodyOfDuration(Math.round(random() * maxSlowMs)) : undefined;
+}
+
 async function injectFaults(
     nextFault: (random: Random) => Fault | undefined,
     options: SoakOptions,
@@ -227,6 +250,9 @@
     return injected;
 }
 
+/** Draws a fault; `undefined` if its target has one already. */
+type FaultFactory = (random: Random) => Fault | undefined;
+
 interface FaultHooks {
     readonly withdrawKey: () => void;
     readonly onStoreFaultEnd: (endMs: number) => void;
@@ -243,8 +269,9 @@
     site: PlatformSite,
     proxies: SoakProxies,
     durations: Random,
+    isPlanned: boolean,
     hooks: FaultHooks,
-): (random: Random) => Fault | undefined {
+): FaultFactory {
     const busy = new Set<unknown>();
 
     function exclusiveFault<Target>(
@@ -324,9 +351,21 @@
         });
     }
 
-    const faultFactories: readonly ((random: Random) => Fault | undefined)[] = [
+    const planned: readonly FaultFactory[] = [
         random =>
             exclusiveFault(pickOne(random, site.entries), "SIGTERM", entry => restartAfterSignal(entry, "SIGTERM")),
+        random => exclusiveFault(pickOne(random, site.entries), "SIGHUP", async entry => entry.signal("SIGHUP")),
+        () => exclusiveFault(hooks, "key withdrawn", async () => hooks.withdrawKey()),
+        random => {
+            const engine = pickOne(random, site.engines.filter(({ stage }) => stage !== "prefill"));
+            return exclusiveFault(engine, "engine draining", async draining => {
+                site.register(draining, "draining");
+                await delay(500 + durations() * 1_000);
+                site.register(draining, "ready");
+            });
+        },
+    ];
+    const unplanned: readonly FaultFactory[] = [
         random =>
             exclusiveFault(pickOne(random, site.entries), "SIGKILL", entry => restartAfterSignal(entry, "SIGKILL")),
         killAll,
@@ -338,7 +377,6 @@
                 engine =>
                     site.release(engine, pickOne(durations, softwareVersions) ?? "v1", durations() * maxUnnoticedMs),
             ),
-        random => exclusiveFault(pickOne(random, site.entries), "SIGHUP", async entry => entry.signal("SIGHUP")),
         random => {
             const fault = pickOne<StoreFault>(random, ["unavailable", "tooMany", "silent", "reset", "lostAnswer"])
                 ?? "reset";
@@ -373,18 +411,10 @@
         random => connectionFault(random, "one entry's connections to the store", proxies.store),
         () => exclusiveFault(site.store, "store restored from an older copy", restoreStore),
         // Withdrawals and compactions have no target; an object that no other fault uses makes each of them exclusive.
-        () => exclusiveFault(hooks, "key withdrawn", async () => hooks.withdrawKey()),
         () => exclusiveFault(hooks.onStoreFaultEnd, "store history compacted", async () => site.store.compact()),
-        random => {
-            const engine = pickOne(random, site.engines.filter(({ stage }) => stage !== "prefill"));
-            return exclusiveFault(engine, "engine draining", async draining => {
-                site.register(draining, "draining");
-                await delay(500 + durations() * 1_000);
-                site.register(draining, "ready");
-            });
-        },
     ];
-    return random => pickOne(random, faultFactories)?.(random);
+    const faults = isPlanned ? planned : [...planned, ...unplanned];
+    return random => pickOne(random, faults)?.(random);
 }
 
 function expectedBody(path: string, requestId: string): string {
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -16,6 +16,7 @@
     .option("--seed <number>", "Determines the schedule of requests and faults", { default: 1 })
     .option("--seconds <number>", "Duration of the fault injection", { default: 20 })
     .option("--entries <number>", "Number of entry processes", { default: 3 })
+    .option("--planned", "Injects planned work only, and checks that it cuts off no response")
     .option("--plant", "Runs one payment twice, to check that the soak fails")
     .example("npm run soak -- --seed 7 --seconds 30")
     .action(async (flags: Readonly<Record<string, string | number | boolean>>) => {
@@ -24,6 +25,7 @@
             seed,
             seconds: Number(flags["seconds"]),
             entries: Number(flags["entries"]),
+            isPlanned: flags["planned"] === true,
             runPaymentTwice: flags["plant"] === true,
         });
         console.log(
@@ -33,7 +35,10 @@
         result.broken.forEach(line => console.log(`  ${line}`));
         if (result.broken.length > 0) {
             console.log(
-                `reproduce with: npm run soak -- --seed ${seed} --seconds ${flags["seconds"]}; logs: ${result.logFile}`,
+                `reproduce with: npm run soak -- --seed ${seed} --seconds ${flags["seconds"]} --entries ${
+                    flags["entries"]
+                }`
+                    + `${flags["planned"] === true ? " --planned" : ""}; logs: ${result.logFile}`,
             );
             process.exitCode = exitFailed;
         }
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -11,13 +11,31 @@
 it.each([1, 2, 3, 4, 5, 6, 7, 8, ...regressionSeeds])(
     "seed %d: the guarantees hold under injected faults",
     async seed => {
-        const { broken, requests } = await runSoak({ seed, seconds: 4, entries: 2, runPaymentTwice: false });
+        const { broken, requests } = await runSoak({
+            seed,
+            seconds: 4,
+            entries: 2,
+            isPlanned: false,
+            runPaymentTwice: false,
+        });
         expect(broken).toEqual([]);
         expect(requests).toBeGreaterThan(0);
     },
 );
 
+it.each([31, 32])("seed %d: planned work cuts off no response", async seed => {
+    const { broken, requests } = await runSoak({
+        seed,
+        seconds: 6,
+        entries: 2,
+        isPlanned: true,
+        runPaymentTwice: false,
+    });
+    expect(broken).toEqual([]);
+    expect(requests).toBeGreaterThan(0);
+});
+
 it("a payment that runs twice fails the soak", async () => {
-    const { broken } = await runSoak({ seed: 1, seconds: 1, entries: 1, runPaymentTwice: true });
+    const { broken } = await runSoak({ seed: 1, seconds: 1, entries: 1, isPlanned: false, runPaymentTwice: true });
     expect(broken).toEqual([expect.stringMatching(/\/pay\/x: ran 2 times$/)]);
 });
