Pass origins of streams on again while too few entries hold them

A known failure came again beside load: streams that were taken up at another entry, after the first was killed in an outage of the store, were refused. An origin was passed on once: if the entry knew no other one yet, or its call got no answer in 300 ms, nobody else learned it, besides the store.

Origins with fewer than two holders are passed on again every 500 ms.

Before: both new cases of streamOrigins.test.ts failed. After: they pass.

--- a/src/resumption/streamOrigins.test.ts
+++ b/src/resumption/streamOrigins.test.ts
@@ -22,6 +22,8 @@
     readonly kill: (...indexes: readonly number[]) => void;
     readonly restart: (...indexes: readonly number[]) => void;
     readonly setStoreDown: (isDown: boolean) => void;
+    /** Whether calls between entries get no answer. */
+    readonly setSilent: (areSilent: boolean) => void;
     readonly storeCalls: { read: number; scan: number; commit: number; };
     /** Calls between entries. */
     readonly calls: () => number;
@@ -35,6 +37,7 @@
     const running = new Map<string, { readonly origins: StreamOrigins; readonly killed: AbortController; }>();
     const storeCalls = { read: 0, scan: 0, commit: 0 };
     let isStoreDown = false;
+    let isSilent = false;
     let calls = 0;
 
     const orDown = async <Value>(
@@ -53,6 +56,9 @@
     const rpc: RpcClient = {
         call: async (url, method, params) => {
             calls += 1;
+            if (isSilent) {
+                return Result.err({ kind: "timeout", delivered: "maybe", cause: "no answer" });
+            }
             const invoked = running.get(url)?.origins.methods[method]?.invoke(JSON.parse(JSON.stringify(params)), {
                 signal: new AbortController().signal,
             });
@@ -94,6 +100,9 @@
         setStoreDown: isDown => {
             isStoreDown = isDown;
         },
+        setSilent: entriesAreSilent => {
+            isSilent = entriesAreSilent;
+        },
         storeCalls,
         calls: () => calls,
     };
@@ -240,6 +249,33 @@
         expect(await fleet.entry(0).find("r-1")).toEqual(known);
     });
 
+    // Streams that began before their entry had heard of others, or while these did not answer, were known to it alone.
+    it.each([
+        {
+            name: "was not known yet",
+            before: (fleet: Fleet) => fleet.kill(1),
+            after: (fleet: Fleet) => fleet.restart(1),
+        },
+        {
+            name: "did not answer",
+            before: (fleet: Fleet) => fleet.setSilent(true),
+            after: (fleet: Fleet) => fleet.setSilent(false),
+        },
+    ])(
+        "is known at an entry that $name when the stream began, in an outage of the store",
+        async ({ before, after }) => {
+            const fleet = createFleet(2);
+            fleet.setStoreDown(true);
+            before(fleet);
+            fleet.entry(0).record("r-1", origin);
+            await fleet.clock.advance(settledMs);
+            after(fleet);
+            await fleet.clock.advance(2 * settledMs);
+            fleet.kill(0);
+            expect(await fleet.entry(1).find("r-1")).toEqual(known);
+        },
+    );
+
     it("is removed from the store after its retention, whichever entry wrote it", async () => {
         const fleet = createFleet(4);
         four.forEach(index => fleet.entry(index).record(`r-${index}`, origin));
--- a/src/resumption/streamOrigins.ts
+++ b/src/resumption/streamOrigins.ts
@@ -64,6 +64,9 @@
 /** Time for which origins are collected before they are sent to their holders together. */
 const sendDelayMs = 30;
 const callTimeoutMs = 300;
+/** Interval at which origins are passed on again that have too few holders, and how many of them are kept. */
+const passOnAgainMs = 500;
+const maxUnderheld = 1_000;
 /** Identifies the recorders and the entry that removes old rows. */
 const recordersKey = "stream origins";
 const keyLength = 32;
@@ -79,6 +82,7 @@
     const { clock, rpc, tables, log, url, stableEntries } = dependencies;
     const remembered = new Map<string, StreamOrigin>();
     const outbox = new Map<string, Message[]>();
+    const underheld = new Map<string, StreamOrigin>();
     let isSendScheduled = false;
     let recorders: { readonly entryList: string; readonly urls: readonly string[]; } = { entryList: "", urls: [] };
     const store = createOriginStore(tables, clock, log, () => currentRecorders()[0] === url);
@@ -116,8 +120,17 @@
         }
     }
 
+    /** Remembers that an origin has fewer holders than it should, so that it is passed on again. */
+    function passOnLater(key: string, origin: StreamOrigin): void {
+        underheld.set(key, origin);
+        removeOldest(underheld, maxUnderheld);
+    }
+
     function passOn(key: string, origin: StreamOrigin): void {
         const holders = rankByRendezvous(key, currentRecorders()).slice(0, holdersPerStream);
+        if (holders.length < holdersPerStream) {
+            passOnLater(key, origin);
+        }
         holders.forEach((holder, index) => {
             const isWritten = index === 0;
             if (holder !== url) {
@@ -144,8 +157,23 @@
         const response = await rpc.call(entry, resumptionMethods.record, { origins }, { timeoutMs: callTimeoutMs });
         if (response.isErr) {
             log.info("an entry did not take the origins of streams", { entry, cause: response.error.cause });
-            origins.filter(({ isWritten }) => isWritten)
-                .forEach(({ key, service, softwareVersion }) => store.write(key, { service, softwareVersion }));
+            for (const { key, isWritten, ...origin } of origins) {
+                passOnLater(key, origin);
+                if (isWritten) {
+                    store.write(key, origin);
+                }
+            }
+        }
+    }
+
+    async function passOnAgain(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await clock.sleep(passOnAgainMs, signal);
+            if (currentRecorders().length >= holdersPerStream) {
+                const again = [...underheld];
+                underheld.clear();
+                again.forEach(([key, origin]) => passOn(key, origin));
+            }
         }
     }
 
@@ -218,7 +246,9 @@
                 return origin === undefined ? {} : { origin };
             }),
         },
-        run: signal => store.run(signal),
+        run: async signal => {
+            await Promise.all([store.run(signal), passOnAgain(signal)]);
+        },
         flush: async () => {
             await sendOutbox();
             await store.flush();
