Shutdown: one copy of the cause and the retry delay of its refusals

Read again as a newcomer: the text stood in three places and the retry delay in two. Behaviour, checks and bounds are unchanged.

--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -26,7 +26,7 @@
 import { endBrokenRun, isQuarantined, refuseQuarantined } from "./quarantineChecks.js";
 import { suspectsOf } from "./routedRequest.js";
 import type { GenerationRequest } from "./routedRequest.js";
-import { mayOutlastEntry, refuseIfTooLate } from "./shutdownChecks.js";
+import { mayOutlastEntry, refuseIfTooLate, shuttingDownCause } from "./shutdownChecks.js";
 import { relayStream } from "./streamRelay.js";
 
 /** A stream that is running at an engine, and its decode allocation. */
@@ -182,7 +182,7 @@
     if (mayOutlastEntry(context, generation)) {
         endPrefillLoad();
         releaseResources(context, allocation, cache);
-        return Result.err({ kind: "unreachable", cause: "this entry is shutting down" });
+        return Result.err({ kind: "unreachable", cause: shuttingDownCause });
     }
     if (!context.directory.isUsable(allocation.engine)) {
         endPrefillLoad();
--- a/src/scheduling/decodeScheduler.ts
+++ b/src/scheduling/decodeScheduler.ts
@@ -15,6 +15,7 @@
 import type { GenerationSize } from "../forwarding/forwardRequest.js";
 import { hasVersionFor } from "../forwarding/routedRequest.js";
 import type { GenerationRequest } from "../forwarding/routedRequest.js";
+import { shutdownRetryMs, shuttingDownCause } from "../forwarding/shutdownChecks.js";
 import type { EngineRateLimiter } from "../limits/engineRateLimiter.js";
 import type { DecisionLog } from "../telemetry/decisionLog.js";
 import type { PrometheusMetrics } from "../telemetry/prometheusMetrics.js";
@@ -100,9 +101,6 @@
 const allocationWindowMs = 2_000;
 const noEngineCause = "no decode engine is available";
 const allExhaustedCause = "all decode engines have got as many requests as the rates that they name";
-const shuttingDownCause = "this entry is shutting down";
-/** The load balancer sends the retry to another entry. */
-const shutdownRetryMs = 0;
 const allRestingCause = "all decode engines accept no requests for some time";
 
 /** Number of output tokens that a generation is expected to produce. */
