Soak: stops in series and while starting, engines that leave, desired states in quick succession

Planned work of the soak was one stop at a time, with reloads, withdrawn keys and draining engines. Entries are now also stopped in turn, and again while they start; engines leave, with or without announcing that they drain, and come back as a new start; desired states follow each other quickly.

--- a/fakes/soakRun.ts
+++ b/fakes/soakRun.ts
@@ -11,7 +11,7 @@
 import { createRandom, pickOne } from "../src/common/random.js";
 import type { Random } from "../src/common/random.js";
 import { bodyOfDuration, deadlyBody } from "./platformEngine.js";
-import type { EngineFault } from "./platformEngine.js";
+import type { EngineFault, FakePlatformEngine } from "./platformEngine.js";
 import { callSite, expectedStream, isReady, nextRequestId, siteKey, startPlatformSite, until } from "./platformSite.js";
 import type { EntryProcess, PlatformSite, SiteResponse } from "./platformSite.js";
 import type { StoreFault } from "./platformStore.js";
@@ -91,6 +91,8 @@
 ];
 /** Fraction of the calls that begin a stream, leave it and take it up. */
 const takeUpFraction = 0.15;
+/** An entry is ready within about this time after its start. */
+const maxStartMs = 600;
 /** Longest time after which the registry shows that an engine has started again. */
 const maxUnnoticedMs = 1_500;
 /** Revisions that a restoration of the store loses at most. */
@@ -163,6 +165,7 @@
             state.key = `key-${state.keyNumber}`;
             site.publish([state.key]);
         },
+        publishAgain: () => site.publish([state.key]),
         onStoreFaultEnd: endMs => {
             state.storeFaultEndMs = endMs;
         },
@@ -255,6 +258,8 @@
 
 interface FaultHooks {
     readonly withdrawKey: () => void;
+    /** Writes the desired state once more, as a newer version. */
+    readonly publishAgain: () => void;
     readonly onStoreFaultEnd: (endMs: number) => void;
 }
 
@@ -303,21 +308,42 @@
         await until(`${entry.name} is ready after ${signal}`, () => isReady(entry));
     }
 
-    /** Kills all entries at the same time, unless one of them has another fault. */
-    function killAll(): Fault | undefined {
-        if (site.entries.some(entry => busy.has(entry))) {
-            return undefined;
-        }
-        return {
-            name: "SIGKILL of all entries",
-            inject: async () => {
-                site.entries.forEach(entry => busy.add(entry));
-                await Promise.all(site.entries.map(entry => restartAfterSignal(entry, "SIGKILL")));
-                site.entries.forEach(entry => busy.delete(entry));
-            },
+    /** Stops an entry again while it is still starting. */
+    async function stopWhileStarting(entry: EntryProcess): Promise<void> {
+        entry.signal("SIGTERM");
+        await entry.restart();
+        await delay(durations() * maxStartMs);
+        await restartAfterSignal(entry, "SIGTERM");
+    }
+
+    /** A fault of all entries, unless one of them has another fault. */
+    function faultOfAll(name: string, inject: (entry: EntryProcess, index: number) => Promise<void>): FaultFactory {
+        return () => {
+            if (site.entries.some(entry => busy.has(entry))) {
+                return undefined;
+            }
+            return {
+                name,
+                inject: async () => {
+                    site.entries.forEach(entry => busy.add(entry));
+                    await Promise.all(site.entries.map(inject));
+                    site.entries.forEach(entry => busy.delete(entry));
+                },
+            };
         };
     }
 
+    /** The engine leaves: it announces that it drains, or only its record goes; it serves on and comes back as a new start. */
+    async function leaveAndReturn(engine: FakePlatformEngine): Promise<void> {
+        if (durations() < 0.5) {
+            site.register(engine, "draining");
+            await delay(durations() * 1_000);
+        }
+        site.unregister(engine);
+        await delay(500 + durations() * 1_000);
+        site.register(engine, "ready");
+    }
+
     async function pause(entry: EntryProcess): Promise<void> {
         entry.signal("SIGSTOP");
         await delay(200 + durations() * 1_500);
@@ -355,7 +381,25 @@
         random =>
             exclusiveFault(pickOne(random, site.entries), "SIGTERM", entry => restartAfterSignal(entry, "SIGTERM")),
         random => exclusiveFault(pickOne(random, site.entries), "SIGHUP", async entry => entry.signal("SIGHUP")),
+        faultOfAll("SIGTERM of all entries in turn", async (entry, index) => {
+            await delay(index * (200 + durations() * 800));
+            await restartAfterSignal(entry, "SIGTERM");
+        }),
+        random => exclusiveFault(pickOne(random, site.entries), "SIGTERM while starting", stopWhileStarting),
         () => exclusiveFault(hooks, "key withdrawn", async () => hooks.withdrawKey()),
+        () =>
+            exclusiveFault(hooks.publishAgain, "desired states in quick succession", async () => {
+                for (let change = 0; change < 4; change++) {
+                    hooks.publishAgain();
+                    await delay(durations() * 300);
+                }
+            }),
+        random =>
+            exclusiveFault(
+                pickOne(random, site.engines.filter(({ stage }) => stage !== "prefill")),
+                "engine leaves and returns",
+                leaveAndReturn,
+            ),
         random => {
             const engine = pickOne(random, site.engines.filter(({ stage }) => stage !== "prefill"));
             return exclusiveFault(engine, "engine draining", async draining => {
@@ -368,7 +412,7 @@
     const unplanned: readonly FaultFactory[] = [
         random =>
             exclusiveFault(pickOne(random, site.entries), "SIGKILL", entry => restartAfterSignal(entry, "SIGKILL")),
-        killAll,
+        faultOfAll("SIGKILL of all entries", entry => restartAfterSignal(entry, "SIGKILL")),
         random => exclusiveFault(pickOne(random, site.entries), "SIGSTOP", pause),
         random =>
             exclusiveFault(
