Streams: events must be in order, before and after a take-up

Cause: the relay never compared ids, neither within a response nor between the parts of a resumed stream, and accepted a take-up for its status 200 alone. A stream without ids that broke off after events were passed on began anew.

Mend: src/forwarding/eventOrder.ts scans the bytes of a stream once. Ids that are decimal numbers must increase; an event that does not, one without an id in a continuation, and lines that are neither fields nor comments end the stream there: it goes on at another engine after the last id where its route allows it, else it breaks off. Only complete events are passed on, on all routes. A take-up needs the content type of the first response.

Ruled out: errors that an entry writes into a running stream (it closes the connection); responses glued into a chunked body (the parser fails); statuses other than 200, encodings, missing seals and answers to other requests (never passed on).

--- a/scripts/outcomesPage.ts
+++ b/scripts/outcomesPage.ts
@@ -48,8 +48,8 @@
 - \`unreachable\`: nothing was delivered. \`notExecuted\`: the engine says that it did not run the request (also 421).
 - \`interrupted\`: the answer was lost, broke off or was not the request's own. \`timeout\`: no answer in time.
 
-A stream that breaks off after its first event goes on at another engine where its route allows it; else its connection
-ends without looking complete.
+A stream that breaks off after its first event, or whose events are out of order, goes on at another engine where its route
+allows it; else its connection ends without looking complete.
 
 | Stage | Failure | May have run | Others are well | All fail alike |
 |---|---|---|---|---|
--- a/src/forwarding/eventStream.ts
+++ b/src/forwarding/eventStream.ts
@@ -1,14 +1,14 @@
 /**
  * Boundaries of events in a stream of server-sent events, found in its bytes without parsing the events.
  *
- * An event ends with a blank line. Lines end with LF, CR LF or CR.
+ * An event ends with a blank line. Lines end with LF, CR LF or CR. The order of events is checked in `eventOrder.ts`.
  */
 
 import type { BodyFraming } from "../engines/enginePort.js";
 import type { RouteKind } from "../routes/desiredState.js";
 
-const lineFeed = 0x0a;
-const carriageReturn = 0x0d;
+export const lineFeed = 0x0a;
+export const carriageReturn = 0x0d;
 /** Bytes before a position that decide whether an event ends there. */
 const boundaryBytes = 3;
 const idField = "id:";
@@ -40,9 +40,14 @@
 
 /** Whether a successful response is a stream of events: by its content type, given in raw headers, or by its route. */
 export function isEventStream(routeKind: RouteKind, headers: readonly string[]): boolean {
+    return routeKind === "stream" || mediaTypeOf(headers) === eventStreamType;
+}
+
+/** Media type in lower case, without parameters; empty if raw headers name none. */
+export function mediaTypeOf(headers: readonly string[]): string {
     const nameIndex = headers.findIndex((name, index) => index % 2 === 0 && name.toLowerCase() === "content-type");
     const contentType = nameIndex < 0 ? "" : headers[nameIndex + 1] ?? "";
-    return routeKind === "stream" || contentType.toLowerCase().startsWith(eventStreamType);
+    return (contentType.split(";")[0] ?? "").trim().toLowerCase();
 }
 
 /**
@@ -54,16 +59,6 @@
     return headers.filter((text, index) => !isLength(index - index % 2));
 }
 
-/** Number of bytes up to the end of the last complete event; the search covers the bytes from `from` on. */
-export function completeEventsLength(bytes: Uint8Array, from = 0): number {
-    for (let position = bytes.length; position > from; position--) {
-        if (endsWithBlankLine(bytes, position)) {
-            return position;
-        }
-    }
-    return 0;
-}
-
 /** The value of the last `id` field in a sequence of complete events. */
 export function lastEventIdIn(events: Buffer): string | undefined {
     let fieldStart = events.lastIndexOf(idField);
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -15,12 +15,11 @@
 import { isConnectionRefused, provesNotRun } from "../engines/enginePort.js";
 import type { BodyFraming, EngineError, EngineRecord, EngineResponse } from "../engines/enginePort.js";
 import type { EngineRun } from "../quarantine/engineRuns.js";
-import type { RouteKind } from "../routes/desiredState.js";
 import { rankForPlain } from "../scheduling/placement.js";
 import type { ForwardContext } from "./context.js";
 import { discardBody } from "./discardBody.js";
+import { createEventOrder } from "./eventOrder.js";
 import { createEventBoundaryTracker, findMissingEnd, isEventStream, withoutLength } from "./eventStream.js";
-import type { EventBoundaryTracker } from "./eventStream.js";
 import { answered, refuse } from "./forwardRequest.js";
 import type { ForwardOutcome } from "./forwardRequest.js";
 import { endBrokenRun, isQuarantined } from "./quarantineChecks.js";
@@ -240,7 +239,7 @@
         ...request.lastEventId === undefined ? {} : { lastEventId: request.lastEventId },
         signal: limit.signal,
     });
-    const result = sent.isErr ? sent : await bufferBody(sent.value, routed.route.kind);
+    const result = sent.isErr ? sent : await bufferBody(sent.value, routed);
     if (sent.isErr) {
         limit.end();
     }
@@ -320,25 +319,25 @@
 }
 
 /**
- * Reads the whole body into memory; fails if the engine breaks off the response. Of a body larger than
- * `maxBufferedBytes` the rest is passed on as it arrives, and ends at the attempt's timeout at the latest.
+ * Reads the whole body into memory; fails if the engine breaks off the response, or sends events out of order. Of a body
+ * larger than `maxBufferedBytes` the rest is passed on as it arrives, and ends at the attempt's timeout at the latest.
  */
 async function bufferBody(
     response: EngineResponse,
-    routeKind: RouteKind,
+    { request, route }: RoutedRequest,
 ): Promise<Result<EngineResponse, EngineError>> {
     const { body, framing, headers, status } = response;
-    const isChecked = status === successStatus && isEventStream(routeKind, headers);
-    const boundaries = isChecked ? createEventBoundaryTracker() : undefined;
+    const isChecked = status === successStatus && isEventStream(route.kind, headers);
+    const check = isChecked ? createStreamCheck(request.lastEventId, route.kind === "stream", framing) : undefined;
     const chunks: Buffer[] = [];
     let sizeBytes = 0;
     try {
         for await (const chunk of body.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
             chunks.push(chunk);
-            boundaries?.push(chunk);
+            check?.push(chunk);
             sizeBytes += chunk.length;
             if (sizeBytes > maxBufferedBytes) {
-                const whole = Readable.from(concatenate(chunks, body, boundaries, framing), {
+                const whole = Readable.from(concatenate(chunks, body, check), {
                     objectMode: false,
                     highWaterMark: readAheadBytes,
                 });
@@ -347,9 +346,10 @@
                 return Result.ok({ ...response, headers: isChecked ? withoutLength(headers) : headers, body: whole });
             }
         }
-        failIfIncomplete(boundaries, framing);
+        check?.end();
     }
     catch (error) {
+        discardBody(body);
         return Result.err({ kind: "interrupted", cause: `the answer broke off: ${(error as Error).message}` });
     }
     return Result.ok({ ...response, body: Readable.from(chunks.length === 0 ? [] : [Buffer.concat(chunks)]) });
@@ -359,23 +359,38 @@
 async function* concatenate(
     chunks: readonly Buffer[],
     rest: Readable,
-    boundaries: EventBoundaryTracker | undefined,
-    framing: BodyFraming,
+    check: StreamCheck | undefined,
 ): AsyncGenerator<Buffer> {
     yield* chunks;
     for await (const chunk of rest as AsyncIterable<Buffer>) {
-        boundaries?.push(chunk);
+        check?.push(chunk);
         yield chunk;
     }
-    failIfIncomplete(boundaries, framing);
+    check?.end();
 }
 
-/** Throws if the body was a stream of events that ended too early. */
-function failIfIncomplete(boundaries: EventBoundaryTracker | undefined, framing: BodyFraming): void {
-    const missing = boundaries === undefined ? undefined : findMissingEnd(boundaries, framing);
-    if (missing !== undefined) {
-        throw new Error(missing);
-    }
+/** Check of a body that is a stream of events; throws if its events are out of order or it ends too early. */
+interface StreamCheck {
+    readonly push: (chunk: Buffer) => void;
+    readonly end: () => void;
+}
+
+function createStreamCheck(after: string | undefined, isOrdered: boolean, framing: BodyFraming): StreamCheck {
+    const boundaries = createEventBoundaryTracker();
+    const order = createEventOrder(after, isOrdered);
+    const failIf = (fault: string | undefined): void => {
+        if (fault !== undefined) {
+            throw new Error(fault);
+        }
+    };
+    return {
+        push: chunk => {
+            boundaries.push(chunk);
+            order.push(chunk);
+            failIf(order.fault());
+        },
+        end: () => failIf(findMissingEnd(boundaries, framing)),
+    };
 }
 
 function logRetry(context: ForwardContext, routed: RoutedRequest, { engine, result }: Attempt): void {
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -1,22 +1,23 @@
 /**
  * Relays a stream of events to the caller, and resumes a broken one at another engine where the route allows it.
  *
- * A stream is broken if the engine's response breaks off, and also if it ends inside an event, however it is framed. A
- * stream that may be resumed is relayed in complete events only: the incomplete event is dropped, and the stream resumes
- * after the id of the last complete one; the caller sees one response with the first engine's status and headers. Any
- * other stream is relayed as it arrives, and breaks off for the caller too.
+ * A stream is broken if the engine's response breaks off, if it ends inside an event, however it is framed, and if its
+ * events are out of order. Only complete events that are in order are relayed: an incomplete event is dropped, and the
+ * stream resumes after the id of the last one that was relayed; the caller sees one response with the first engine's
+ * status and headers. A stream that can't be resumed breaks off for the caller too.
  */
 
 import { finished, Readable } from "node:stream";
 import type { BodyFraming, EngineResponse } from "../engines/enginePort.js";
 import type { ForwardContext } from "./context.js";
 import { discardBody } from "./discardBody.js";
+import { createEventOrder } from "./eventOrder.js";
 import {
-    completeEventsLength,
     createEventBoundaryTracker,
     findMissingEnd,
     isEventStream,
     lastEventIdIn,
+    mediaTypeOf,
     withoutLength,
 } from "./eventStream.js";
 import type { EventBoundaryTracker } from "./eventStream.js";
@@ -75,13 +76,12 @@
     onStreamChange: (stream: RunningStream) => void,
 ): Promise<void> {
     const { request, route } = generation;
-    const relayEvents = route.isResumable ? relayCompleteEvents : relayChunks;
-    const position: StreamPosition = { lastEventId: request.lastEventId };
+    const state: RelayState = { lastEventId: request.lastEventId, isLastNamed: true };
     let stream: RunningStream | undefined = first;
     for (let engineCount = 1; stream !== undefined; engineCount++) {
         onStreamChange(stream);
         stream.response.body.on("data", stream.run.recordOutput);
-        const failure = await relayEvents(stream, relayed, position);
+        const failure = await relayEvents(generation, stream, relayed, state);
         stream.end();
         if (failure === undefined) {
             void stream.run.end("completed");
@@ -91,7 +91,7 @@
         const isCallerWaiting = !relayed.destroyed && !request.callerDisconnected.aborted;
         const runEnded = stream.run.end(isCallerWaiting ? "broken" : "abandoned");
         logBreak(context, generation, stream, failure);
-        if (!route.isResumable || !await stream.isVersionKnown) {
+        if (!route.isResumable || !state.isLastNamed || !await stream.isVersionKnown) {
             relayed.destroy(failure);
             return;
         }
@@ -111,14 +111,10 @@
             requestId: request.requestId,
             engine: stream.engine.id,
             softwareVersion: stream.engine.softwareVersion,
-            lastEventId: position.lastEventId,
+            lastEventId: state.lastEventId,
             cause: failure.message,
         });
-        stream = await resumeStream(
-            context,
-            { ...generation, softwareVersion: first.engine.softwareVersion },
-            position.lastEventId,
-        );
+        stream = await resumeStream(context, generation, first, state.lastEventId);
     }
     relayed.destroy(new Error("the engine broke off the stream and it could not be resumed at another engine"));
 }
@@ -146,70 +142,94 @@
 async function resumeStream(
     context: ForwardContext,
     generation: GenerationRequest,
+    first: RunningStream,
     lastEventId: string | undefined,
 ): Promise<RunningStream | undefined> {
-    const started = await startStream(context, generation, lastEventId);
+    const { softwareVersion } = first.engine;
+    const started = await startStream(context, { ...generation, softwareVersion }, lastEventId);
     if (started.kind === "refused") {
         return undefined;
     }
-    if (started.stream.response.status !== successStatus) {
-        discardBody(started.stream.response.body);
-        started.stream.end();
-        return undefined;
+    const { stream } = started;
+    const cause = findTakeUpFault(first.response, stream.response);
+    if (cause === undefined) {
+        return stream;
     }
-    return started.stream;
+    context.log.decision("a stream does not go on at an engine", {
+        requestId: generation.request.requestId,
+        engine: stream.engine.id,
+        cause,
+    });
+    discardBody(stream.response.body);
+    stream.end();
+    return undefined;
 }
 
-interface StreamPosition {
+/** Why a response does not go on with the stream that `first` began; `undefined` if it may. */
+function findTakeUpFault(first: EngineResponse, response: EngineResponse): string | undefined {
+    if (response.status !== successStatus) {
+        return `the engine answered the take-up with status ${response.status}`;
+    }
+    const mediaType = mediaTypeOf(response.headers);
+    return mediaType === mediaTypeOf(first.headers)
+        ? undefined
+        : `the engine answered the take-up with content of type "${mediaType}"`;
+}
+
+/** How far a stream was relayed. */
+interface RelayState {
     /** Id of the last complete event that was relayed. */
     lastEventId: string | undefined;
+    /** Whether no event without an id was relayed after that one; the stream can't be resumed after such an event. */
+    isLastNamed: boolean;
 }
 
-/** Relays a stream until it ends; resolves to the error that broke it off, or to `undefined` if it is complete. */
-type EventRelay = (stream: RunningStream, relayed: Readable, position: StreamPosition) => Promise<Error | undefined>;
-
-/** Relays complete events and records the id of the last one. */
-const relayCompleteEvents: EventRelay = ({ response: { body, framing } }, relayed, position) => {
-    let partialEvent: Buffer = Buffer.alloc(0);
+/**
+ * Relays a stream until it ends; resolves to the error that broke it off, or to `undefined` if it is complete. An event
+ * that is too large to be kept is passed on as it arrives unless the stream may be resumed.
+ */
+function relayEvents(
+    { route }: GenerationRequest,
+    { response: { body, framing } }: RunningStream,
+    relayed: Readable,
+    state: RelayState,
+): Promise<Error | undefined> {
     const boundaries = createEventBoundaryTracker();
+    const order = createEventOrder(state.lastEventId, route.kind === "stream");
+    let partialEvent: Buffer = Buffer.alloc(0);
+    const relay = (bytes: Buffer): void => {
+        if (!relayed.push(bytes)) {
+            body.pause();
+        }
+    };
     body.on("data", (chunk: Buffer) => {
         boundaries.push(chunk);
-        const searchedBytes = partialEvent.length;
-        const pending = searchedBytes === 0 ? chunk : Buffer.concat([partialEvent, chunk]);
-        const eventsLength = completeEventsLength(pending, searchedBytes);
+        const inOrderBytes = order.push(chunk);
+        const pending = partialEvent.length === 0 ? chunk : Buffer.concat([partialEvent, chunk]);
+        const eventsLength = inOrderBytes === 0 ? 0 : partialEvent.length + inOrderBytes;
         partialEvent = pending.subarray(eventsLength);
-        if (eventsLength === 0) {
-            if (partialEvent.length > maxEventBytes) {
-                body.destroy(new Error(`an event is larger than ${maxEventBytes} bytes`));
-            }
-            return;
+        if (eventsLength > 0) {
+            const events = pending.subarray(0, eventsLength);
+            state.lastEventId = order.lastNumber() === undefined
+                ? lastEventIdIn(events) ?? state.lastEventId
+                : String(order.lastNumber());
+            state.isLastNamed = order.isLastNamed();
+            relay(events);
         }
-        const events = pending.subarray(0, eventsLength);
-        position.lastEventId = lastEventIdIn(events) ?? position.lastEventId;
-        if (!relayed.push(events)) {
-            body.pause();
+        const fault = order.fault();
+        if (fault !== undefined) {
+            body.destroy(new Error(fault));
         }
-    });
-    return endOf(body, boundaries, framing).then(failure => {
-        if (failure === undefined && partialEvent.length > 0) {
-            // Line ends after the last event.
-            relayed.push(partialEvent);
+        else if (partialEvent.length > maxEventBytes && route.isResumable) {
+            body.destroy(new Error(`an event is larger than ${maxEventBytes} bytes`));
         }
-        return failure;
-    });
-};
-
-/** Relays the bytes as they arrive. */
-const relayChunks: EventRelay = ({ response: { body, framing } }, relayed) => {
-    const boundaries = createEventBoundaryTracker();
-    body.on("data", (chunk: Buffer) => {
-        boundaries.push(chunk);
-        if (!relayed.push(chunk)) {
-            body.pause();
+        else if (partialEvent.length > maxEventBytes) {
+            relay(partialEvent);
+            partialEvent = Buffer.alloc(0);
         }
     });
     return endOf(body, boundaries, framing);
-};
+}
 
 function endOf(body: Readable, boundaries: EventBoundaryTracker, framing: BodyFraming): Promise<Error | undefined> {
     return new Promise(resolve => {
