Streams: a take-up that fails is sent to the next engine that the route allows

Callers saw a stream break off at the first engine that answered the take-up with an error, another type of content or not at all, although their route allowed further engines and the retry budget was there.

Cause: resumeStream tried once, and its failure ended the response.

Mend: engines that may have run the request count against the route's attempts, as the broken ones do, and each further call draws on the retry budget. An engine that ended with the request is the last one, since the request may be the cause: startStream hands out what is found about an engine that broke off before its response.

Remains: with half of a service's engines ejected, all are used again, so the next engine can be one that failed before.

--- a/scripts/outcomesPage.ts
+++ b/scripts/outcomesPage.ts
@@ -49,7 +49,8 @@
 - \`interrupted\`: the answer was lost, broke off or was not the request's own. \`timeout\`: no answer in time.
 
 A stream that breaks off after its first event, or whose events are out of order, goes on at another engine where its route
-allows it; else its connection ends without looking complete.
+allows it, and at a further one if that engine's answer does not go on with it; else its connection ends without looking
+complete.
 
 | Stage | Failure | May have run | Others are well | All fail alike |
 |---|---|---|---|---|
--- a/src/forwarding/forward.test.ts
+++ b/src/forwarding/forward.test.ts
@@ -313,6 +313,45 @@
     });
 });
 
+describe("a take-up that its engine leaves without a response", () => {
+    // The request may have ended the engine, so it is not tried on the next one.
+    it.each([
+        { name: "that runs on", hasEnded: false, sends: ["send m-1", "send m-2", "send m-3"] },
+        { name: "that has ended", hasEnded: true, sends: ["send m-1", "send m-2"] },
+    ])("goes to another engine after one $name", async ({ hasEnded, sends }) => {
+        const broken = async function* broken(): AsyncGenerator<Buffer> {
+            yield Buffer.from("id: 1\ndata: a\n\n");
+            throw new Error("reset");
+        };
+        const route = routeOf("stream", { isResumable: true, maxEngines: 3 });
+        const harness = createForwardingHarness(desiredStateOf([route]), {
+            send: async ({ id }) => {
+                if (id === "m-2") {
+                    return errorOf("interrupted");
+                }
+                return id === "m-1"
+                    ? Result.ok({
+                        engine: id,
+                        status: 200,
+                        headers: [],
+                        framing: "chunks",
+                        body: Readable.from(broken()),
+                    })
+                    : responseOf(200, ["id: 2\ndata: b\n\n"]);
+            },
+            report: async ({ id }) =>
+                hasEnded && id === "m-2"
+                    ? Result.err({ kind: "unreachable", cause: "refused", isConnectionRefused: true })
+                    : errorOf("notExecuted"),
+        });
+        harness.load([...modelEngines, engineRecord("m-3", "decode"), engineRecord("m-4", "decode")]);
+        const result = await forward(harness.context, requestTo("/stream/x", { size: smallSize }));
+        const text = "200 id: 1\ndata: a\n\n";
+        expect(await describeOutcome(result)).toBe(hasEnded ? `${text}, broken` : `${text}id: 2\ndata: b\n\n`);
+        expect(harness.calls.filter(call => call.startsWith("send "))).toEqual(sends);
+    });
+});
+
 describe("engines that do not respond", () => {
     it("prefills the prompt at another engine when the first takes far longer than expected", async () => {
         const noResponse = (signal: AbortSignal): Promise<Result<never, EngineError>> =>
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -42,12 +42,17 @@
     readonly end: () => void;
 }
 
+/** Why an engine did not accept a request, and what is found out about an engine that broke off. */
+type StartError = EngineError & Pick<StartFailure, "isSuspected">;
+
 /** A request that an engine has accepted. */
 type StartedRun = Pick<RunningStream, "response" | "run" | "isVersionKnown">;
 
 interface StartFailure {
     readonly kind: "refused";
     readonly outcome: ForwardOutcome;
+    /** Whether the last engine ended with the request, if it broke off before its response. */
+    readonly isSuspected?: Promise<boolean> | undefined;
 }
 export type StartResult = { readonly kind: "started"; readonly stream: RunningStream; } | StartFailure;
 
@@ -113,7 +118,7 @@
         allocation.value.end();
         outcome = refusalFor(context, generation, allocation.value.engine, result.error);
         if (!provesNotRun(result.error) || request.callerDisconnected.aborted) {
-            return { kind: "refused", outcome };
+            return { kind: "refused", outcome, isSuspected: result.error.isSuspected };
         }
         if (isQuarantined(context, generation) || mayOutlastEntry(context, generation)) {
             continue;
@@ -156,7 +161,7 @@
     generation: GenerationRequest,
     allocation: DecodeAllocation,
     lastEventId: string | undefined,
-): Promise<Result<StartedRun, EngineError>> {
+): Promise<Result<StartedRun, StartError>> {
     const { request, service, callBudget } = generation;
     if (isQuarantined(context, generation)) {
         releaseResources(context, allocation, undefined);
@@ -222,10 +227,8 @@
     if (sent.isOk || sent.error.kind !== "unreachable") {
         callBudget.recordCall();
     }
-    if (sent.isErr) {
-        const isBroken = sent.error.kind === "interrupted" && !request.callerDisconnected.aborted;
-        void run.end(isBroken ? "broken" : "abandoned");
-    }
+    const isBroken = sent.isErr && sent.error.kind === "interrupted" && !request.callerDisconnected.aborted;
+    const isSuspected = sent.isErr ? run.end(isBroken ? "broken" : "abandoned") : undefined;
     if (request.callerDisconnected.aborted) {
         return sent.map(response => ({ response, run, isVersionKnown: Promise.resolve(false) }));
     }
@@ -236,7 +239,7 @@
         // A rejection counts as unresponsive too: an engine that grants a reservation and then rejects its request does
         // not match its registry record.
         context.health.recordNoResponse(allocation.engine.id, sent.error);
-        return Result.err(sent.error);
+        return Result.err({ ...sent.error, isSuspected });
     }
     context.health.recordOutcome(allocation.engine.id, sent.value.status >= serverError ? "failed" : "succeeded");
     if (!generation.route.isResumable) {
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -8,7 +8,7 @@
  */
 
 import { finished, Readable } from "node:stream";
-import type { BodyFraming, EngineResponse } from "../engines/enginePort.js";
+import type { BodyFraming, EngineRecord, EngineResponse } from "../engines/enginePort.js";
 import type { ForwardContext } from "./context.js";
 import { discardBody } from "./discardBody.js";
 import { createEventOrder } from "./eventOrder.js";
@@ -26,6 +26,7 @@
 import type { GenerationRequest } from "./routedRequest.js";
 
 const successStatus = 200;
+const unknownOutcomeStatus = 502;
 /** Limit on an incomplete event, which is kept in memory: a faulty engine may send bytes that never end an event. */
 const maxEventBytes = 262_144;
 /** Limit on what is buffered for a slow caller: a few events. */
@@ -76,9 +77,10 @@
     onStreamChange: (stream: RunningStream) => void,
 ): Promise<void> {
     const { request, route } = generation;
-    const state: RelayState = { lastEventId: request.lastEventId, isLastNamed: true };
+    const state: RelayState = { lastEventId: request.lastEventId, isLastNamed: true, engineCount: 1 };
+    const isCallerWaiting = (): boolean => !relayed.destroyed && !request.callerDisconnected.aborted;
     let stream: RunningStream | undefined = first;
-    for (let engineCount = 1; stream !== undefined; engineCount++) {
+    while (stream !== undefined) {
         onStreamChange(stream);
         stream.response.body.on("data", stream.run.recordOutput);
         const failure = await relayEvents(generation, stream, relayed, state);
@@ -88,33 +90,24 @@
             relayed.push(endOfStream);
             return;
         }
-        const isCallerWaiting = !relayed.destroyed && !request.callerDisconnected.aborted;
-        const runEnded = stream.run.end(isCallerWaiting ? "broken" : "abandoned");
+        const wasCallerWaiting = isCallerWaiting();
+        const runEnded = stream.run.end(wasCallerWaiting ? "broken" : "abandoned");
         logBreak(context, generation, stream, failure);
         if (!route.isResumable || !state.isLastNamed || !await stream.isVersionKnown) {
             relayed.destroy(failure);
             return;
         }
-        if (isCallerWaiting) {
+        if (wasCallerWaiting) {
             // Ejects the engine, so that the stream is not resumed at the one that has just broken it off.
             context.health.recordOutcome(stream.engine.id, "unresponsive");
         }
-        const isSuspected = await runEnded;
-        if (
-            isSuspected || !isCallerWaiting || engineCount >= route.maxEngines
-            || !generation.callBudget.tryAcquireCall()
-        ) {
+        if (await runEnded) {
             break;
         }
-        context.metrics.count("resumes", generation.service);
-        context.log.decision("continuing a broken stream at another engine", {
-            requestId: request.requestId,
-            engine: stream.engine.id,
-            softwareVersion: stream.engine.softwareVersion,
-            lastEventId: state.lastEventId,
+        stream = await resumeStream(context, generation, first, state, isCallerWaiting, {
+            engine: stream.engine,
             cause: failure.message,
         });
-        stream = await resumeStream(context, generation, first, state.lastEventId);
     }
     relayed.destroy(new Error("the engine broke off the stream and it could not be resumed at another engine"));
 }
@@ -139,29 +132,58 @@
     });
 }
 
+/** Why a stream did not go on at an engine. */
+interface StreamBreak {
+    readonly engine: EngineRecord;
+    readonly cause: string;
+}
+
+/**
+ * Resumes a stream at other engines, as many as the route allows, until one goes on with it; `undefined` if none does. An
+ * engine that ended with the request is the last one, since the request may be the cause.
+ */
 async function resumeStream(
     context: ForwardContext,
     generation: GenerationRequest,
     first: RunningStream,
-    lastEventId: string | undefined,
+    state: RelayState,
+    isCallerWaiting: () => boolean,
+    broken: StreamBreak,
 ): Promise<RunningStream | undefined> {
+    const { request, route, service, callBudget } = generation;
     const { softwareVersion } = first.engine;
-    const started = await startStream(context, { ...generation, softwareVersion }, lastEventId);
-    if (started.kind === "refused") {
-        return undefined;
-    }
-    const { stream } = started;
-    const cause = findTakeUpFault(first.response, stream.response);
-    if (cause === undefined) {
-        return stream;
+    let last = broken;
+    while (isCallerWaiting() && state.engineCount < route.maxEngines && callBudget.tryAcquireCall()) {
+        state.engineCount += 1;
+        context.metrics.count("resumes", service);
+        context.log.decision("continuing a broken stream at another engine", {
+            requestId: request.requestId,
+            engine: last.engine.id,
+            softwareVersion: last.engine.softwareVersion,
+            lastEventId: state.lastEventId,
+            cause: last.cause,
+        });
+        const started = await startStream(context, { ...generation, softwareVersion }, state.lastEventId);
+        if (started.kind === "refused") {
+            const { outcome, isSuspected } = started;
+            const mayGoOn = outcome.kind === "refused" && outcome.refusal.status === unknownOutcomeStatus;
+            if (!mayGoOn || await isSuspected) {
+                return undefined;
+            }
+            last = { ...last, cause: outcome.refusal.cause };
+            continue;
+        }
+        const { stream } = started;
+        const cause = findTakeUpFault(first.response, stream.response);
+        if (cause === undefined) {
+            return stream;
+        }
+        discardBody(stream.response.body);
+        stream.end();
+        void stream.run.end("abandoned");
+        context.health.recordOutcome(stream.engine.id, "unresponsive");
+        last = { engine: stream.engine, cause };
     }
-    context.log.decision("a stream does not go on at an engine", {
-        requestId: generation.request.requestId,
-        engine: stream.engine.id,
-        cause,
-    });
-    discardBody(stream.response.body);
-    stream.end();
     return undefined;
 }
 
@@ -182,6 +204,8 @@
     lastEventId: string | undefined;
     /** Whether no event without an id was relayed after that one; the stream can't be resumed after such an event. */
     isLastNamed: boolean;
+    /** Number of engines that may have run the request. */
+    engineCount: number;
 }
 
 /**
--- a/test/streamOrder.test.ts
+++ b/test/streamOrder.test.ts
@@ -184,6 +184,7 @@
 const broken: Answer = { text: begun, close: "end" };
 const takeUpHeaders = { "last-event-id": "2", resumes: beganRequestId };
 const resumableRoute = routeOf("stream", { isResumable: true });
+const resumableAtThree = { ...resumableRoute, maxEngines: 3 };
 const plainService = [{ service: "desk", weight: 1 }];
 
 describe("an answer to a take-up within a response", () => {
@@ -194,6 +195,14 @@
         expect(lastEventIds).toEqual([undefined, "2"]);
     });
 
+    // A stream broke off at the first unsound answer, although its route allowed further engines.
+    it.each(takeUpCases.filter(({ isWhole }) => !isWhole))("$name, then goes on elsewhere", async each => {
+        const { received, lastEventIds } = await play(resumableAtThree, [broken, each.answer]);
+        const lastPassed = each.passes.match(/^id: (\d+)/gmu)?.at(-1)?.slice("id: ".length) ?? "2";
+        expect(received).toBe(`200 ${begun}${each.passes}${eventsAfter(lastPassed)}`);
+        expect(lastEventIds).toEqual([undefined, "2", lastPassed]);
+    });
+
     it("a rejection that proves that nothing ran is no further engine", async () => {
         const rejection: Answer = {
             statusLine: "HTTP/1.1 503 Service Unavailable",
