Generations: an attempt that begins anew is not joined to the text before it

Sites with agents.

A caller could get text of two runs, or a text without its end, as a complete generation. The end event's number of tokens was not read.

Mend: indices start at emittedTokens, as messages.ts says now. A new token or an end after a token of an earlier attempt fails the attempt as broken, so that it is resumed elsewhere; so does an end that counts more tokens than came.

Ruled out: failing at the repeated token itself. Gaps were found before.

--- a/src/endpoint/messages.ts
+++ b/src/endpoint/messages.ts
@@ -131,10 +131,12 @@
     z.object({ type: z.literal("refused"), reason: refusalReasonSchema, load: loadSchema }),
     /** Names the software version of the engine that writes the tokens. */
     z.object({ type: z.literal("imported"), softwareVersion: z.string().min(1) }),
+    /** Indices start at the request's `emittedTokens` and are consecutive; a token may be sent again. */
     z.object({ type: z.literal("token"), index: nonNegativeInteger, text: z.string() }),
     z.object({
         type: z.literal("end"),
         finishReason: z.enum(["stop", "length"]),
+        /** Number of output tokens, those of earlier attempts included. */
         completionTokens: nonNegativeInteger,
     }),
     z.object({ type: z.literal("failed"), stage: z.enum(["import", "decode"]), cause: z.string(), endpointEndedAtMs }),
--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -67,6 +67,7 @@
 
 const startDecodeTimeoutMs = 2_000;
 const responseMarginMs = 2_000;
+const earlierTokensCause = "it sent tokens of an earlier attempt again";
 /** Transfers of one prefill's KV cache, the first one included. */
 const maxTransfers = 3;
 
@@ -306,6 +307,8 @@
     const { candidate, stream } = reservation;
     const startedAtMs = context.clock.monotonicMs();
     let nextIndex = input.emittedTokens;
+    // What follows such tokens belongs to another run. The events up to there still tell whether the endpoint has ended.
+    let repeatsEarlierTokens = false;
     while (true) {
         const event = await stream.next(context.timeouts.tokenGapMs);
         if (event.isErr) {
@@ -314,18 +317,28 @@
         if (event.value.type === "token") {
             const { index, text } = event.value;
             if (index < nextIndex) {
+                repeatsEarlierTokens ||= index < input.emittedTokens;
                 context.counters.add("requests.duplicateTokensDropped");
                 continue;
             }
             if (index > nextIndex) {
                 return fail("decode", "broken", `${candidate.endpoint}: token ${nextIndex} is missing`);
             }
+            if (repeatsEarlierTokens) {
+                return fail("decode", "broken", `${candidate.endpoint}: ${earlierTokensCause}`);
+            }
             nextIndex += 1;
             if (!input.onToken(text, softwareVersion)) {
                 return Result.ok({ finishReason: "stop", promptTokens });
             }
         }
         else if (event.value.type === "end") {
+            if (repeatsEarlierTokens) {
+                return fail("decode", "broken", `${candidate.endpoint}: ${earlierTokensCause}`);
+            }
+            if (event.value.completionTokens > nextIndex) {
+                return fail("decode", "broken", `${candidate.endpoint}: token ${nextIndex} is missing before the end`);
+            }
             return Result.ok({ finishReason: event.value.finishReason, promptTokens });
         }
         else {
