--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -1,22 +1,23 @@
 /**
  * Relays a stream of events to the caller, and resumes a broken one at another engine where the route allows it.
  *
- * A stream is broken if the engine's response breaks off, and also if it ends inside an event, however it is framed. A
- * stream that may be resumed is relayed in complete events only: the incomplete event is dropped, and the stream resumes
- * after the id of the last complete one; the caller sees one response with the first engine's status and headers. Any
- * other stream is relayed as it arrives, and breaks off for the caller too.
+ * A stream is broken if the engine's response breaks off, if it ends inside an event, however it is framed, and if its
+ * events are out of order. Only complete events that are in order are relayed: an incomplete event is dropped, and the
+ * stream resumes after the id of the last one that was relayed; the caller sees one response with the first engine's
+ * status and headers. A stream that can't be resumed breaks off for the caller too.
  */
 
 import { finished, Readable } from "node:stream";
-import type { BodyFraming, EngineResponse } from "../engines/enginePort.js";
+import type { BodyFraming, EngineRecord, EngineResponse } from "../engines/enginePort.js";
 import type { ForwardContext } from "./context.js";
 import { discardBody } from "./discardBody.js";
+import { createEventOrder } from "./eventOrder.js";
 import {
-    completeEventsLength,
     createEventBoundaryTracker,
     findMissingEnd,
     isEventStream,
     lastEventIdIn,
+    mediaTypeOf,
     withoutLength,
 } from "./eventStream.js";
 import type { EventBoundaryTracker } from "./eventStream.js";
@@ -25,6 +26,7 @@
 import type { GenerationRequest } from "./routedRequest.js";
 
 const successStatus = 200;
+const unknownOutcomeStatus = 502;
 /** Limit on an incomplete event, which is kept in memory: a faulty engine may send bytes that never end an event. */
 const maxEventBytes = 262_144;
 /** Limit on what is buffered for a slow caller: a few events. */
@@ -75,50 +77,37 @@
     onStreamChange: (stream: RunningStream) => void,
 ): Promise<void> {
     const { request, route } = generation;
-    const relayEvents = route.isResumable ? relayCompleteEvents : relayChunks;
-    const position: StreamPosition = { lastEventId: request.lastEventId };
+    const state: RelayState = { lastEventId: request.lastEventId, isLastNamed: true, engineCount: 1 };
+    const isCallerWaiting = (): boolean => !relayed.destroyed && !request.callerDisconnected.aborted;
     let stream: RunningStream | undefined = first;
-    for (let engineCount = 1; stream !== undefined; engineCount++) {
+    while (stream !== undefined) {
         onStreamChange(stream);
         stream.response.body.on("data", stream.run.recordOutput);
-        const failure = await relayEvents(stream, relayed, position);
+        const failure = await relayEvents(generation, stream, relayed, state);
         stream.end();
         if (failure === undefined) {
             void stream.run.end("completed");
             relayed.push(endOfStream);
             return;
         }
-        const isCallerWaiting = !relayed.destroyed && !request.callerDisconnected.aborted;
-        const runEnded = stream.run.end(isCallerWaiting ? "broken" : "abandoned");
+        const wasCallerWaiting = isCallerWaiting();
+        const runEnded = stream.run.end(wasCallerWaiting ? "broken" : "abandoned");
         logBreak(context, generation, stream, failure);
-        if (!route.isResumable || !await stream.isVersionKnown) {
+        if (!route.isResumable || !state.isLastNamed || !await stream.isVersionKnown) {
             relayed.destroy(failure);
             return;
         }
-        if (isCallerWaiting) {
+        if (wasCallerWaiting) {
             // Ejects the engine, so that the stream is not resumed at the one that has just broken it off.
             context.health.recordOutcome(stream.engine.id, "unresponsive");
         }
-        const isSuspected = await runEnded;
-        if (
-            isSuspected || !isCallerWaiting || engineCount >= route.maxEngines
-            || !generation.callBudget.tryAcquireCall()
-        ) {
+        if (await runEnded) {
             break;
         }
-        context.metrics.count("resumes", generation.service);
-        context.log.decision("continuing a broken stream at another engine", {
-            requestId: request.requestId,
-            engine: stream.engine.id,
-            softwareVersion: stream.engine.softwareVersion,
-            lastEventId: position.lastEventId,
+        stream = await resumeStream(context, generation, first, state, isCallerWaiting, {
+            engine: stream.engine,
             cause: failure.message,
         });
-        stream = await resumeStream(
-            context,
-            { ...generation, softwareVersion: first.engine.softwareVersion },
-            position.lastEventId,
-        );
     }
     relayed.destroy(new Error("the engine broke off the stream and it could not be resumed at another engine"));
 }
@@ -143,73 +132,128 @@
     });
 }
 
+/** Why a stream did not go on at an engine. */
+interface StreamBreak {
+    readonly engine: EngineRecord;
+    readonly cause: string;
+}
+
+/**
+ * Resumes a stream at other engines, as many as the route allows, until one goes on with it; `undefined` if none does. An
+ * engine that ended with the request is the last one, since the request may be the cause.
+ */
 async function resumeStream(
     context: ForwardContext,
     generation: GenerationRequest,
-    lastEventId: string | undefined,
+    first: RunningStream,
+    state: RelayState,
+    isCallerWaiting: () => boolean,
+    broken: StreamBreak,
 ): Promise<RunningStream | undefined> {
-    const started = await startStream(context, generation, lastEventId);
-    if (started.kind === "refused") {
-        return undefined;
+    const { request, route, service, callBudget } = generation;
+    const { softwareVersion } = first.engine;
+    let last = broken;
+    while (isCallerWaiting() && state.engineCount < route.maxEngines && callBudget.tryAcquireCall()) {
+        state.engineCount += 1;
+        context.metrics.count("resumes", service);
+        context.log.decision("continuing a broken stream at another engine", {
+            requestId: request.requestId,
+            engine: last.engine.id,
+            softwareVersion: last.engine.softwareVersion,
+            lastEventId: state.lastEventId,
+            cause: last.cause,
+        });
+        const started = await startStream(context, { ...generation, softwareVersion }, state.lastEventId);
+        if (started.kind === "refused") {
+            const { outcome, isSuspected } = started;
+            const mayGoOn = outcome.kind === "refused" && outcome.refusal.status === unknownOutcomeStatus;
+            if (!mayGoOn || await isSuspected) {
+                return undefined;
+            }
+            last = { ...last, cause: outcome.refusal.cause };
+            continue;
+        }
+        const { stream } = started;
+        const cause = findTakeUpFault(first.response, stream.response);
+        if (cause === undefined) {
+            return stream;
+        }
+        discardBody(stream.response.body);
+        stream.end();
+        void stream.run.end("abandoned");
+        context.health.recordOutcome(stream.engine.id, "unresponsive");
+        last = { engine: stream.engine, cause };
     }
-    if (started.stream.response.status !== successStatus) {
-        discardBody(started.stream.response.body);
-        started.stream.end();
-        return undefined;
+    return undefined;
+}
+
+/** Why a response does not go on with the stream that `first` began; `undefined` if it may. */
+function findTakeUpFault(first: EngineResponse, response: EngineResponse): string | undefined {
+    if (response.status !== successStatus) {
+        return `the engine answered the take-up with status ${response.status}`;
     }
-    return started.stream;
+    const mediaType = mediaTypeOf(response.headers);
+    return mediaType === mediaTypeOf(first.headers)
+        ? undefined
+        : `the engine answered the take-up with content of type "${mediaType}"`;
 }
 
-interface StreamPosition {
+/** How far a stream was relayed. */
+interface RelayState {
     /** Id of the last complete event that was relayed. */
     lastEventId: string | undefined;
+    /** Whether no event without an id was relayed after that one; the stream can't be resumed after such an event. */
+    isLastNamed: boolean;
+    /** Number of engines that may have run the request. */
+    engineCount: number;
 }
 
-/** Relays a stream until it ends; resolves to the error that broke it off, or to `undefined` if it is complete. */
-type EventRelay = (stream: RunningStream, relayed: Readable, position: StreamPosition) => Promise<Error | undefined>;
-
-/** Relays complete events and records the id of the last one. */
-const relayCompleteEvents: EventRelay = ({ response: { body, framing } }, relayed, position) => {
-    let partialEvent: Buffer = Buffer.alloc(0);
+/**
+ * Relays a stream until it ends; resolves to the error that broke it off, or to `undefined` if it is complete. An event
+ * that is too large to be kept is passed on as it arrives unless the stream may be resumed.
+ */
+function relayEvents(
+    { route }: GenerationRequest,
+    { response: { body, framing } }: RunningStream,
+    relayed: Readable,
+    state: RelayState,
+): Promise<Error | undefined> {
     const boundaries = createEventBoundaryTracker();
+    const order = createEventOrder(state.lastEventId, route.kind === "stream");
+    let partialEvent: Buffer = Buffer.alloc(0);
+    const relay = (bytes: Buffer): void => {
+        if (!relayed.push(bytes)) {
+            body.pause();
+        }
+    };
     body.on("data", (chunk: Buffer) => {
         boundaries.push(chunk);
-        const searchedBytes = partialEvent.length;
-        const pending = searchedBytes === 0 ? chunk : Buffer.concat([partialEvent, chunk]);
-        const eventsLength = completeEventsLength(pending, searchedBytes);
+        const inOrderBytes = order.push(chunk);
+        const pending = partialEvent.length === 0 ? chunk : Buffer.concat([partialEvent, chunk]);
+        const eventsLength = inOrderBytes === 0 ? 0 : partialEvent.length + inOrderBytes;
         partialEvent = pending.subarray(eventsLength);
-        if (eventsLength === 0) {
-            if (partialEvent.length > maxEventBytes) {
-                body.destroy(new Error(`an event is larger than ${maxEventBytes} bytes`));
-            }
-            return;
+        if (eventsLength > 0) {
+            const events = pending.subarray(0, eventsLength);
+            state.lastEventId = order.lastNumber() === undefined
+                ? lastEventIdIn(events) ?? state.lastEventId
+                : String(order.lastNumber());
+            state.isLastNamed = order.isLastNamed();
+            relay(events);
         }
-        const events = pending.subarray(0, eventsLength);
-        position.lastEventId = lastEventIdIn(events) ?? position.lastEventId;
-        if (!relayed.push(events)) {
-            body.pause();
+        const fault = order.fault();
+        if (fault !== undefined) {
+            body.destroy(new Error(fault));
         }
-    });
-    return endOf(body, boundaries, framing).then(failure => {
-        if (failure === undefined && partialEvent.length > 0) {
-            // Line ends after the last event.
-            relayed.push(partialEvent);
+        else if (partialEvent.length > maxEventBytes && route.isResumable) {
+            body.destroy(new Error(`an event is larger than ${maxEventBytes} bytes`));
         }
-        return failure;
-    });
-};
-
-/** Relays the bytes as they arrive. */
-const relayChunks: EventRelay = ({ response: { body, framing } }, relayed) => {
-    const boundaries = createEventBoundaryTracker();
-    body.on("data", (chunk: Buffer) => {
-        boundaries.push(chunk);
-        if (!relayed.push(chunk)) {
-            body.pause();
+        else if (partialEvent.length > maxEventBytes) {
+            relay(partialEvent);
+            partialEvent = Buffer.alloc(0);
         }
     });
     return endOf(body, boundaries, framing);
-};
+}
 
 function endOf(body: Readable, boundaries: EventBoundaryTracker, framing: BodyFraming): Promise<Error | undefined> {
     return new Promise(resolve => {
