Connections: close none with a request arriving on it or a response unsent

Callers saw outcome_unknown for calls that had not run, when the agents of their endpoints were stopped, and connections closed without an answer when an entry was. Both use src/rpc, which closed every connection without a running request: also one on which part of a request had arrived, or one that was not read yet. server.close of Node.js 20 destroys connections whose response is complete but not sent. A closed connection does not say whether the call on it has run.

Now a connection is idle if nothing has arrived on it since its last response was sent, and what has arrived is read first. The close is a 408, which promises that no further request on the connection runs; the RPC client takes it as not delivered, so the call goes elsewhere. Agents announce that they close. Work whose client has gone is waited for.

Ruled out: work that an agent refuses while it drains does not run later; a reservation keeps its slot, and the agent ends after it.

--- a/src/endpoint/agent.ts
+++ b/src/endpoint/agent.ts
@@ -166,7 +166,9 @@
         shutDown: async () => {
             shuttingDown = true;
             applyAvailability();
+            server.announceClose();
             log.info("agent is draining", { endpoint: settings.endpoint });
+            // The listener stays open until then: the start of a reserved decode comes on a connection of its own.
             await queue.whenIdle();
             await server.drain();
             await closeAll();
--- a/src/rpc/errors.ts
+++ b/src/rpc/errors.ts
@@ -2,7 +2,7 @@
  * Errors of RPC calls between processes.
  *
  * `delivered` says whether the called process may have executed the request: it is "no" only where no byte of the
- * request can have reached that process.
+ * request can have reached that process, or where that process says that it has closed the connection before.
  */
 
 export type RpcError =
--- a/src/rpc/httpServer.ts
+++ b/src/rpc/httpServer.ts
@@ -25,7 +25,10 @@
     readonly traffic: () => Traffic;
     /** Adds `connection: close` to all further responses. */
     readonly announceClose: () => void;
-    /** Accepts no new connections and resolves once running responses have ended. */
+    /**
+     * Accepts no new connections and resolves once all requests that have arrived are done: their responses are sent, and
+     * the handlers of those whose client has disconnected have ended.
+     */
     readonly drain: () => Promise<void>;
     /** Closes the listener and every connection at once. */
     readonly close: () => Promise<void>;
@@ -33,17 +36,26 @@
 
 const keepAliveTimeoutMs = 65_000;
 const idleSweepMs = 50;
+/** During a drain, a request that takes longer to arrive is dropped; it has not been run. */
+const receiveTimeoutMs = 15_000;
+/** Says on a connection that is closed as idle that no further request on it has been run, nor will be. */
+export const closedStatus = 408;
+const farewell = `HTTP/1.1 ${closedStatus} Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
 
 /** Listens on `address` and `port`; port 0 lets the operating system choose. Rejects if it cannot listen. */
 export async function listen(address: string, port: number, router: Router): Promise<HttpServer> {
-    let closing = false;
-    const server = createServer((request, response) => {
-        if (closing) {
-            response.setHeader("connection", "close");
+    const server = createServer();
+    const connections = trackConnections(server);
+    const running = new Set<Promise<void>>();
+    server.on("request", (request, response) => {
+        if (connections.isClosed(request.socket)) {
+            // The request was on its way while the connection was closed, and the farewell is its response.
+            request.resume();
+            return;
         }
-        void dispatch(router, request, response);
+        const handled = dispatch(router, request, response).finally(() => running.delete(handled));
+        running.add(handled);
     });
-    const connections = trackConnections(server);
     server.keepAliveTimeout = keepAliveTimeoutMs;
     server.requestTimeout = 0;
     await new Promise<void>((resolve, reject) => {
@@ -55,10 +67,11 @@
         url: `http://${bound.address}:${bound.port}`,
         server,
         traffic: connections.traffic,
-        announceClose: () => {
-            closing = true;
+        announceClose: connections.announceClose,
+        drain: async () => {
+            await drainConnections(connections);
+            await Promise.all(running);
         },
-        drain: () => drainServer(server, connections),
         close: () => closeServer(server),
     };
 }
@@ -87,14 +100,17 @@
     sendJson(response, 500, { error: { message, notRun: false } });
 }
 
-async function drainServer(server: Server, connections: Connections): Promise<void> {
-    const closed = new Promise<void>(resolve => server.close(() => resolve()));
+async function drainConnections(connections: Connections): Promise<void> {
+    connections.announceClose();
+    const closed = connections.stopAccepting();
     // A client keeps its connection alive after the last response, so connections that become idle during the drain
     // are closed at intervals.
-    const sweep = setInterval(connections.closeIdle, idleSweepMs);
-    connections.closeIdle();
+    const idleSweep = setInterval(() => connections.closeIdle(farewell), idleSweepMs);
+    const incompleteSweep = setInterval(connections.closeIncomplete, receiveTimeoutMs);
+    connections.closeIdle(farewell);
     await closed;
-    clearInterval(sweep);
+    clearInterval(idleSweep);
+    clearInterval(incompleteSweep);
 }
 
 async function closeServer(server: Server): Promise<void> {
--- a/src/rpc/rpcClient.ts
+++ b/src/rpc/rpcClient.ts
@@ -13,6 +13,7 @@
 import { toRpcError } from "./errors.js";
 import type { RpcError } from "./errors.js";
 import { createGuardedConnector } from "./guardedConnector.js";
+import { closedStatus } from "./httpServer.js";
 import { maxRpcBodyBytes, rpcPath } from "./rpcServer.js";
 
 export interface CallOptions {
@@ -30,7 +31,7 @@
     readonly call: (url: string, method: string, params: unknown, options: CallOptions) => Promise<
         Result<unknown, RpcError>
     >;
-    /** Posts JSON and resolves as soon as the response's headers have arrived, with any status. */
+    /** Posts JSON and resolves as soon as the response's headers have arrived, with any status but `closedStatus`. */
     readonly stream: (url: string, path: string, body: unknown, options: CallOptions) => Promise<
         Result<StreamResponse, RpcError>
     >;
@@ -70,6 +71,10 @@
                 body: JSON.stringify(body),
                 signal,
             });
+            if (response.statusCode === closedStatus) {
+                await response.body.dump();
+                return Result.err({ kind: "unreachable", delivered: "no", cause: "the connection was closed as idle" });
+            }
             return Result.ok(response);
         }
         catch (error) {
--- /dev/null
+++ b/test/agentStops.test.ts
@@ -0,0 +1,150 @@
+/**
+ * Planned stops of agents and entries while callers keep using their open connections: each call that has run gets its whole
+ * response, and each one that is refused as not run has not run.
+ */
+
+import { Readable } from "node:stream";
+import { setTimeout as delay } from "node:timers/promises";
+import { Client } from "undici";
+import { afterEach, describe, expect, test } from "vitest";
+import { eventually, getJson, otherKey, post, startSite } from "../fakes/site.js";
+import type { EndpointProcess, Process, Site } from "../fakes/site.js";
+import { createRandom } from "../src/common/random.js";
+
+const seed = 12_051;
+const callers = 24;
+/** How long the fake service works on a call. */
+const serviceMs = 30;
+/** Pause between the calls of a caller, and between the chunks of a body: up to this. */
+const maxPauseMs = 40;
+const startPauseMs = 300;
+/** In each, an agent is stopped and replaced, and in every other one an entry as well. */
+const stopRounds = 5;
+
+let site: Site;
+
+afterEach(() => site.stop());
+
+interface Call {
+    readonly id: string;
+    /** Status of a whole response; `refused` if no connection could be opened; `closed` if it ended without a response. */
+    readonly outcome: string;
+    /** Whether a response with status 200 is the one to this call. */
+    readonly isOwn: boolean;
+}
+
+interface ServiceRecord {
+    readonly runs: readonly { readonly path: string; readonly body: string; }[];
+}
+
+function entryAt(index: number): Process {
+    return site.entries[index] as Process;
+}
+
+async function* inChunks(text: string, pauseMs: number): AsyncGenerator<Buffer> {
+    const middle = Math.floor(text.length / 2);
+    yield Buffer.from(text.slice(0, middle));
+    await delay(pauseMs);
+    yield Buffer.from(text.slice(middle));
+}
+
+/** Calls a route that must not be repeated, over one connection for as long as it can be used. */
+async function callRepeatedly(name: string, number: number, isRunning: () => boolean): Promise<readonly Call[]> {
+    const random = createRandom(seed + number);
+    const calls: Call[] = [];
+    let client: Client | undefined;
+    for (let index = 0; isRunning(); index++) {
+        client ??= new Client(entryAt(Math.floor(random() * site.entries.length)).callersUrl);
+        const id = `${name}-${number}-${index}`;
+        const pauseMs = random() * maxPauseMs;
+        const body = random() < 0.5 ? id : Readable.from(inChunks(id, pauseMs));
+        try {
+            const response = await client.request({
+                method: "POST",
+                path: "/pay",
+                headers: { authorization: `Bearer ${otherKey}` },
+                body,
+            });
+            const text = await response.body.text();
+            calls.push({ id, outcome: String(response.statusCode), isOwn: text.includes(`"echo":"${id}"`) });
+        }
+        catch (error) {
+            const isRefused = (error as { readonly code?: string; }).code === "ECONNREFUSED";
+            calls.push({ id, outcome: isRefused ? "refused" : "closed", isOwn: false });
+        }
+        if (calls.at(-1)?.outcome !== "200") {
+            await client.destroy();
+            client = undefined;
+        }
+        await delay(random() * maxPauseMs);
+    }
+    await client?.destroy();
+    return calls;
+}
+
+async function stopAndReplaceAgent(target: EndpointProcess): Promise<number | null> {
+    const stopped = target.agent;
+    await stopped.kill("SIGTERM");
+    await stopped.kill("SIGTERM");
+    target.agent = await site.startAgent(target.name, target.endpoint.url);
+    await site.setHosts();
+    return stopped.exited;
+}
+
+async function stopAndReplaceEntry(index: number, name: string): Promise<number | null> {
+    const stopped = entryAt(index);
+    const replacement = await site.startEntry(name);
+    await eventually("the new entry is ready", async () => (await fetch(`${replacement.callersUrl}/readyz`)).ok);
+    site.entries[index] = replacement;
+    await site.setHosts();
+    await stopped.kill("SIGTERM");
+    return stopped.exited;
+}
+
+async function setEndpointState({ name }: EndpointProcess, state: "leaving" | "serving"): Promise<void> {
+    const value = { pool: "desk", role: "plain", slots: 20, kvCapacityBytes: 1e9, state };
+    await site.apply([{ kind: "endpoint", name, value }]);
+}
+
+describe("planned stops in series", () => {
+    // Connections between entries and agents were closed while calls were sent over them: reported as outcome unknown.
+    test("each call that ran is answered in full, and each that is refused has not run", async () => {
+        site = await startSite({ entries: 2, plain: 3, ratePerSecond: 5_000, burstRequests: 5_000 });
+        const services = site.byRole("plain");
+        await Promise.all(services.map(each => post(`${each.endpoint.url}/faults`, { delayMs: serviceMs })));
+        let isRunning = true;
+        const called = Promise.all(
+            Array.from({ length: callers }, (unused, number) => callRepeatedly("call", number, () => isRunning)),
+        );
+        const random = createRandom(seed);
+        const stops: Promise<number | null>[] = [];
+        for (const [index, service] of [...services, ...services].slice(0, stopRounds).entries()) {
+            await delay(random() * startPauseMs);
+            const isLeaving = random() < 0.5;
+            await setEndpointState(service, isLeaving ? "leaving" : "serving");
+            const agentStopped = stopAndReplaceAgent(service);
+            const entryStopped = index % 2 === 0 ? stopAndReplaceEntry(index % 4 / 2, `entry-new-${index}`) : undefined;
+            // The next stop begins when the replacements run, whether or not the stopped processes have ended.
+            stops.push(agentStopped, ...entryStopped === undefined ? [] : [entryStopped]);
+            await Promise.all([agentStopped, entryStopped]);
+            if (isLeaving) {
+                await setEndpointState(service, "serving");
+            }
+        }
+        isRunning = false;
+        const calls = (await called).flat();
+        const exitCodes = await Promise.all(stops);
+        const records = await Promise.all(
+            services.map(each => getJson<ServiceRecord>(`${each.endpoint.url}/record`)),
+        );
+        const runs = records.flatMap(record => record.runs).map(({ body }) => body);
+        const hasRun = new Set(runs);
+        const wrong = calls.filter(({ id, outcome, isOwn }) =>
+            hasRun.has(id) ? outcome !== "200" || !isOwn : !["503", "429", "408", "refused", "closed"].includes(outcome)
+        );
+        expect(wrong).toEqual([]);
+        expect(runs.length).toBe(hasRun.size);
+        expect(exitCodes).toEqual(exitCodes.map(() => 0));
+        expect(calls.filter(({ outcome }) => outcome === "200").length).toBeGreaterThan(callers * 10);
+    });
+});
