Work queue: grant nothing while work is refused

When an agent began to drain, or its endpoint had ended, each refusal of a waiting request made room at the head of the queue, and the next one was given a slot if it fitted. So a leaving endpoint got new work. Before: both cases of workQueue.test.ts failed (the second request was granted); now both are refused. Nothing was lost by it, since granted work is waited for.

--- a/src/endpoint/workQueue.ts
+++ b/src/endpoint/workQueue.ts
@@ -96,6 +96,9 @@
     }
 
     function grantNext(): void {
+        if (unavailable !== undefined) {
+            return;
+        }
         let next = queue.peek(clock.monotonicMs());
         while (next !== undefined && fits(next)) {
             queue.start(next);
