Requests: a refusal by an agent that drains takes no attempt and no retry

With 11 of 12 agents being stopped, requests were refused as not run although one endpoint served: each offer to a draining agent counted as an attempt and took a retry, while one to an agent whose endpoint has ended did not. Neither reaches an endpoint. The refusals themselves were true.

--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -15,7 +15,7 @@
 import { openAgentStream } from "./agentStream.js";
 import type { AgentStream } from "./agentStream.js";
 import type { GenerationRequest, RequestContext } from "./context.js";
-import { isEndpointDown, startOf } from "./endedEndpoint.js";
+import { isEndpointUnavailable, startOf } from "./endedEndpoint.js";
 import type { FailureKind, Stage } from "./outcomeTable.js";
 
 /** Input of an attempt besides the request. */
@@ -48,8 +48,8 @@
     readonly cause: string;
     /** The endpoint has ended while it had just begun to work on the request. */
     readonly endedEndpoint?: EngineStart | undefined;
-    /** The endpoint had ended before, so it did not get the request. */
-    readonly isEndpointDown?: boolean;
+    /** The endpoint had ended before or is leaving, so it did not get the request. */
+    readonly isEndpointUnavailable?: boolean;
 }
 
 /** Result of an attempt whose token stream ended normally. */
@@ -388,7 +388,12 @@
 }
 
 function failRefused(stage: Stage, reason: RefusalReason): Result<never, AttemptFailure> {
-    return Result.err({ stage, failure: "refused", cause: reason, isEndpointDown: isEndpointDown(reason) });
+    return Result.err({
+        stage,
+        failure: "refused",
+        cause: reason,
+        isEndpointUnavailable: isEndpointUnavailable(reason),
+    });
 }
 
 function fail(
--- a/src/requests/callService.ts
+++ b/src/requests/callService.ts
@@ -9,7 +9,7 @@
 import type { EngineStart } from "../engines/engineNotices.js";
 import { fingerprintOf } from "../quarantine/requestFingerprint.js";
 import type { RequestAttributes, RequestContext } from "./context.js";
-import { isEndpointDown, maxEndedEndpoints, startOf } from "./endedEndpoint.js";
+import { isEndpointUnavailable, maxEndedEndpoints, startOf } from "./endedEndpoint.js";
 import { findOutcome } from "./outcomeTable.js";
 import type { FailureKind } from "./outcomeTable.js";
 
@@ -40,8 +40,8 @@
     readonly cause: string;
     /** The endpoint has ended with the call. */
     readonly endedEndpoint?: EngineStart | undefined;
-    /** The endpoint had ended before, so it did not get the call. */
-    readonly isEndpointDown?: boolean;
+    /** The endpoint had ended before or is leaving, so it did not get the call. */
+    readonly isEndpointUnavailable?: boolean;
 }
 
 const maxAttempts = 3;
@@ -102,7 +102,7 @@
         mayHaveRun ||= outcome.mayHaveRun;
         const action = request.idempotent ? outcome.idempotent : outcome.nonIdempotent;
         context.counters.add(`requests.calls.${result.failure}.${action}`);
-        const isOfferOnly = result.isEndpointDown === true && endedEndpoints < maxEndedEndpoints;
+        const isOfferOnly = result.isEndpointUnavailable === true && endedEndpoints < maxEndedEndpoints;
         endedEndpoints += isOfferOnly ? 1 : 0;
         const mayRetry = action === "retry" && attempt - endedEndpoints < maxAttempts && !signal.aborted
             && result.endedEndpoint === undefined;
@@ -164,9 +164,13 @@
             return { kind: "answered", status, headers, body: Buffer.from(response.bodyBase64, "base64") };
         }
         case "refused":
-            return { failure: "refused", cause: response.reason, isEndpointDown: isEndpointDown(response.reason) };
+            return {
+                failure: "refused",
+                cause: response.reason,
+                isEndpointUnavailable: isEndpointUnavailable(response.reason),
+            };
         case "unreachable":
-            return { failure: "unreachable", cause: response.cause, isEndpointDown: true };
+            return { failure: "unreachable", cause: response.cause, isEndpointUnavailable: true };
         case "unknown":
             return {
                 failure: "interrupted",
--- a/src/requests/endedEndpoints.test.ts
+++ b/src/requests/endedEndpoints.test.ts
@@ -1,6 +1,6 @@
 /**
- * Requests on sites with agents while most endpoints of their pool have ended: their agents refuse the work, and other
- * endpoints still serve.
+ * Requests on sites with agents while most endpoints of their pool have ended, or their agents are stopped in series: these
+ * agents refuse the work, and other endpoints still serve.
  */
 
 import { describe, expect, test } from "vitest";
@@ -18,7 +18,6 @@
 const stepMs = 1_000;
 const noRetries: RetryBudget = { recordRequest: () => undefined, takeRetry: () => false };
 const unavailableLoad: EndpointLoad = { ...idleLoad, unavailable: true };
-const refusal = { kind: "refused", reason: "endpointDown", load: unavailableLoad } as const;
 const answer = { kind: "answered", status: 200, headers: {}, bodyBase64: "", load: idleLoad } as const;
 const noSignal = new AbortController().signal;
 
@@ -68,11 +67,18 @@
     { name: "a generation", role: "decode", send: generateText, served: "completed" },
 ];
 
-describe("requests while endpoints of their pool have ended", () => {
-    // Each refusal by the agent of an ended endpoint counted as an attempt and took a retry.
-    test.each(cases.flatMap(each => [{ ...each, ended: endpoints - 1 }, { ...each, ended: endpoints }]))(
-        "$name, $ended of 12 $role endpoints have ended",
-        async ({ role, send, served, ended }) => {
+describe("requests while endpoints of their pool take no work", () => {
+    // Each refusal by the agent of an ended endpoint, or by an agent that was being stopped, took an attempt and a retry.
+    test.each(
+        cases.flatMap(each =>
+            (["endpointDown", "draining"] as const).flatMap(reason =>
+                [endpoints - 1, endpoints].map(ended => ({ ...each, reason, ended }))
+            )
+        ),
+    )(
+        "$name, $ended of 12 $role endpoints refuse: $reason",
+        async ({ role, send, served, ended, reason }) => {
+            const refusal = { kind: "refused", reason, load: unavailableLoad } as const;
             const clock = createVirtualClock();
             const hasEnded = (endpoint: string): boolean =>
                 endpoint.startsWith(role) && Number(endpoint.split("-")[1]) < ended;
--- a/src/requests/generate.ts
+++ b/src/requests/generate.ts
@@ -103,7 +103,7 @@
         mayHaveRun ||= outcome.mayHaveRun;
         // A generation that may have run in part must be completed, so it waits for endpoints to become available.
         const mustWaitForEndpoint = mayHaveRun && result.error.stage === "route";
-        const isOfferOnly = result.error.isEndpointDown === true && endedEndpoints < maxEndedEndpoints;
+        const isOfferOnly = result.error.isEndpointUnavailable === true && endedEndpoints < maxEndedEndpoints;
         endedEndpoints += isOfferOnly ? 1 : 0;
         if (outcome.idempotent === "refuse" && !mustWaitForEndpoint || attempt - endedEndpoints >= maxAttempts) {
             return failed(result.error);
