Agent: a hung engine does not keep a stopping agent for ever

An abandoned attempt holds its slot until the engine confirms its cancellation, and the agent waited for that without a limit. Before: with the engine paused in a stream whose caller had gone, the agent had not ended 60 s after SIGTERM. No request is cut: only attempts that their entry has given up are cancelled, and the endpoint's next agent cancels what the engine still runs.

--- a/src/endpoint/agent.ts
+++ b/src/endpoint/agent.ts
@@ -56,6 +56,11 @@
 }
 
 const maxReserveBodyBytes = 64 * 1024;
+/**
+ * An engine that does not confirm cancellations delays a shutdown for so long at most. The next agent of the endpoint
+ * cancels what its engine still runs.
+ */
+const cancellationGraceMs = 5_000;
 const zeroCapacity = { slots: 0, kvCapacityBytes: 0 };
 
 export async function startAgent(
@@ -65,6 +70,7 @@
 ): Promise<RunningAgent> {
     const { counters, log } = telemetry;
     const stopping = new AbortController();
+    const cancellationsEnded = new AbortController();
     const engine = createEngineClient(settings.endpointUrl);
     const queue = createWorkQueue(zeroCapacity, clock, defaultFairQueueSettings);
     const streams = createDecodeStreams({
@@ -72,7 +78,7 @@
         queue,
         clock,
         counters,
-        stopped: stopping.signal,
+        stopped: cancellationsEnded.signal,
         onEngineError: error => health.recordError(error),
         checkEnded: () => health.checkEnded(),
     });
@@ -112,7 +118,8 @@
     const rpcHandler = createRpcHandler({
         [agentMethods.prefill]: rpcMethod(
             prefillSchema,
-            (params, call) => runPrefill(params, call, engine, queue, clock, telemetry, stopping.signal, health),
+            (params, call) =>
+                runPrefill(params, call, engine, queue, clock, telemetry, cancellationsEnded.signal, health),
         ),
         [agentMethods.startDecode]: rpcMethod(startDecodeSchema, async params => streams.start(params)),
         [agentMethods.callService]: rpcMethod(
@@ -155,6 +162,7 @@
 
     async function closeAll(): Promise<void> {
         stopping.abort();
+        cancellationsEnded.abort();
         await server.close();
         await Promise.all([rpc.close(), engine.close(), services.close()]);
         counters.close();
@@ -168,8 +176,10 @@
             applyAvailability();
             server.announceClose();
             log.info("agent is draining", { endpoint: settings.endpoint });
+            const stopTimer = clock.startTimer(cancellationGraceMs, () => cancellationsEnded.abort());
             // The listener stays open until then: the start of a reserved decode comes on a connection of its own.
             await queue.whenIdle();
+            stopTimer();
             await server.drain();
             await closeAll();
         },
--- a/src/endpoint/cancellation.ts
+++ b/src/endpoint/cancellation.ts
@@ -10,7 +10,7 @@
 const retryDelayMs = 200;
 const maxRetryDelayMs = 5_000;
 
-/** Retries with exponential backoff until the cancellation is confirmed or `stopped` aborts. */
+/** Tries at least once, and retries with exponential backoff until the cancellation is confirmed or `stopped` aborts. */
 export async function cancelAtEngine(
     engine: EngineClient,
     clock: Clock,
@@ -19,7 +19,7 @@
     stopped: AbortSignal,
 ): Promise<void> {
     let delayMs = retryDelayMs;
-    while (!stopped.aborted) {
+    do {
         const cancelled = await engine.cancel(id);
         if (cancelled.isOk) {
             counters.add("endpoint.cancelled");
@@ -34,6 +34,7 @@
         await clock.sleep(delayMs, stopped);
         delayMs = Math.min(maxRetryDelayMs, delayMs * 2);
     }
+    while (!stopped.aborted);
 }
 
 /** Cancels all attempts that the engine still runs for a previous process of this agent. */
--- a/test/agentStops.test.ts
+++ b/test/agentStops.test.ts
@@ -7,7 +7,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { Client } from "undici";
 import { afterEach, describe, expect, test } from "vitest";
-import { eventually, getJson, otherKey, post, startSite } from "../fakes/site.js";
+import { callerKey, complete, eventually, getJson, otherKey, post, startSite } from "../fakes/site.js";
 import type { EndpointProcess, Process, Site } from "../fakes/site.js";
 import { createRandom } from "../src/common/random.js";
 
@@ -20,6 +20,7 @@
 const startPauseMs = 300;
 /** In each, an agent is stopped and replaced, and in every other one an entry as well. */
 const stopRounds = 5;
+const prompt = "Which of the kilns is the warmest?";
 
 let site: Site;
 
@@ -148,3 +149,27 @@
         expect(calls.filter(({ outcome }) => outcome === "200").length).toBeGreaterThan(callers * 10);
     });
 });
+
+describe("a planned stop", () => {
+    // The agent tried to cancel abandoned work for as long as its engine was unreachable, so it never ended.
+    test("an agent ends although its engine hangs and does not confirm that abandoned work is cancelled", async () => {
+        site = await startSite({ timings: { tokenIntervalMs: 50 } });
+        const decode = site.byRole("decode")[0] as EndpointProcess;
+        const disconnected = new AbortController();
+        let begun = (): void => undefined;
+        const hasBegun = new Promise<void>(resolve => (begun = resolve));
+        const completion = complete(
+            entryAt(0),
+            { prompt, max_tokens: 900 },
+            callerKey,
+            () => begun(),
+            disconnected.signal,
+        ).catch(() => undefined);
+        await hasBegun;
+        await decode.endpoint.kill("SIGSTOP");
+        disconnected.abort();
+        await completion;
+        await decode.agent.kill("SIGTERM");
+        expect(await decode.agent.exited).toBe(0);
+    });
+});
