Entry: a stop answers the calls of operators and other processes

Only the callers' listener was drained. An operator whose change was being written got a closed connection and did not learn whether it is in force. Both listeners are drained now, and long polls are answered at once. Shares of limits are returned while requests finish, and for 5 s at most after the last: before, each share took up to the time limit of the store in turn before the wait began.

Before: with a store that takes 0.4 s for an answer, the call failed with "other side closed"; after: accepted, and the entry ends with 0.

--- a/src/configuration/distribution.ts
+++ b/src/configuration/distribution.ts
@@ -84,6 +84,8 @@
     readonly applyOwnWrite: (written: ConfigurationState) => Promise<void>;
     /** Announces a new revision to other entries, so that those that poll the store read it at once. */
     readonly announce: (revision: number) => Promise<void>;
+    /** Answers the long polls of other processes at once from now on. */
+    readonly endWaits: () => void;
     /** The revision of each host when it last asked this entry. */
     readonly hostRevisions: () => readonly HostRevision[];
 }
@@ -106,6 +108,7 @@
     const { platform, replica, rpc, clock, random, counters } = dependencies;
     const hostRevisions = new Map<string, HostRevision>();
     const pollWakeups = new Set<AbortController>();
+    const waitsEnded = new AbortController();
     let confirmedAtMs = Number.NEGATIVE_INFINITY;
     let lastContactAtMs = clock.monotonicMs();
 
@@ -154,8 +157,10 @@
     ): Promise<WaitEndpointResponse> {
         const untilMs = clock.monotonicMs() + timeoutMs;
         let remainingMs = timeoutMs;
-        while (createEndpointResponse(name).version === afterVersion && remainingMs > 0) {
-            await replica.waitForRevisionAfter(replica.state().revision, remainingMs);
+        while (
+            createEndpointResponse(name).version === afterVersion && remainingMs > 0 && !waitsEnded.signal.aborted
+        ) {
+            await replica.waitForRevisionAfter(replica.state().revision, remainingMs, waitsEnded.signal);
             remainingMs = untilMs - clock.monotonicMs();
         }
         return createEndpointResponse(name);
@@ -277,7 +282,10 @@
     const methods: RpcMethods = {
         [configurationMethods.wait]: rpcMethod(waitSchema, async (params, { signal }) => {
             recordHostRevision(params.host, params.afterRevision);
-            await replica.waitForRevisionAfter(params.afterRevision, params.timeoutMs, signal);
+            await runLimited(
+                { cancelledBy: [signal, waitsEnded.signal] },
+                limit => replica.waitForRevisionAfter(params.afterRevision, params.timeoutMs, limit.signal),
+            );
             return createWaitResponse(params.afterRevision);
         }),
         [configurationMethods.waitEndpoint]: rpcMethod(waitEndpointSchema, async params => {
@@ -304,6 +312,7 @@
             replica.adoptIfNewer(written);
         },
         announce,
+        endWaits: () => waitsEnded.abort(),
         hostRevisions: () => [...hostRevisions.values()],
     };
 }
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -59,7 +59,7 @@
     readonly configuration: () => ConfigurationState;
     /**
      * Shuts down gracefully: reports not ready, keeps serving for `drainDelayMs`, then refuses new requests, returns
-     * its shares of the limits, waits for running requests and closes.
+     * its shares of the limits, waits for running requests, those of operators and other processes included, and closes.
      */
     readonly shutDown: () => Promise<void>;
     /** Stops all tasks and closes all connections at once, without draining or returning shares. */
@@ -69,6 +69,8 @@
 const initialRetryMs = 500;
 const leaseRenewalsPerLease = 3;
 const idempotencySweepMs = 600_000;
+/** Shares that can't be returned in this time after the last request are free again when the lease has expired. */
+const releaseTimeoutMs = 5_000;
 
 /**
  * Starts an entry and resolves once both listeners are open. The entry refuses requests until it has loaded its
@@ -318,9 +320,11 @@
             // Readiness fails from here on; requests are still accepted until the load balancer has detected that.
             await clock.sleep(settings.drainDelayMs);
             admissionClosed = true;
-            await rateLimiter.releaseAll();
+            const sharesReleased = rateLimiter.releaseAll();
             await callers.drain();
-            await lease.release();
+            await Promise.race([sharesReleased.then(lease.release), clock.sleep(releaseTimeoutMs)]);
+            distribution.endWaits();
+            await server.drain();
             await closeAll();
             log.info("entry ended");
         },
--- a/test/agentStops.test.ts
+++ b/test/agentStops.test.ts
@@ -151,6 +151,19 @@
 });
 
 describe("a planned stop", () => {
+    // The connection was closed during the write, so the operator did not learn whether the change was in force.
+    test("an operator's change that an entry has begun is answered", async () => {
+        site = await startSite();
+        await post(`${site.platform.url}/faults`, { delayMs: 400 });
+        const applied = site.apply([
+            { kind: "template", name: "other", value: { ratePerSecond: 1, burstRequests: 1 } },
+        ]);
+        await delay(100);
+        await entryAt(0).kill("SIGTERM");
+        expect(await applied).toMatchObject({ kind: "accepted" });
+        expect(await entryAt(0).exited).toBe(0);
+    });
+
     // The agent tried to cancel abandoned work for as long as its engine was unreachable, so it never ended.
     test("an agent ends although its engine hangs and does not confirm that abandoned work is cancelled", async () => {
         site = await startSite({ timings: { tokenIntervalMs: 50 } });
