Daemon: a reload request or a failed task ends no process

SIGHUP ended entries and agents with everything they ran: a call in progress got a closed connection (entry) or 502 (agent). A rejected promise in a background task did the same. Signals were handled only after the start. Now SIGHUP checks the settings file and logs the result, a failed task is logged and started again, and a stop that is requested during the start follows it.

Before: both cases failed, as above. After: both answer 200 and the process goes on. The series of stops sends reload requests as well.

--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -10,6 +10,7 @@
 import { systemClock } from "../common/clock.js";
 import type { Clock } from "../common/clock.js";
 import { createRandom } from "../common/random.js";
+import { repeat } from "../common/repeat.js";
 import type { Key } from "../configuration/objects.js";
 import { listObjects } from "../configuration/state.js";
 import type { ConfigurationState } from "../configuration/state.js";
@@ -67,6 +68,8 @@
 }
 
 const initialRetryMs = 500;
+/** Delay before a task that runs until shutdown is started again after a failure. */
+const taskRestartMs = 500;
 const leaseRenewalsPerLease = 3;
 const idempotencySweepMs = 600_000;
 /** Shares that can't be returned in this time after the last request are free again when the lease has expired. */
@@ -196,6 +199,7 @@
         log: { info: log.info, decision: log.info },
         onEvidence: () => evidenceExchange.send(),
     });
+    const evidenceStore = createEvidenceStore(platform.tables, clock, log, quarantine);
     const evidenceExchange = createEvidenceExchange(rpc, clock, () => peersOf(undefined), quarantine);
     const retryBudget = createRetryBudget();
     const loads = createLoadView(clock);
@@ -243,15 +247,14 @@
     );
     handlers.rpc = createRpcHandler(methods);
 
-    /** Runs a task until shutdown, with `intervalMs` between two runs; a failure is counted and logged. */
-    async function runPeriodically(intervalMs: number, run: () => Promise<void>): Promise<void> {
-        while (!stopping.signal.aborted) {
-            await run().catch((error: unknown) => {
-                counters.add("entry.taskFailures");
-                log.warn("a periodic task failed", { cause: String(error) });
-            });
-            await clock.sleep(intervalMs, stopping.signal);
-        }
+    function recordTaskFailure(error: unknown): void {
+        counters.add("entry.taskFailures");
+        log.warn("a periodic task failed", { cause: String(error) });
+    }
+
+    /** Runs a task until shutdown, with `intervalMs` between two runs. */
+    function runPeriodically(intervalMs: number, run: () => Promise<void>): Promise<void> {
+        return repeat(clock, stopping.signal, intervalMs, run, recordTaskFailure);
     }
 
     /** Loads the configuration and acquires the lease on limits, then marks the entry ready. */
@@ -291,16 +294,29 @@
     });
     const callers = await listen(settings.callersListen.address, settings.callersListen.port, router);
 
-    void initialize().then(() => {
-        void distribution.follow(stopping.signal);
-        void withdrawals.run(stopping.signal);
-        void evidenceExchange.run(stopping.signal);
-        void createEvidenceStore(platform.tables, clock, log, quarantine).run(stopping.signal);
+    async function initializeAndRun(): Promise<void> {
+        let isInitialized = false;
+        while (!isInitialized && !stopping.signal.aborted) {
+            try {
+                await initialize();
+                isInitialized = true;
+            }
+            catch (error) {
+                recordTaskFailure(error);
+                await clock.sleep(initialRetryMs, stopping.signal);
+            }
+        }
+        void runPeriodically(taskRestartMs, () => distribution.follow(stopping.signal));
+        void runPeriodically(taskRestartMs, () => withdrawals.run(stopping.signal));
+        void runPeriodically(taskRestartMs, () => evidenceExchange.run(stopping.signal));
+        void runPeriodically(taskRestartMs, () => evidenceStore.run(stopping.signal));
         void runPeriodically(settings.hostListPollMs, hosts.refresh);
         void runPeriodically(idempotencySweepMs, idempotentCalls.deleteExpired);
         void runPeriodically(settings.limitsLeaseMs / leaseRenewalsPerLease, lease.renew);
         void runPeriodically(settings.limitsRebalanceMs, rateLimiter.rebalance);
-    });
+    }
+
+    void initializeAndRun();
 
     async function closeAll(): Promise<void> {
         stopping.abort();
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -5,11 +5,13 @@
 
 import { cac } from "cac";
 import { readFileSync } from "node:fs";
+import { Result } from "true-myth";
 import { startAgent } from "../endpoint/agent.js";
 import { createHttpPlatform } from "../platform/httpPlatform.js";
 import { describeSettingsError, parseSettings } from "../settings/settings.js";
 import type { Settings } from "../settings/settings.js";
 import { createTelemetry } from "../telemetry/telemetry.js";
+import type { Telemetry } from "../telemetry/telemetry.js";
 import { version } from "../version.js";
 import { startEntry } from "./entry.js";
 
@@ -25,20 +27,23 @@
     process.exit(exitUsageError);
 }
 
-function readSettings(file: string): Settings {
+function loadSettings(file: string): Result<Settings, string> {
     let text: string;
     try {
         text = readFileSync(file, "utf8");
     }
     catch (error) {
-        return exitWithUsageError(`${file}: ${(error as Error).message}`);
+        return Result.err(`${file}: ${(error as Error).message}`);
     }
-    const settings = parseSettings(file, text);
-    return settings.isOk ? settings.value : exitWithUsageError(describeSettingsError(settings.error));
+    return parseSettings(file, text).mapErr(describeSettingsError);
 }
 
-async function start(settings: Settings): Promise<RunningProcess> {
-    const telemetry = createTelemetry(settings.host, settings.statsd);
+function readSettings(file: string): Settings {
+    const settings = loadSettings(file);
+    return settings.isOk ? settings.value : exitWithUsageError(settings.error);
+}
+
+async function start(settings: Settings, telemetry: Telemetry): Promise<RunningProcess> {
     if (settings.role === "entry") {
         const entry = await startEntry(settings, createHttpPlatform(settings.platform), telemetry);
         process.stdout.write(`${JSON.stringify({ url: entry.url, callersUrl: entry.callersUrl })}\n`);
@@ -58,16 +63,30 @@
 }
 
 async function run(file: string): Promise<void> {
-    const running = await start(readSettings(file));
-    let isShuttingDown = false;
-    const shutDownOnce = (): void => {
-        if (!isShuttingDown) {
-            isShuttingDown = true;
-            void running.shutDown().then(() => process.exit(0));
-        }
-    };
-    process.on("SIGTERM", shutDownOnce);
-    process.on("SIGINT", shutDownOnce);
+    const settings = readSettings(file);
+    const telemetry = createTelemetry(settings.host, settings.statsd);
+    // A signal may come while the listeners are being opened; the process then stops once it has started.
+    const stopRequested = new Promise<void>(resolve => {
+        process.on("SIGTERM", () => resolve());
+        process.on("SIGINT", () => resolve());
+    });
+    keepRunning(file, telemetry);
+    const running = await start(settings, telemetry);
+    await stopRequested;
+    await running.shutDown();
+    process.exit(0);
+}
+
+/** Without handlers, a reload request or one failed task would end the process and every request in progress. */
+function keepRunning(file: string, { log }: Telemetry): void {
+    process.on("SIGHUP", () => {
+        const reread = loadSettings(file);
+        const outcome = reread.isOk ? "valid; changes apply at the next start" : reread.error;
+        log.info("settings were read again", { outcome });
+    });
+    process.on("unhandledRejection", reason => {
+        log.warn("a task failed unexpectedly", { cause: reason instanceof Error ? reason.stack : String(reason) });
+    });
 }
 
 const program = cac("gooseberrywelld");
--- a/src/endpoint/agent.ts
+++ b/src/endpoint/agent.ts
@@ -7,6 +7,7 @@
 import { systemClock } from "../common/clock.js";
 import type { Clock } from "../common/clock.js";
 import { describeInvalidInput, parseJson } from "../common/json.js";
+import { repeat } from "../common/repeat.js";
 import type { Endpoint } from "../configuration/objects.js";
 import { listen, readBody, sendJson } from "../rpc/httpServer.js";
 import type { Handler, HttpServer } from "../rpc/httpServer.js";
@@ -61,6 +62,7 @@
  * cancels what its engine still runs.
  */
 const cancellationGraceMs = 5_000;
+const watchRestartMs = 500;
 const zeroCapacity = { slots: 0, kvCapacityBytes: 0 };
 
 export async function startAgent(
@@ -157,7 +159,13 @@
 
     void cancelOrphanedAttempts(engine, clock, counters, stopping.signal);
     const watcher = createEndpointWatcher(settings.host, settings.endpoint, rpc, clock, () => settings.entryUrls);
-    void watcher.watch(stopping.signal, applyEndpoint);
+    void repeat(
+        clock,
+        stopping.signal,
+        watchRestartMs,
+        () => watcher.watch(stopping.signal, applyEndpoint),
+        error => log.warn("the endpoint's configuration could not be applied", { cause: String(error) }),
+    );
     log.info("agent started", { endpoint: settings.endpoint, url: server.url });
 
     async function closeAll(): Promise<void> {
--- a/test/agentStops.test.ts
+++ b/test/agentStops.test.ts
@@ -85,6 +85,7 @@
 
 async function stopAndReplaceAgent(target: EndpointProcess): Promise<number | null> {
     const stopped = target.agent;
+    await stopped.kill("SIGHUP");
     await stopped.kill("SIGTERM");
     await stopped.kill("SIGTERM");
     target.agent = await site.startAgent(target.name, target.endpoint.url);
@@ -98,6 +99,7 @@
     await eventually("the new entry is ready", async () => (await fetch(`${replacement.callersUrl}/readyz`)).ok);
     site.entries[index] = replacement;
     await site.setHosts();
+    await stopped.kill("SIGHUP");
     await stopped.kill("SIGTERM");
     return stopped.exited;
 }
@@ -151,6 +153,27 @@
 });
 
 describe("a planned stop", () => {
+    const reloads = [
+        { name: "an entry", target: () => entryAt(0) },
+        { name: "an agent", target: () => (site.byRole("plain")[0] as EndpointProcess).agent },
+    ] as const;
+
+    // A reload request ended the process with every request that it was running.
+    test.each(reloads)("a reload request does not end $name", async ({ target }) => {
+        site = await startSite({ plain: 1 });
+        await post(`${site.byRole("plain")[0]?.endpoint.url}/faults`, { delayMs: 500 });
+        const response = fetch(`${entryAt(0).callersUrl}/pay`, {
+            method: "POST",
+            headers: { authorization: `Bearer ${otherKey}` },
+            body: "one",
+        });
+        await delay(200);
+        await target().kill("SIGHUP");
+        expect((await response).status).toBe(200);
+        expect(target().child.exitCode ?? target().child.signalCode).toBe(null);
+        expect(target().log()).toContain("valid; changes apply at the next start");
+    });
+
     // The connection was closed during the write, so the operator did not learn whether the change was in force.
     test("an operator's change that an entry has begun is answered", async () => {
         site = await startSite();
