Connections: accept what waits before the listener closes

Calls on new connections ended with a reset around a stop. The operating system resets connections that wait to be accepted when their listener closes, and Node.js accepts about one in a turn of its loop. An entry can't tell a call to an agent on such a connection from one that has run. The listener closes now once no connection has come for 0.1 s, or after 1 s in a turn that accepted none, at the latest after 2 s.

--- a/src/rpc/connections.ts
+++ b/src/rpc/connections.ts
@@ -19,7 +19,10 @@
     readonly isClosed: (socket: Socket) => boolean;
     /** Adds `connection: close` to all further responses, those to running requests included. */
     readonly announceClose: () => void;
-    /** Accepts no new connections; resolves once all connections have been closed. */
+    /**
+     * Accepts no new connections once none has come for a moment; resolves when all connections have been closed. The
+     * operating system resets those that wait to be accepted when the listener closes.
+     */
     readonly stopAccepting: () => Promise<void>;
     /**
      * Closes the idle connections, including those on which no request has arrived yet: a client may open one and then use
@@ -43,6 +46,11 @@
     isStallLimited: boolean;
 }
 
+/** The listener closes once no connection has come for this time, */
+const quietMs = 100;
+/** or, if they keep coming, after this one. */
+const maxAcceptMs = 1_000;
+const acceptCheckMs = 10;
 /** A peer that does not close its side of a closed connection is disconnected after this time. */
 const lingerMs = 2_000;
 /** A peer that reads nothing of a complete response for so long is considered gone. */
@@ -52,10 +60,14 @@
 export function trackConnections(server: Server): Connections {
     const uses = new Map<Socket, ConnectionUse>();
     let isClosing = false;
+    let accepted = 0;
+    let lastAcceptedAtMs = Number.NEGATIVE_INFINITY;
     let receivedBytes = 0;
     let sentBytes = 0;
 
     server.on("connection", socket => {
+        accepted += 1;
+        lastAcceptedAtMs = performance.now();
         uses.set(socket, { running: new Set(), request: undefined, bytesBefore: 0, isStallLimited: false });
         socket.once("close", () => {
             uses.delete(socket);
@@ -99,6 +111,25 @@
         return socket.writable && running.size === 0 && (request?.complete ?? true) && socket.bytesRead === bytesBefore;
     }
 
+    /** Calls `close` right after a turn of the event loop in which no connection was accepted. */
+    function whenNoneWaits(close: () => void): void {
+        const startedAtMs = performance.now();
+        const check = (): void => {
+            const acceptedBefore = accepted;
+            afterNextPoll(() => {
+                const nowMs = performance.now();
+                const tookMs = nowMs - startedAtMs;
+                const isQuiet = nowMs - lastAcceptedAtMs >= quietMs || tookMs >= maxAcceptMs;
+                if (isQuiet && accepted === acceptedBefore || tookMs >= 2 * maxAcceptMs) {
+                    close();
+                    return;
+                }
+                setTimeout(check, acceptCheckMs);
+            });
+        };
+        check();
+    }
+
     /** Sets a limit on the responses that only wait for their peer to read. */
     function limitStalls(): void {
         for (const [socket, use] of uses) {
@@ -130,7 +161,7 @@
         stopAccepting: () =>
             new Promise(resolve => {
                 // The HTTP server's own method also destroys connections, some with a response that is not sent yet.
-                afterNextPoll(() => NetServer.prototype.close.call(server, () => resolve()));
+                whenNoneWaits(() => NetServer.prototype.close.call(server, () => resolve()));
             }),
         closeIdle: (farewell = "") => {
             limitStalls();
--- a/src/rpc/httpServer.test.ts
+++ b/src/rpc/httpServer.test.ts
@@ -121,6 +121,20 @@
         expect(connection.text()).toMatch(/"run":1\}[^]*HTTP\/1.1 200 OK\r\n[^]*"run":\d\}$/);
     });
 
+    // The listener was closed while connections waited to be accepted, so that the system reset them.
+    it("answers requests on connections that are not accepted yet", async () => {
+        await start();
+        const connecting = Array.from({ length: 20 }, () => open());
+        const drained = server.drain();
+        const connections = await Promise.all(connecting);
+        connections.forEach(({ socket }) => socket.write(request));
+        await Promise.all(connections.map(({ closed }) => closed));
+        await drained;
+        // A connection on which nothing has arrived may be closed before its request comes.
+        const ends = connections.map(connection => /^HTTP\/1.1 (?:200|408) /.test(connection.text()));
+        expect(ends).toEqual(ends.map(() => true));
+    });
+
     // `server.close` of Node.js destroys connections whose response is complete but not sent.
     it("sends a response in full whose client reads slowly", async () => {
         await start();
