--- a/src/endpoint/agent.ts
+++ b/src/endpoint/agent.ts
@@ -7,6 +7,7 @@
 import { systemClock } from "../common/clock.js";
 import type { Clock } from "../common/clock.js";
 import { describeInvalidInput, parseJson } from "../common/json.js";
+import { repeat } from "../common/repeat.js";
 import type { Endpoint } from "../configuration/objects.js";
 import { listen, readBody, sendJson } from "../rpc/httpServer.js";
 import type { Handler, HttpServer } from "../rpc/httpServer.js";
@@ -56,6 +57,12 @@
 }
 
 const maxReserveBodyBytes = 64 * 1024;
+/**
+ * An engine that does not confirm cancellations delays a shutdown for so long at most. The next agent of the endpoint
+ * cancels what its engine still runs.
+ */
+const cancellationGraceMs = 5_000;
+const watchRestartMs = 500;
 const zeroCapacity = { slots: 0, kvCapacityBytes: 0 };
 
 export async function startAgent(
@@ -65,6 +72,7 @@
 ): Promise<RunningAgent> {
     const { counters, log } = telemetry;
     const stopping = new AbortController();
+    const cancellationsEnded = new AbortController();
     const engine = createEngineClient(settings.endpointUrl);
     const queue = createWorkQueue(zeroCapacity, clock, defaultFairQueueSettings);
     const streams = createDecodeStreams({
@@ -72,7 +80,7 @@
         queue,
         clock,
         counters,
-        stopped: stopping.signal,
+        stopped: cancellationsEnded.signal,
         onEngineError: error => health.recordError(error),
         checkEnded: () => health.checkEnded(),
     });
@@ -112,7 +120,8 @@
     const rpcHandler = createRpcHandler({
         [agentMethods.prefill]: rpcMethod(
             prefillSchema,
-            (params, call) => runPrefill(params, call, engine, queue, clock, telemetry, stopping.signal, health),
+            (params, call) =>
+                runPrefill(params, call, engine, queue, clock, telemetry, cancellationsEnded.signal, health),
         ),
         [agentMethods.startDecode]: rpcMethod(startDecodeSchema, async params => streams.start(params)),
         [agentMethods.callService]: rpcMethod(
@@ -150,11 +159,18 @@
 
     void cancelOrphanedAttempts(engine, clock, counters, stopping.signal);
     const watcher = createEndpointWatcher(settings.host, settings.endpoint, rpc, clock, () => settings.entryUrls);
-    void watcher.watch(stopping.signal, applyEndpoint);
+    void repeat(
+        clock,
+        stopping.signal,
+        watchRestartMs,
+        () => watcher.watch(stopping.signal, applyEndpoint),
+        error => log.warn("the endpoint's configuration could not be applied", { cause: String(error) }),
+    );
     log.info("agent started", { endpoint: settings.endpoint, url: server.url });
 
     async function closeAll(): Promise<void> {
         stopping.abort();
+        cancellationsEnded.abort();
         await server.close();
         await Promise.all([rpc.close(), engine.close(), services.close()]);
         counters.close();
@@ -166,8 +182,12 @@
         shutDown: async () => {
             shuttingDown = true;
             applyAvailability();
+            server.announceClose();
             log.info("agent is draining", { endpoint: settings.endpoint });
+            const stopTimer = clock.startTimer(cancellationGraceMs, () => cancellationsEnded.abort());
+            // The listener stays open until then: the start of a reserved decode comes on a connection of its own.
             await queue.whenIdle();
+            stopTimer();
             await server.drain();
             await closeAll();
         },
