Connections that have gone silent are not used again

All open connections may go silent at once, without a reset, while new ones work.

Cause: a call that got no response in its time limit closed its own connection only. Each other silent connection of the pool, to the store, another entry or an engine, cost another call its whole time limit; a call for changes up to 2.2 s, and a read of the table 0.7 s after it.

src/rpc/freshPool.ts: such a call now closes the idle connections that have delivered nothing in the last 0.5 s of its wait. Running calls are left alone, as they may have been performed. Only a call for changes is ended, and asked again once on a new connection without a wait; so is one that ran into its own time limit. Transactions are not repeated, and a store that is down or slow gets one more call for each table and outage.

Evidence, tests before and after: a change 0.1 s after the silence of five connections to the store was not known 3 s after the silence, when the entry counts as in touch (red before, green now); of 16 requests on 8 silent connections to an entry and to an engine 8 were lost before and 1 now.

Ruled out: that each silent connection costs one of the calls in a row: after a time-out the pools soon use a new connection, so it takes calls that run beside each other.

--- a/fakes/platformStore.ts
+++ b/fakes/platformStore.ts
@@ -34,6 +34,8 @@
     readonly compact: () => void;
     /** Newest revision. */
     readonly revision: () => number;
+    /** Number of calls that have arrived. */
+    readonly calls: () => number;
     /** Returns to the state at an earlier revision, as a store that is restored from an older copy, in a new era. */
     readonly restore: (revision: number) => void;
     /** Whether responses report the era. */
@@ -58,6 +60,7 @@
     let revision = 0;
     let oldestRevision = 0;
     let fault: StoreFault = "none";
+    let calls = 0;
     let openFeeds: FeedRequest[] = [];
 
     const idOf = (table: string, key: string): string => `${table}\n${key}`;
@@ -152,6 +155,7 @@
     }
 
     async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        calls += 1;
         const chunks: Buffer[] = [];
         for await (const chunk of request as AsyncIterable<Buffer>) {
             chunks.push(chunk);
@@ -211,6 +215,7 @@
             revision += 1;
         },
         revision: () => revision,
+        calls: () => calls,
         restore: restored => {
             const kept = allChanges.filter(row => row.row_version <= restored);
             rows.clear();
--- a/fakes/tcpProxy.ts
+++ b/fakes/tcpProxy.ts
@@ -1,6 +1,7 @@
 /**
  * A loopback TCP proxy that injects network faults into its connections: delay, reset, and loss of all bytes in one or
- * both directions. While its target refuses connections, the proxy refuses them as well.
+ * both directions; the open connections may also go silent for good while new ones work. While its target refuses
+ * connections, the proxy refuses them as well.
  */
 
 import { connect, createServer } from "node:net";
@@ -16,6 +17,8 @@
     /** IP address and port. */
     readonly address: string;
     readonly setFault: (fault: ProxyFault) => void;
+    /** From now on drops all bytes of the open connections; new ones work. Returns the number of open connections. */
+    readonly silenceOpen: () => number;
     readonly close: () => Promise<void>;
 }
 
@@ -26,6 +29,7 @@
 export async function startTcpProxy(target: string): Promise<TcpProxy> {
     const [ip = "", port = ""] = target.split(":");
     const pairs = new Set<readonly [Socket, Socket]>();
+    const silentSockets = new Set<Socket>();
     let fault: ProxyFault = "none";
 
     function forward(from: Socket, to: Socket, isResponse: boolean): void {
@@ -59,7 +63,7 @@
         }
 
         from.on("data", (chunk: Buffer) => {
-            if (fault === "silence" || (fault === "dropResponses" && isResponse)) {
+            if (fault === "silence" || silentSockets.has(from) || (fault === "dropResponses" && isResponse)) {
                 return;
             }
             runInOrder(() => to.writable && to.write(chunk));
@@ -104,7 +108,10 @@
         });
         const pair = [socket, upstream] as const;
         pairs.add(pair);
-        socket.once("close", () => pairs.delete(pair));
+        socket.once("close", () => {
+            pairs.delete(pair);
+            pair.forEach(end => silentSockets.delete(end));
+        });
         forward(socket, upstream, false);
         forward(upstream, socket, true);
     });
@@ -121,6 +128,10 @@
                 pairs.forEach(pair => pair.forEach(socket => socket.resetAndDestroy()));
             }
         },
+        silenceOpen: () => {
+            [...pairs].flat().forEach(socket => silentSockets.add(socket));
+            return pairs.size;
+        },
         close: async () => {
             isClosed = true;
             pairs.forEach(pair => pair.forEach(socket => socket.destroy()));
--- a/src/rpc/rpcClient.ts
+++ b/src/rpc/rpcClient.ts
@@ -12,6 +12,7 @@
 import { readText } from "../common/readText.js";
 import { toRpcError } from "./errors.js";
 import type { RpcError } from "./errors.js";
+import { FreshPool } from "./freshPool.js";
 import { createGuardedConnector } from "./guardedConnector.js";
 import { maxRpcBodyBytes, rpcPath } from "./rpcServer.js";
 
@@ -45,8 +46,9 @@
 
 /** Creates a client with its own connection pools; a response to a call that is larger than `maxResponseBytes` is an error. */
 export function createRpcClient(maxResponseBytes = maxRpcBodyBytes): RpcClient {
+    const connect = createGuardedConnector(connectTimeoutMs);
     const dispatcher = new Agent({
-        connect: createGuardedConnector(connectTimeoutMs),
+        factory: (origin, options) => new FreshPool(origin, { ...options, connect }),
         connections: connectionsPerPeer,
         pipelining: 1,
         keepAliveTimeout: idleConnectionMs,
