Keys: a withdrawal does not cut a response that is being sent

The connections of a withdrawn key were destroyed once their requests had ended, with what had not been sent of the last response. They are ended instead, and the server drops requests that arrive from then on.

--- a/src/keys/keyUses.ts
+++ b/src/keys/keyUses.ts
@@ -61,7 +61,8 @@
             }
             const idle = [...uses.sockets].filter(([, count]) => count === 0).map(([socket]) => socket);
             uses.running.forEach(abort => abort());
-            idle.forEach(socket => socket.destroy());
+            // What is left of the last response is sent first; the server drops requests that arrive from here on.
+            idle.forEach(socket => socket.end());
         },
     };
 }
