--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -19,6 +19,7 @@
 
 export interface EntryProcess {
     readonly name: string;
+    readonly settingsFile: string;
     readonly callersUrl: string;
     readonly readyUrl: string;
     readonly metricsUrl: string;
@@ -188,6 +189,7 @@
         new Promise(resolve => child.once("exit", (code, signal) => resolve(code ?? signal)));
     const entry = {
         name: `entry-${index}`,
+        settingsFile: file,
         callersUrl: `http://127.0.0.1:${front}`,
         readyUrl: `http://127.0.0.1:${readiness}/ready`,
         metricsUrl: `http://127.0.0.1:${metrics}/metrics`,
--- a/test/stops.test.ts
+++ b/test/stops.test.ts
@@ -3,6 +3,9 @@
  * an entry has taken gets its whole response, or is refused as one that has not run.
  */
 
+import { execFileSync } from "node:child_process";
+import { readFileSync, rmSync } from "node:fs";
+import { open } from "node:fs/promises";
 import { Readable } from "node:stream";
 import { setTimeout as delay } from "node:timers/promises";
 import { Client } from "undici";
@@ -16,6 +19,15 @@
 
 afterEach(() => site.close());
 
+async function startSite(options: Parameters<typeof startPlatformSite>[0]): Promise<void> {
+    site = await startPlatformSite(options);
+    await until("all entries are ready", async () => (await Promise.all(site.entries.map(isReady))).every(Boolean));
+}
+
+function requestsRun(): ReadonlySet<string> {
+    return new Set(site.engines.flatMap(engine => engine.runs).map(({ requestId }) => requestId));
+}
+
 const connections = 60;
 /** The grace period of the site's entries. */
 const graceMs = 6_000;
@@ -27,7 +39,7 @@
 /** Pause between the chunks of a request's body. */
 const chunkPauseMs = 30;
 
-interface LateCall {
+interface EndedCall {
     readonly requestId: string;
     /** Status, or `closed` if the connection ended without a whole response. */
     readonly outcome: string;
@@ -42,6 +54,14 @@
     };
 }
 
+/** Calls that ran without a whole answer, or were refused in another way than as not run. */
+function wrongOutcomes(calls: readonly EndedCall[]): readonly EndedCall[] {
+    const runs = requestsRun();
+    return calls.filter(({ requestId, outcome }) =>
+        runs.has(requestId) ? outcome !== "200" : outcome !== "503" && outcome !== "closed"
+    );
+}
+
 async function* inChunks(text: string): AsyncGenerator<Buffer> {
     const middle = Math.floor(text.length / 2);
     yield Buffer.from(text.slice(0, middle));
@@ -50,7 +70,7 @@
 }
 
 /** Opens a connection to an entry with a first call, and uses it once more at some time in the grace period. */
-async function callLate(entry: EntryProcess, number: number, begin: Promise<void>): Promise<LateCall> {
+async function callLate(entry: EntryProcess, number: number, begin: Promise<void>): Promise<EndedCall> {
     const name = `${entry.name}-${number}`;
     const waitMs = Math.round(number * graceMs / connections);
     const durationMs = minCallMs + (number * durationStepMs) % (maxCallMs - minCallMs);
@@ -111,8 +131,7 @@
 describe("late requests in a planned stop", () => {
     // Calls that came late in the grace period were passed on and ended with an early 502 at its end.
     it.each(cases)("$name: each is answered, or has not run", async ({ entries, stop }) => {
-        site = await startPlatformSite({ entries });
-        await until("all entries are ready", async () => (await Promise.all(site.entries.map(isReady))).every(Boolean));
+        await startSite({ entries });
         let beginAll = (): void => undefined;
         const begin = new Promise<void>(resolve => (beginAll = resolve));
         const calls = site.entries.flatMap(entry =>
@@ -126,12 +145,28 @@
         beginAll();
         const ended = await Promise.all(calls);
         await stopped;
-        const runs = new Set(site.engines.flatMap(engine => engine.runs).map(({ requestId }) => requestId));
-        const wrong = ended.filter(({ requestId, outcome }) =>
-            runs.has(requestId) ? outcome !== "200" : outcome !== "503" && outcome !== "closed"
-        );
-        expect(wrong).toEqual([]);
+        expect(wrongOutcomes(ended)).toEqual([]);
         expect(ended.filter(({ outcome }) => outcome === "200").length).toBeGreaterThan(0);
         expect(ended.filter(({ outcome }) => outcome === "503").length).toBeGreaterThan(0);
     });
 });
+
+describe("a signal while an entry starts", () => {
+    // Unhandled, it ended the process at once.
+    it.each(["SIGTERM", "SIGINT"] as const)("%s stops it in order", async signal => {
+        await startSite({ entries: 1 });
+        const [entry] = site.entries as [EntryProcess];
+        entry.signal("SIGTERM");
+        await entry.exited;
+        const settings = readFileSync(entry.settingsFile);
+        rmSync(entry.settingsFile);
+        // The process waits for its settings until they are written.
+        execFileSync("mkfifo", [entry.settingsFile]);
+        await entry.restart();
+        const file = await open(entry.settingsFile, "w");
+        entry.signal(signal);
+        await file.writeFile(settings);
+        await file.close();
+        expect(await entry.exited).toBe(0);
+    });
+});
