--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -346,6 +346,7 @@
         lastEventId: undefined,
         resumedRequestId: undefined,
         callerDisconnected: new AbortController().signal,
+        onSend: () => undefined,
         ...overrides,
     };
 }
--- a/src/daemon/shutDown.ts
+++ b/src/daemon/shutDown.ts
@@ -15,7 +15,10 @@
     /** Accepts no new connections and closes idle ones. */
     readonly closeIdle: () => void;
     readonly requestsRunning: () => number;
-    /** Ends the requests that are without a response, as ones whose outcome is unknown. */
+    /**
+     * Answers the requests that have no response yet, as not run if they were not sent to an engine, and breaks off the
+     * responses that have begun.
+     */
     readonly endRunning: () => void;
 }
 
--- a/src/forwarding/forward.test.ts
+++ b/src/forwarding/forward.test.ts
@@ -194,6 +194,34 @@
     });
 });
 
+interface NoticeCase {
+    readonly name: string;
+    readonly kind: RouteKind;
+    readonly size?: GenerationSize;
+    readonly calls: readonly string[];
+}
+
+const noticeCases: readonly NoticeCase[] = [
+    { name: "a plain call", kind: "nonIdempotent", calls: ["onSend", "send d-1"] },
+    {
+        name: "a generation",
+        kind: "stream",
+        size: smallSize,
+        calls: ["reserve m-1", "prefill p-1", "onSend", "send m-1"],
+    },
+];
+
+describe("a request", () => {
+    // The end of the process answers requests of which this was not told as ones that have not run.
+    it.each(noticeCases)("tells before an engine may run it: $name", async ({ kind, size, calls }) => {
+        const harness = createForwardingHarness(desiredStateOf([routeOf(kind)]));
+        harness.load([...plainEngines.slice(0, 1), ...modelEngines.slice(0, 2)]);
+        const onSend = (): void => void harness.calls.push("onSend");
+        await forward(harness.context, requestTo(`/${kind}/x`, { onSend, ...size === undefined ? {} : { size } }));
+        expect(harness.calls).toEqual(calls);
+    });
+});
+
 describe("a decode engine that starts draining while the prompt is prefilled", () => {
     it("gets no request: the reservation is released and another engine is used", async () => {
         const drain = (): void =>
--- a/src/forwarding/forwardRequest.ts
+++ b/src/forwarding/forwardRequest.ts
@@ -30,6 +30,8 @@
     readonly resumedRequestId: string | undefined;
     /** Aborts when the caller disconnects. */
     readonly callerDisconnected: AbortSignal;
+    /** Called before the request is passed to an engine that may run it. */
+    readonly onSend: () => void;
 }
 
 /**
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -205,6 +205,7 @@
         timeoutMs: timeLeftMs(context, generation),
         cancelledBy: [request.callerDisconnected],
     });
+    request.onSend();
     const sent = await context.engines.send(allocation.engine, request, {
         remainingMs: Math.max(1, timeLeftMs(context, generation)),
         signal: limit.signal,
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -235,6 +235,7 @@
     const sentAtMs = context.clock.monotonicMs();
     const endLoad = context.loads.start(engine.id, { requests: 1, kvTokens: 0, prefillTokens: 0 });
     const run = context.engineRuns.start(engine, suspectsOf(routed));
+    request.onSend();
     const sent = await context.engines.send(engine, request, {
         remainingMs,
         ...request.lastEventId === undefined ? {} : { lastEventId: request.lastEventId },
