Stops in series, with engines that leave and routes that move

Two entries are stopped, also right after a restart, while engines drain, are removed and start again under their ids, the plain routes move to another service and back, and callers keep using their connections, for calls that may run once (half with bodies in chunks) and for streams. Each request that ran must get its whole response, and no refused one may have run.

--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -43,12 +43,17 @@
     readonly softwareVersion: string;
 }
 
+export type PlainService = "desk" | "annex";
+
 export interface PlatformSite {
     readonly store: FakeStore;
     readonly entries: readonly EntryProcess[];
     readonly engines: readonly FakePlatformEngine[];
-    /** Writes a desired state with a higher version, in which the only client account has these API keys. */
-    readonly publish: (keys: readonly string[]) => void;
+    /**
+     * Writes a desired state with a higher version, in which the only client account has these API keys. The plain routes
+     * lead to the first plain service unless another one is given.
+     */
+    readonly publish: (keys: readonly string[], plainService?: PlainService) => void;
     /** Writes the registry record of an engine. */
     readonly register: (engine: FakePlatformEngine, state: "ready" | "draining") => void;
     /** Removes the registry record of an engine. */
@@ -75,8 +80,10 @@
     readonly modelEngines?: readonly ModelEngineOptions[];
     /** Longest reservation at the model engines; 2 s by default, 0 if they grant none. */
     readonly maxReservationMs?: number;
-    /** Number of instances of the plain service; 2 by default. */
+    /** Number of instances of the first plain service, `desk`; 2 by default. */
     readonly plainEngines?: number;
+    /** Number of instances of the second plain service, `annex`; none by default. */
+    readonly annexEngines?: number;
     /** Maps an engine's address to the one that entries connect to, such as that of a proxy. */
     readonly proxyEngineAddress?: (address: string) => Promise<string>;
     /** Maps the store's address to the one that an entry connects to; called once per entry. */
@@ -88,6 +95,7 @@
 export const siteKey = "key-of-the-walkers";
 const host = "site.example";
 const defaultSoftwareVersion = "v1";
+const annexPrefix = "x-";
 const defaultModelEngines: readonly ModelEngineOptions[] = [
     { id: "p-1", stage: "prefill", softwareVersion: defaultSoftwareVersion },
     { id: "m-1", stage: "decode", softwareVersion: defaultSoftwareVersion },
@@ -244,6 +252,10 @@
     const engines: readonly FakePlatformEngine[] = await Promise.all([
         ...modelEngines.map(({ id, stage }) => engineOf(id, stage)),
         ...Array.from({ length: options.plainEngines ?? 2 }, (unused, index) => engineOf(`d-${index + 1}`, undefined)),
+        ...Array.from(
+            { length: options.annexEngines ?? 0 },
+            (unused, index) => engineOf(`${annexPrefix}${index + 1}`, undefined),
+        ),
     ]);
     const unproxied = async (address: string): Promise<string> => address;
     const { proxyEngineAddress = unproxied, proxyStoreAddress = unproxied } = options;
@@ -260,7 +272,7 @@
         store.put(table, key, text);
     }
 
-    function publish(keys: readonly string[]): void {
+    function publish(keys: readonly string[], plainService: PlainService = "desk"): void {
         version += 3;
         const route = { host, timeout_ms: 5_000, target_latency_ms: 900, priority: 1, attempts: 2, public: false };
         const engineSpec = { slots: 50, kv_tokens: 100_000, hold_ms: options.maxReservationMs ?? 2_000, stride: 1 };
@@ -272,20 +284,22 @@
                 routes: [
                     { ...route, name: "chat", prefix: "/chat/", kind: "stream", service: "models" },
                     { ...route, name: "long", prefix: "/long/", kind: "stream", service: "models", resumable: true },
-                    { ...route, name: "pay", prefix: "/pay/", kind: "non_idempotent", service: "desk" },
-                    { ...route, name: "look", prefix: "/look/", kind: "idempotent", service: "desk" },
+                    { ...route, name: "pay", prefix: "/pay/", kind: "non_idempotent", service: plainService },
+                    { ...route, name: "look", prefix: "/look/", kind: "idempotent", service: plainService },
+                ],
+                services: [
+                    { name: "models", max_connections: 400, engine: engineSpec },
+                    { name: "desk", max_connections: 100 },
+                    { name: "annex", max_connections: 100 },
                 ],
-                services: [{ name: "models", max_connections: 400, engine: engineSpec }, {
-                    name: "desk",
-                    max_connections: 100,
-                }],
                 tenants: [{ name: "walkers", api_keys: keys }],
             }),
         );
     }
 
     function register(engine: FakePlatformEngine, state: "ready" | "draining"): void {
-        const service = engine.stage === undefined ? "desk" : "models";
+        const plainService: PlainService = engine.id.startsWith(annexPrefix) ? "annex" : "desk";
+        const service = engine.stage === undefined ? plainService : "models";
         const stage = engine.stage === undefined ? {} : { stage: engine.stage };
         version += 1;
         if (state === "ready") {
--- a/test/stops.test.ts
+++ b/test/stops.test.ts
@@ -13,7 +13,7 @@
 import type { Dispatcher } from "undici";
 import { afterEach, describe, expect, it } from "vitest";
 import { bodyOfDuration } from "../fakes/platformEngine.js";
-import { isReady, siteKey, startPlatformSite, until } from "../fakes/platformSite.js";
+import { expectedStream, isReady, siteKey, startPlatformSite, until } from "../fakes/platformSite.js";
 import type { EntryProcess, PlatformSite } from "../fakes/platformSite.js";
 import { startTcpProxy } from "../fakes/tcpProxy.js";
 import type { TcpProxy } from "../fakes/tcpProxy.js";
@@ -218,6 +218,103 @@
     });
 });
 
+const loopClients = 30;
+const streamEvents = 10;
+const streamEventMs = 60;
+const reconnectMs = 100;
+/** Every so many of a client's calls is a stream. */
+const streamInterval = 4;
+
+/** Calls an entry again and again, on one connection as long as the entry keeps it, until `isOver`. */
+async function callRepeatedly(
+    entry: EntryProcess,
+    client: number,
+    isOver: () => boolean,
+): Promise<readonly EndedCall[]> {
+    const ended: EndedCall[] = [];
+    let connection = new Client(entry.callersUrl, { keepAliveTimeout: 60_000 });
+    for (let number = 0; !isOver(); number++) {
+        const requestId = `${entry.name}-${client}-${number}`;
+        const isStream = number % streamInterval === 0;
+        const durationMs = (client * durationStepMs + number * 310) % maxCallMs / 2;
+        const body = isStream ? "prompt" : bodyOfDuration(Math.round(durationMs));
+        let outcome = "closed";
+        try {
+            const response = await connection.request({
+                method: "POST",
+                path: isStream ? "/chat/x" : "/pay/x",
+                headers: {
+                    ...callHeaders(requestId, 3_000),
+                    ...isStream ? { "x-gooseberrywell-token-usage": "1000,100" } : {},
+                },
+                body: client % 2 === 0 ? body : Readable.from(inChunks(body)),
+            });
+            const text = await response.body.text();
+            const isWhole = !isStream || response.statusCode !== 200
+                || text.replaceAll(" v1\n", "\n") === expectedStream(requestId, streamEvents);
+            outcome = isWhole ? String(response.statusCode) : "closed";
+        }
+        catch {
+            await connection.destroy();
+            connection = new Client(entry.callersUrl, { keepAliveTimeout: 60_000 });
+        }
+        ended.push({ requestId, outcome });
+        await delay(outcome === "200" ? 0 : reconnectMs);
+    }
+    await connection.destroy();
+    return ended;
+}
+
+/** Drains, removes and lists again an instance of a plain service, while the plain routes lead to the other one. */
+async function replaceEngine(number: number): Promise<void> {
+    const engine = site.engines.find(({ id }) => id === `d-${number}`);
+    if (engine === undefined) {
+        return;
+    }
+    site.register(engine, "draining");
+    site.publish([siteKey], "annex");
+    await delay(700);
+    site.unregister(engine);
+    await delay(700);
+    site.publish([siteKey], "desk");
+    site.register(engine, "ready");
+    await delay(300);
+}
+
+describe("stops in series", () => {
+    it("together with engines that leave and routes that move: each request is answered, or has not run", async () => {
+        await startSite({
+            entries: 2,
+            plainEngines: 3,
+            annexEngines: 2,
+            events: streamEvents,
+            eventMs: streamEventMs,
+        });
+        let isOver = false;
+        const calls = site.entries.flatMap(entry =>
+            Array.from({ length: loopClients }, (unused, client) => callRepeatedly(entry, client, () => isOver))
+        );
+        await delay(500);
+        for (const [index, entry] of site.entries.entries()) {
+            entry.signal("SIGTERM");
+            await replaceEngine(index + 1);
+            expect(await entry.exited).toBe(0);
+            await entry.restart();
+            await until("the entry is ready again", () => isReady(entry));
+            // Right after a restart.
+            entry.signal("SIGTERM");
+            await replaceEngine(index + 2);
+            expect(await entry.exited).toBe(0);
+            await entry.restart();
+            await until("the entry is ready again", () => isReady(entry));
+        }
+        isOver = true;
+        const ended = (await Promise.all(calls)).flat();
+        expect(wrongOutcomes(ended)).toEqual([]);
+        expect(ended.filter(({ outcome }) => outcome === "200").length).toBeGreaterThan(0);
+    }, 90_000);
+});
+
 describe("a signal while an entry starts", () => {
     // Unhandled, it ended the process at once.
     it.each(["SIGTERM", "SIGINT"] as const)("%s stops it in order", async signal => {
