Tests: responses that are cut in their head or body, at the clients that take none for whole

Undici ends a response with its connection only once its head is complete.

A body that was reset while the engine's start is checked is dropped with what had arrived; the stream goes on before it.

The queue of the agents' tests moves to the harness, so that it is there once.

--- a/fakes/requestHarness.ts
+++ b/fakes/requestHarness.ts
@@ -12,6 +12,7 @@
     ServiceResponse,
     StartDecodeResponse,
 } from "../src/endpoint/messages.js";
+import type { WorkQueue } from "../src/endpoint/workQueue.js";
 import { createRequestQuarantine } from "../src/quarantine/requestQuarantine.js";
 import { defaultTimeouts } from "../src/requests/context.js";
 import type { RequestAttributes, RequestContext } from "../src/requests/context.js";
@@ -50,6 +51,15 @@
     unavailable: false,
 };
 
+/** The queue of an agent whose slots are all free. */
+export const freeWorkQueue: WorkQueue = {
+    acquire: async () => Result.ok({ release: () => undefined }),
+    setUnavailable: () => undefined,
+    setCapacity: () => undefined,
+    load: () => idleLoad,
+    whenIdle: async () => undefined,
+};
+
 export const prefilled: PrefillResponse = {
     kind: "prefilled",
     kvId: "kv-1",
--- a/src/endpoint/serviceCalls.test.ts
+++ b/src/endpoint/serviceCalls.test.ts
@@ -5,26 +5,10 @@
 
 import { createServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
-import { Result } from "true-myth";
 import { describe, expect, it } from "vitest";
+import { freeWorkQueue } from "../../fakes/requestHarness.js";
 import { systemClock } from "../common/clock.js";
 import { createServiceCalls } from "./serviceCalls.js";
-import type { WorkQueue } from "./workQueue.js";
-
-const freeQueue: WorkQueue = {
-    acquire: async () => Result.ok({ release: () => undefined }),
-    setUnavailable: () => undefined,
-    setCapacity: () => undefined,
-    load: () => ({
-        slots: 1,
-        activeSlots: 0,
-        queuedRequests: 0,
-        queuedTokens: 0,
-        kvFreeBytes: 0,
-        unavailable: false,
-    }),
-    whenIdle: async () => undefined,
-};
 
 interface EndCase {
     readonly name: string;
@@ -57,7 +41,7 @@
         });
         await new Promise<void>(resolve => server.listen(0, "127.0.0.1", () => resolve()));
         const { port } = server.address() as AddressInfo;
-        const services = createServiceCalls(`http://127.0.0.1:${port}`, freeQueue, systemClock, {
+        const services = createServiceCalls(`http://127.0.0.1:${port}`, freeWorkQueue, systemClock, {
             add: () => undefined,
             set: () => undefined,
             snapshot: () => ({}),
--- a/test/responseEnds.test.ts
+++ b/test/responseEnds.test.ts
@@ -10,6 +10,7 @@
 import type { AddressInfo, Server, Socket } from "node:net";
 import { request as sendRequest } from "undici";
 import { afterEach, describe, expect, it } from "vitest";
+import { cutHeads } from "../fakes/cutResponses.js";
 import {
     createTestForwardContext,
     desiredStateOf,
@@ -39,6 +40,8 @@
     readonly isShort: boolean;
     readonly close: Close;
     readonly isComplete: boolean;
+    /** A part of the head, instead of all else. */
+    readonly cutHead?: string;
 }
 
 const firstEvent = "id: 1\ndata: a\n\n";
@@ -111,7 +114,14 @@
     closeDelimited("reset", "do", "reset", false),
 ];
 
-function responseText({ framing, text, isShort }: ResponseEnd, requestId: string, contentType: string): string {
+function responseText(
+    { framing, text, isShort, cutHead }: ResponseEnd,
+    requestId: string,
+    contentType: string,
+): string {
+    if (cutHead !== undefined) {
+        return cutHead;
+    }
     const framingHeader = {
         length: `content-length: ${text.length + (isShort ? 10 : 0)}\r\n`,
         chunks: "transfer-encoding: chunked\r\n",
@@ -226,10 +236,14 @@
 };
 
 /** What a caller receives: status and text of a complete response, the status alone of an error, or `broken`. */
-async function callEntry(entryUrl: string, route: Route): Promise<string> {
+async function callEntry(
+    entryUrl: string,
+    route: Route,
+    headers: Readonly<Record<string, string>> = {},
+): Promise<string> {
     const { statusCode, body } = await sendRequest(`${entryUrl}${route.pathPrefix}x`, {
         method: "POST",
-        headers: callerHeaders,
+        headers: { ...callerHeaders, ...headers },
     });
     try {
         const text = await body.text();
@@ -302,6 +316,46 @@
     );
 });
 
+const brokenEnd: ResponseEnd = { ...wholeEnd, framing: "chunks", text: firstEvent, isShort: true, close: "end" };
+const headEnds: readonly ResponseEnd[] = cutHeads({
+    status: "200 OK",
+    headers: ["x-gooseberrywell-request-id: r-1", "x-gooseberrywell-response-seal: sealed"],
+    body: secondEvent,
+}).filter(({ close }) => close !== "keep").map(({ name, pieces, close }) => ({
+    ...wholeEnd,
+    name: `in the head, ${name}`,
+    isComplete: false,
+    close,
+    cutHead: pieces.join(""),
+}));
+
+// Only the first response of a stream had been cut at each place; none that goes on from another one.
+describe("the end of a response with which a broken stream goes on", () => {
+    it.each(named([...headEnds, ...streamEnds]))("within one response to the caller: %s", async (name, end) => {
+        const engine = await startEngineServer([brokenEnd, end], "text/event-stream");
+        const outcome = await callEntry(await startEntry(engine, resumableRoute), resumableRoute);
+        expect(outcome).toBe(end.isComplete ? `200 ${firstEvent}${end.text}` : "broken");
+        expect(engine.lastEventIds).toEqual([undefined, "1"]);
+    });
+
+    it.each(named([...headEnds, ...streamEnds]))("taken up by its caller: %s", async (name, end) => {
+        const engine = await startEngineServer([brokenEnd, wholeEnd, end, wholeEnd], "text/event-stream");
+        const entryUrl = await startEntry(engine, resumableRoute);
+        expect(await callEntry(entryUrl, resumableRoute)).toBe(`200 ${wholeStream}`);
+        const outcome = await callEntry(entryUrl, resumableRoute, {
+            "x-gooseberrywell-request-id": "r-2",
+            "resumes": "r-1",
+            "last-event-id": "1",
+        });
+        const received = firstEventPattern.exec(end.text)?.[0] ?? "";
+        const resumed = end.isComplete ? end.text : received + secondEvent;
+        // A reset discards what has arrived while the engine's start is checked; the stream then goes on before it.
+        const lost = end.close === "reset" ? [`200 ${secondEvent}`] : [];
+        expect(end.cutHead === undefined ? [`200 ${resumed}`, ...lost] : ["502"]).toContain(outcome);
+        expect(engine.sends()).toBe(end.isComplete || end.cutHead !== undefined ? 3 : 4);
+    });
+});
+
 describe("the end of a plain response", () => {
     it.each(named(plainEnds))("on a route that allows no repeats: %s", async (name, end) => {
         const route = routeOf("nonIdempotent");
