Store: a transaction is decided by a whole response only, and by a status that decides it

A 200 or 412 with neither a length nor chunks whose connection closed before any body counted as committed or as a conflict; the statuses 500, 502, 504, 202 and 302 counted as `unavailable`, so as not performed. The client of the site's platform took 500 and 504 in the same way.

Only 503 and 4xx prove that nothing was done; a response whose empty body shows no end, and every other status, leaves the outcome unknown, which all callers of `commit` can resolve. `framingOf` moves to the port, for it is needed twice.

--- a/src/engines/enginePort.ts
+++ b/src/engines/enginePort.ts
@@ -101,6 +101,14 @@
 /** What marks the end of a response's body: its announced length, its last chunk, or the end of its connection. */
 export type BodyFraming = "length" | "chunks" | "connection";
 
+/** The framing that the headers of a response announce. */
+export function framingOf(header: (name: string) => string | undefined): BodyFraming {
+    if (header("transfer-encoding")?.toLowerCase().includes("chunked") === true) {
+        return "chunks";
+    }
+    return header("content-length") === undefined ? "connection" : "length";
+}
+
 /** Response from an engine. Reading `body` fails if the engine ends the response early. */
 export interface EngineResponse {
     /** Id of the engine. */
--- a/src/platform/httpPlatform.ts
+++ b/src/platform/httpPlatform.ts
@@ -48,6 +48,14 @@
 /** The largest objects are snapshots of the configuration. */
 const maxResponseBytes = 64 * 1_024 * 1_024;
 const statusOk = 200;
+const statusUnavailable = 503;
+const minClientError = 400;
+const minServerError = 500;
+
+/** Whether a status means that a service refused the request; after any other failure it may have been performed. */
+export function provesNothingDone(status: number): boolean {
+    return status === statusUnavailable || (status >= minClientError && status < minServerError);
+}
 
 export function createHttpPlatform(settings: HttpPlatformSettings): Platform {
     const dispatcher = new Agent({ connections: maxConnections, pipelining: 1 });
@@ -77,7 +85,8 @@
             });
             const responseBody: unknown = JSON.parse(await readText(response.body, maxResponseBytes));
             if (response.statusCode !== statusOk) {
-                return Result.err({ kind: "unavailable", cause: `${path}: status ${response.statusCode}` });
+                const kind = provesNothingDone(response.statusCode) ? "unavailable" : "unknown";
+                return Result.err({ kind, cause: `${path}: status ${response.statusCode}` });
             }
             return checkValue(schema, responseBody).mapErr(invalid => ({
                 kind: "unknown",
--- a/src/platform/platform.test.ts
+++ b/src/platform/platform.test.ts
@@ -4,6 +4,7 @@
  */
 
 import { afterAll, beforeAll, describe, expect, test } from "vitest";
+import { startScriptedServer, wholeResponses } from "../../fakes/cutResponses.js";
 import { startFakePlatform } from "../../fakes/platform.js";
 import type { FakePlatform, PlatformFaults } from "../../fakes/platform.js";
 import { createHttpPlatform } from "./httpPlatform.js";
@@ -140,3 +141,20 @@
     const outcome = await tables.commit({ conditions: [], writes: [{ ...rowKey("x"), value: 1 }] });
     expect(outcome.isErr && outcome.error.kind).toBe("unavailable");
 });
+
+const statusCases = [
+    ["404 Not Found", "unavailable"],
+    ["503 Service Unavailable", "unavailable"],
+    ["500 Internal Server Error", "unknown"],
+    ["504 Gateway Timeout", "unknown"],
+] as const;
+
+// A commit after which the platform failed was reported as not performed.
+test.each(statusCases)("a commit with status %s: %s", async (status, kind) => {
+    const [response] = wholeResponses({ status, headers: [], body: "{}" });
+    const server = await startScriptedServer(response === undefined ? [] : [response]);
+    const { tables } = createHttpPlatform({ url: `http://${server.address}`, timeoutMs: 1_000 });
+    const outcome = await tables.commit({ conditions: [], writes: [{ ...rowKey("x"), value: 1 }] });
+    expect(outcome.isErr && outcome.error.kind).toBe(kind);
+    server.close();
+});
--- a/test/cutResponses.test.ts
+++ b/test/cutResponses.test.ts
@@ -17,6 +17,7 @@
 import { createEngineNotices } from "../src/engines/engineNotices.js";
 import type { EnginePort, EngineRecord, EngineRequest } from "../src/engines/enginePort.js";
 import { createEngineRates } from "../src/engines/engineRates.js";
+import type { TableService } from "../src/platform/ports.js";
 import { createRpcClient } from "../src/rpc/rpcClient.js";
 import { createPrometheusMetrics } from "../src/telemetry/prometheusMetrics.js";
 import { silentTelemetry } from "../src/telemetry/telemetry.js";
@@ -121,7 +122,13 @@
 
 const key = { table: "t", key: "a" };
 
+async function commit(tables: TableService): Promise<string> {
+    const outcome = await tables.commit({ conditions: [{ ...key, version: 0 }], writes: [{ ...key, value: 1 }] });
+    return outcome.isOk ? outcome.value.kind : outcome.error.kind;
+}
+
 const readOutcomes = { whole: "ok", cut: ["unknown", "unavailable"] } as const;
+const commitOutcomes = (whole: string): Pick<CallCase, "whole" | "cut"> => ({ whole, cut: ["unknown"] });
 
 function storeCase(
     name: string,
@@ -143,6 +150,18 @@
 
 const page = { rows: [{ key: "a", value: "MQ==", row_version: 1 }], more_pages: false, row_version: 1, now_ms: 1 };
 const storeCases: readonly CallCase[] = [
+    storeCase(
+        "a transaction",
+        jsonResponse("200 OK", { row_version: 1, now_ms: 1 }),
+        commitOutcomes("committed"),
+        store => commit(store.tables),
+    ),
+    storeCase(
+        "a conflict",
+        jsonResponse("412 Precondition Failed", page),
+        commitOutcomes("conflict"),
+        store => commit(store.tables),
+    ),
     storeCase(
         "a read",
         jsonResponse("200 OK", page),
