Engines: a cut report or reservation is no answer, and a failure is no report

A 200 whose connection closed in order before or inside its JSON counted as `notExecuted`. For a report that means that the engine runs, so a request was cleared whose engine ended while it reported; for a reservation it means that there is no capacity, without a log line. Failures with JSON counted as reports with default values.

Ruled out: prefills, orders and cut heads.

An order that isn't sent for want of a report has a log line.

--- a/src/stages/stageController.ts
+++ b/src/stages/stageController.ts
@@ -94,8 +94,15 @@
 
     async function sendOrder(engine: EngineRecord, stage: Stage, reconfigureMs: number): Promise<void> {
         const report = await engines.report(engine, orderTimeoutMs);
-        const permit = report.isOk && !report.value.isReconfiguring ? await leadership.claim() : undefined;
-        if (report.isErr || permit === undefined || !permit.isFresh()) {
+        if (report.isErr) {
+            log.info("an engine that was to change its stage did not report", {
+                engine: engine.id,
+                cause: report.error.cause,
+            });
+            return;
+        }
+        const permit = report.value.isReconfiguring ? undefined : await leadership.claim();
+        if (permit === undefined || !permit.isFresh()) {
             return;
         }
         const { holder, fencingToken } = permit;
--- a/test/cutResponses.test.ts
+++ b/test/cutResponses.test.ts
@@ -110,6 +110,18 @@
             return outcomeOf(await client.prefill(engine, { ...engineRequest }, { remainingMs: timeoutMs, signal }));
         },
     ),
+    engineCase(
+        "a reservation",
+        jsonResponse("200 OK", { hold: "h-1" }),
+        lost,
+        async (client, engine) => outcomeOf(await client.reserve(engine, 10, 10, timeoutMs)),
+    ),
+    engineCase(
+        "a report",
+        jsonResponse("200 OK", { born: 1, busy: false, sequence: 3 }),
+        lost,
+        async (client, engine) => outcomeOf(await client.report(engine, timeoutMs)),
+    ),
     ...Object.entries(orderOutcomes).map(([status, whole]) =>
         engineCase(
             `an order, ${whole}`,
