Calls between processes: a method's error is no refusal, and other JSON is no result

After any JSON-RPC error of an agent, a call that must not run twice was sent to the next agent and at last reported as not run, also where a method had thrown midway. Any JSON without an error was the result of a call, so origins of streams that another entry had not taken counted as recorded there.

Ruled out: cut responses, none of which was taken for a result. No path is known in which an agent's method throws after its call has run.

Only the codes for calls that reach no method prove that nothing ran; a result must be the JSON-RPC response to the call. Where a response is neither, the call counts as interrupted: not sent again if it must not run twice.

--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -16,6 +16,7 @@
 import type { AgentStream } from "./agentStream.js";
 import type { GenerationRequest, RequestContext } from "./context.js";
 import { isEndpointDown, startOf } from "./endedEndpoint.js";
+import { failureOfCall } from "./outcomeTable.js";
 import type { FailureKind, Stage } from "./outcomeTable.js";
 
 /** Input of an attempt besides the request. */
@@ -373,8 +374,7 @@
     if (response.isOk) {
         return fail(stage, "interrupted", `${candidate.endpoint}: answer of unknown shape`);
     }
-    const { kind, cause } = response.error;
-    return fail(stage, kind === "rejected" ? "refused" : kind, `${candidate.endpoint}: ${cause}`);
+    return fail(stage, failureOfCall(response.error), `${candidate.endpoint}: ${response.error.cause}`);
 }
 
 /** Describes an event that ends a decode stream before its end event. */
--- a/src/requests/callService.ts
+++ b/src/requests/callService.ts
@@ -10,7 +10,7 @@
 import { fingerprintOf } from "../quarantine/requestFingerprint.js";
 import type { RequestAttributes, RequestContext } from "./context.js";
 import { isEndpointDown, maxEndedEndpoints, startOf } from "./endedEndpoint.js";
-import { findOutcome } from "./outcomeTable.js";
+import { failureOfCall, findOutcome } from "./outcomeTable.js";
 import type { FailureKind } from "./outcomeTable.js";
 
 /** A call to a plain service of a pool. `idempotent` calls may be repeated. */
@@ -141,8 +141,7 @@
     if (response.isErr) {
         excluded.add(candidate.endpoint);
         context.reportFailure(candidate.agentUrl);
-        const { kind, cause } = response.error;
-        return { failure: kind === "rejected" ? "refused" : kind, cause };
+        return { failure: failureOfCall(response.error), cause: response.error.cause };
     }
     const checked = checkValue(serviceResponseSchema, response.value);
     if (checked.isErr) {
--- a/src/requests/outcomeTable.ts
+++ b/src/requests/outcomeTable.ts
@@ -3,6 +3,9 @@
  * docs/OUTCOMES.md is generated from it.
  */
 
+import { provesNotInvoked } from "../rpc/errors.js";
+import type { RpcError } from "../rpc/errors.js";
+
 /** Stages of an attempt, in order. `call` is an entire call to a plain service. */
 export type Stage = "route" | "reserve" | "prefill" | "transfer" | "decode" | "call";
 
@@ -71,6 +74,14 @@
     outcomeTable.map(row => [`${row.stage}/${row.failure}`, row]),
 );
 
+/** How a call to an agent failed: an error that the agent's method has thrown does not prove that nothing ran. */
+export function failureOfCall(error: RpcError): FailureKind {
+    if (error.kind !== "rejected") {
+        return error.kind;
+    }
+    return provesNotInvoked(error) ? "refused" : "interrupted";
+}
+
 /** Returns the row of a failure. A combination that the table lacks is a programming error, so it throws. */
 export function findOutcome(stage: Stage, failure: FailureKind): OutcomeRow {
     const row = rowsByKey.get(`${stage}/${failure}`);
--- a/src/requests/requests.test.ts
+++ b/src/requests/requests.test.ts
@@ -3,7 +3,11 @@
  */
 
 import fc from "fast-check";
+import { Result } from "true-myth";
 import { describe, expect, test } from "vitest";
+import { createRequestContext, requestAttributes } from "../../fakes/requestHarness.js";
+import { createVirtualClock } from "../../fakes/virtualClock.js";
+import { callService } from "./callService.js";
 import { findOutcome, outcomeTable } from "./outcomeTable.js";
 import { createRetryBudget } from "./retryBudget.js";
 import { createStopMatcher } from "./stopMatcher.js";
@@ -71,6 +75,43 @@
     );
 });
 
+const agentErrors = [
+    [-32_700, "notRun"],
+    [-32_600, "notRun"],
+    [-32_601, "notRun"],
+    [-32_602, "notRun"],
+    [0, "unknown"],
+    [-32_603, "unknown"],
+] as const;
+
+// Each error of an agent counted as a refusal, so a call that had run in part was sent again or reported as not run.
+test.each(agentErrors)("a call that must not run twice, after error %s of an agent: %s", async (code, outcome) => {
+    let sent = 0;
+    const retryBudget = { recordRequest: () => undefined, takeRetry: () => true };
+    const context = {
+        ...createRequestContext({ clock: createVirtualClock(), endpointsPerRole: 2, agents: {}, retryBudget }),
+        rpc: {
+            call: async () => {
+                sent += 1;
+                return Result.err({ kind: "rejected", delivered: "yes", code, cause: "an error" } as const);
+            },
+            stream: async () => Result.err({ kind: "unreachable", delivered: "no", cause: "not called" } as const),
+            close: async () => undefined,
+        },
+    };
+    const request = {
+        ...requestAttributes,
+        poolName: "desk",
+        method: "POST",
+        path: "/pay",
+        headers: {},
+        bodyBase64: "",
+    };
+    const { signal } = new AbortController();
+    const result = await callService(context, { ...request, idempotent: false, timeoutMs: 1_000 }, signal);
+    expect([result.kind, sent]).toEqual([outcome, outcome === "unknown" ? 1 : 2]);
+});
+
 test("retries are limited to a fraction of the requests", () => {
     const budget = createRetryBudget();
     let retries = 0;
--- a/src/rpc/errors.ts
+++ b/src/rpc/errors.ts
@@ -11,6 +11,14 @@
     | { readonly kind: "timeout"; readonly delivered: "maybe"; readonly cause: string; }
     | { readonly kind: "rejected"; readonly delivered: "yes"; readonly code: number; readonly cause: string; };
 
+/** Codes of JSON-RPC for calls that reached no method: invalid JSON, request, method or parameters. */
+const notInvokedCodes: ReadonlySet<number> = new Set([-32_700, -32_600, -32_601, -32_602]);
+
+/** Whether the called process ran no method; one that has thrown another error may have run in part. */
+export function provesNotInvoked({ code }: Extract<RpcError, { readonly kind: "rejected"; }>): boolean {
+    return notInvokedCodes.has(code);
+}
+
 const notDeliveredCodes: ReadonlySet<string> = new Set([
     "ECONNREFUSED",
     "EHOSTUNREACH",
--- a/src/rpc/rpcClient.ts
+++ b/src/rpc/rpcClient.ts
@@ -2,8 +2,7 @@
  * Client for JSON-RPC 2.0 over keep-alive HTTP, and for streaming requests to the same processes.
  */
 
-import { createJSONRPCRequest } from "json-rpc-2.0";
-import type { JSONRPCResponse } from "json-rpc-2.0";
+import { createJSONRPCRequest, isJSONRPCResponse } from "json-rpc-2.0";
 import { Result } from "true-myth";
 import { Agent } from "undici";
 import type { Dispatcher } from "undici";
@@ -80,11 +79,12 @@
     return {
         call: (url, method, params, options) =>
             runLimited(toLimit(options), async limit => {
-                const request = createJSONRPCRequest(nextId++, method, params as never);
+                const id = nextId++;
+                const request = createJSONRPCRequest(id, method, params as never);
                 const response = await post(url, rpcPath, request, limit);
                 return response.isErr
                     ? Result.err(response.error)
-                    : readResponse(response.value, maxResponseBytes, limit);
+                    : readResponse(response.value, id, maxResponseBytes, limit);
             }),
         stream: async (url, path, body, options) => {
             const limit = limitCall(toLimit(options));
@@ -107,16 +107,23 @@
 
 async function readResponse(
     response: StreamResponse,
+    id: number,
     maxResponseBytes: number,
     { isTimedOut }: CallLimit,
 ): Promise<Result<unknown, RpcError>> {
     try {
-        const rpcResponse = JSON.parse(await readText(response.body, maxResponseBytes)) as JSONRPCResponse;
-        if (rpcResponse.error !== undefined && rpcResponse.error !== null) {
+        const rpcResponse: unknown = JSON.parse(await readText(response.body, maxResponseBytes));
+        const isResponse = isJSONRPCResponse(rpcResponse);
+        // An error that is found before the call is read names no call.
+        if (isResponse && rpcResponse.error !== undefined && (rpcResponse.id === id || rpcResponse.id === null)) {
             const { code, message } = rpcResponse.error;
             return Result.err({ kind: "rejected", delivered: "yes", code, cause: message });
         }
-        return Result.ok(rpcResponse.result);
+        if (isResponse && rpcResponse.error === undefined && rpcResponse.id === id) {
+            return Result.ok(rpcResponse.result);
+        }
+        const cause = `not a response to the call: status ${response.statusCode}`;
+        return Result.err({ kind: "interrupted", delivered: "maybe", cause });
     }
     catch (error) {
         return Result.err(toRpcError(error, isTimedOut()));
