Agents and the site's platform: a reset is not the end of a response

The agent's client of its engine and the client of the site's platform were the two without a guarded connector. A response with neither a length nor chunks was whole after a reset.

Callers got no wrong success from it, as tokens have an end event and JSON shows its end; but an error status that was reset counted as the engine's last word, and the attempt was not cancelled there.

`refused` was described as "ran nothing". Traced to the entry: a refused prefill or decode becomes `engineFailed`, which counts as "may have run", so nobody was told "not run". The description says now what holds.

--- a/src/endpoint/engineClient.ts
+++ b/src/endpoint/engineClient.ts
@@ -9,6 +9,7 @@
 import { runLimited } from "../common/callLimit.js";
 import { checkValue, describeInvalidInput } from "../common/json.js";
 import { readText } from "../common/readText.js";
+import { createGuardedConnector } from "../rpc/guardedConnector.js";
 
 export interface AttemptId {
     readonly requestId: string;
@@ -49,8 +50,8 @@
 export type EnginePrefillResult = Readonly<z.output<typeof prefillResultSchema>>;
 
 /**
- * Why a call failed. `unreachable`: the connection was refused. `refused`: the engine responded with an error status
- * and ran nothing. `failed`: any other failure; the engine may have run the call.
+ * Why a call failed. `unreachable`: the connection was refused. `refused`: the engine responded with an error status, so
+ * it runs the call no more, but may have run it in part. `failed`: any other failure; the engine may still run the call.
  */
 export interface EngineError {
     readonly kind: "unreachable" | "failed" | "refused";
@@ -72,6 +73,7 @@
 }
 
 const maxEngineConnections = 512;
+const connectTimeoutMs = 10_000;
 const controlTimeoutMs = 2_000;
 /** Responses other than streams are small JSON objects; the largest lists the attempts that the engine runs. */
 const maxResponseBytes = 1_048_576;
@@ -79,6 +81,7 @@
 
 export function createEngineClient(engineUrl: string): EngineClient {
     const dispatcher = new Agent({
+        connect: createGuardedConnector(connectTimeoutMs),
         connections: maxEngineConnections,
         pipelining: 1,
         headersTimeout: 0,
--- a/src/platform/httpPlatform.ts
+++ b/src/platform/httpPlatform.ts
@@ -10,6 +10,7 @@
 import { checkValue, describeInvalidInput } from "../common/json.js";
 import type { JsonValue } from "../common/json.js";
 import { readText } from "../common/readText.js";
+import { createGuardedConnector } from "../rpc/guardedConnector.js";
 import type { CommitOutcome, HostRecord, Platform, PlatformError, Row } from "./ports.js";
 
 export interface HttpPlatformSettings {
@@ -58,7 +59,11 @@
 }
 
 export function createHttpPlatform(settings: HttpPlatformSettings): Platform {
-    const dispatcher = new Agent({ connections: maxConnections, pipelining: 1 });
+    const dispatcher = new Agent({
+        connect: createGuardedConnector(settings.timeoutMs),
+        connections: maxConnections,
+        pipelining: 1,
+    });
 
     function request<Schema extends z.ZodType>(
         path: string,
--- a/test/cutResponses.test.ts
+++ b/test/cutResponses.test.ts
@@ -13,10 +13,14 @@
 import { createStoreClient } from "../platform/storeClient.js";
 import { limitCall } from "../src/common/callLimit.js";
 import { systemClock } from "../src/common/clock.js";
+import { readText } from "../src/common/readText.js";
+import { createEngineClient as createAgentEngineClient } from "../src/endpoint/engineClient.js";
+import type { EngineClient as AgentEngineClient } from "../src/endpoint/engineClient.js";
 import { createServiceCalls } from "../src/endpoint/serviceCalls.js";
 import { createEngineNotices } from "../src/engines/engineNotices.js";
 import type { EnginePort, EngineRecord, EngineRequest } from "../src/engines/enginePort.js";
 import { createEngineRates } from "../src/engines/engineRates.js";
+import { createHttpPlatform } from "../src/platform/httpPlatform.js";
 import type { TableService } from "../src/platform/ports.js";
 import { createRpcClient } from "../src/rpc/rpcClient.js";
 import { createPrometheusMetrics } from "../src/telemetry/prometheusMetrics.js";
@@ -40,6 +44,7 @@
 }
 
 const timeoutMs = 1_000;
+const maxTextBytes = 65_536;
 const responsesAtOnce = 24;
 
 function jsonResponse(status: string, body: unknown, headers: readonly string[] = []): Response {
@@ -198,6 +203,20 @@
     }),
 ];
 
+function platformCase(name: string, body: unknown, whole: string): CallCase {
+    return {
+        name: `${name} of the site's platform`,
+        response: jsonResponse("200 OK", body),
+        whole,
+        cut: ["unknown"],
+        isSelfDelimited: true,
+        open: address => {
+            const { tables } = createHttpPlatform({ url: `http://${address}`, timeoutMs });
+            return { call: () => commit(tables), close: async () => undefined };
+        },
+    };
+}
+
 const entryCase: CallCase = {
     name: "a call to another entry",
     response: jsonResponse("200 OK", { jsonrpc: "2.0", id: 1, result: { taken: true } }),
@@ -211,7 +230,84 @@
     },
 };
 
+function agentCase(
+    name: string,
+    response: Response,
+    outcomes: Pick<CallCase, "whole" | "isSelfDelimited">,
+    call: (client: AgentEngineClient, signal: AbortSignal) => Promise<string>,
+): CallCase {
+    return {
+        name: `${name} of an agent`,
+        response,
+        cut: ["failed"],
+        ...outcomes,
+        open: address => {
+            const client = createAgentEngineClient(`http://${address}`);
+            return { call: () => call(client, limitCall({ timeoutMs }).signal), close: client.close };
+        },
+    };
+}
+
 const attempt = { requestId: "r-1", attempt: 1 };
+const agentPrefill = { ...attempt, model: "m", prompt: "p", priority: 0 };
+const agentDecode = {
+    ...attempt,
+    model: "m",
+    kvId: "k",
+    kvSource: "s",
+    emittedTokens: 0,
+    maxOutputTokens: 1,
+    priority: 0,
+};
+const kvCache = {
+    kvId: "k",
+    kvSource: "s",
+    kvBytes: 1,
+    promptTokens: 1,
+    cachedTokens: 0,
+    expiresInMs: 1,
+    softwareVersion: "v1",
+};
+const eventType = "content-type: text/event-stream";
+const event = "data: a\n\n";
+
+const agentCases: readonly CallCase[] = [
+    agentCase(
+        "a prefill",
+        jsonResponse("200 OK", kvCache),
+        { whole: "ok", isSelfDelimited: true },
+        async (client, signal) => outcomeOf(await client.prefill(agentPrefill, signal)),
+    ),
+    agentCase(
+        "a prefill that fails",
+        jsonResponse("500 Internal", { error: "out of memory" }),
+        { whole: "refused", isSelfDelimited: false },
+        async (client, signal) => outcomeOf(await client.prefill(agentPrefill, signal)),
+    ),
+    agentCase(
+        "a cancellation",
+        jsonResponse("200 OK", {}),
+        { whole: "ok", isSelfDelimited: true },
+        async client => outcomeOf(await client.cancel(attempt)),
+    ),
+    agentCase(
+        "a list",
+        jsonResponse("200 OK", { requests: [] }),
+        { whole: "ok", isSelfDelimited: true },
+        async client => outcomeOf(await client.running()),
+    ),
+    agentCase(
+        "a decode stream",
+        { status: "200 OK", headers: [eventType], body: event },
+        { whole: "ok", isSelfDelimited: false },
+        async (client, signal) => {
+            const response = await client.decode(agentDecode, signal);
+            const read = response.isOk ? readText(response.value.body, maxTextBytes) : Promise.resolve("");
+            return response.isErr ? response.error.kind : read.then(() => "ok", () => "failed");
+        },
+    ),
+];
+
 const serviceCall = {
     ...attempt,
     clientAccount: "account",
@@ -253,7 +349,10 @@
 const calls: readonly CallCase[] = [
     ...engineCases,
     ...storeCases,
+    platformCase("a transaction", { kind: "committed" }, "committed"),
+    platformCase("a conflict", { kind: "conflict", key }, "conflict"),
     entryCase,
+    ...agentCases,
     serviceCase("a response", "content-type: text/plain", "done", false),
 ];
 
