Agents: half an event of an engine does not join with the agent's own

Where an engine stopped inside an event of a decode stream, the agent's event that the engine had ended joined with that half. The entry could not read it, so the request was not suspected of having ended the engine and went on to others. Half an end event counted as the end, and the attempt was not cancelled.

Test over real connections from the engine to the entry: a stream is broken off at each byte of its last two events. It failed before from the first byte on (length 1: the end of the engine was lost). Ruled out: a wrong text or a stream that ends as complete; the entry drops half an event and resumes.

The agent passes on complete events only. The code that finds them is the one of resumed streams, moved to `eventStream.ts`.

--- a/src/endpoint/decodeStreams.ts
+++ b/src/endpoint/decodeStreams.ts
@@ -7,6 +7,7 @@
 import type { ServerResponse } from "node:http";
 import { runLimited } from "../common/callLimit.js";
 import type { Clock } from "../common/clock.js";
+import { createEventAssembler, maxEventBytes } from "../forwarding/eventStream.js";
 import { disconnectSignal } from "../rpc/httpServer.js";
 import type { Counters } from "../telemetry/telemetry.js";
 import { cancelAtEngine } from "./cancellation.js";
@@ -79,11 +80,16 @@
             return 0;
         }
         const scanner = createEventScanner();
+        // Half an event would join with the event that is written below.
+        const assembler = createEventAssembler();
         try {
             // Leaving the loop early destroys the body, which ends the call.
             for await (const chunk of engineResponse.value.body as AsyncIterable<Buffer>) {
-                scanner.push(chunk);
-                if (!response.write(chunk) && !await waitForDrain(response, clock, disconnected)) {
+                const events = assembler.push(chunk);
+                scanner.push(events);
+                const mayGoOn = events.length === 0 || response.write(events)
+                    || await waitForDrain(response, clock, disconnected);
+                if (!mayGoOn || assembler.partialEvent().length > maxEventBytes) {
                     break;
                 }
             }
@@ -162,23 +168,21 @@
 }
 
 interface EventScanner {
-    readonly push: (chunk: Buffer) => void;
+    /** Takes complete events. */
+    readonly push: (events: Buffer) => void;
     readonly tokens: () => number;
     readonly ended: () => boolean;
 }
 
 /** Counts the token events of a stream and detects its end event without parsing it. */
 function createEventScanner(): EventScanner {
-    let tail = "";
     let tokens = 0;
     let ended = false;
     return {
-        push: chunk => {
-            const text = tail + chunk.toString("latin1");
-            tokens += countOccurrences(text, tokenMarker) - countOccurrences(tail, tokenMarker);
+        push: events => {
+            const text = events.toString("latin1");
+            tokens += countOccurrences(text, tokenMarker);
             ended ||= text.includes(endMarker);
-            // A marker may be split across two chunks.
-            tail = text.slice(-(tokenMarker.length - 1));
         },
         tokens: () => tokens,
         ended: () => ended,
--- a/src/forwarding/eventStream.ts
+++ b/src/forwarding/eventStream.ts
@@ -11,6 +11,8 @@
 const carriageReturn = 0x0d;
 /** Bytes before a position that decide whether an event ends there. */
 const boundaryBytes = 3;
+/** Limit on an incomplete event, which is kept in memory: a faulty engine may send bytes that never end an event. */
+export const maxEventBytes = 262_144;
 const idField = "id:";
 const eventStreamType = "text/event-stream";
 
@@ -64,6 +66,28 @@
     return 0;
 }
 
+/** Splits a stream into complete events; keeps the beginning of the next one. */
+export interface EventAssembler {
+    /** Returns the events that are complete with the chunk; empty if none is. */
+    readonly push: (chunk: Buffer) => Buffer;
+    /** The bytes after the last complete event. */
+    readonly partialEvent: () => Buffer;
+}
+
+export function createEventAssembler(): EventAssembler {
+    let partialEvent: Buffer = Buffer.alloc(0);
+    return {
+        push: chunk => {
+            const searchedBytes = partialEvent.length;
+            const pending = searchedBytes === 0 ? chunk : Buffer.concat([partialEvent, chunk]);
+            const eventsLength = completeEventsLength(pending, searchedBytes);
+            partialEvent = pending.subarray(eventsLength);
+            return pending.subarray(0, eventsLength);
+        },
+        partialEvent: () => partialEvent,
+    };
+}
+
 /** The value of the last `id` field in a sequence of complete events. */
 export function lastEventIdIn(events: Buffer): string | undefined {
     let fieldStart = events.lastIndexOf(idField);
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -12,11 +12,12 @@
 import type { ForwardContext } from "./context.js";
 import { discardBody } from "./discardBody.js";
 import {
-    completeEventsLength,
+    createEventAssembler,
     createEventBoundaryTracker,
     findMissingEnd,
     isEventStream,
     lastEventIdIn,
+    maxEventBytes,
     withoutLength,
 } from "./eventStream.js";
 import type { EventBoundaryTracker } from "./eventStream.js";
@@ -25,8 +26,6 @@
 import type { GenerationRequest } from "./routedRequest.js";
 
 const successStatus = 200;
-/** Limit on an incomplete event, which is kept in memory: a faulty engine may send bytes that never end an event. */
-const maxEventBytes = 262_144;
 /** Limit on what is buffered for a slow caller: a few events. */
 const readAheadBytes = 4_096;
 const endOfStream = null;
@@ -170,30 +169,27 @@
 
 /** Relays complete events and records the id of the last one. */
 const relayCompleteEvents: EventRelay = ({ response: { body, framing } }, relayed, position) => {
-    let partialEvent: Buffer = Buffer.alloc(0);
+    const assembler = createEventAssembler();
     const boundaries = createEventBoundaryTracker();
     body.on("data", (chunk: Buffer) => {
         boundaries.push(chunk);
-        const searchedBytes = partialEvent.length;
-        const pending = searchedBytes === 0 ? chunk : Buffer.concat([partialEvent, chunk]);
-        const eventsLength = completeEventsLength(pending, searchedBytes);
-        partialEvent = pending.subarray(eventsLength);
-        if (eventsLength === 0) {
-            if (partialEvent.length > maxEventBytes) {
+        const events = assembler.push(chunk);
+        if (events.length === 0) {
+            if (assembler.partialEvent().length > maxEventBytes) {
                 body.destroy(new Error(`an event is larger than ${maxEventBytes} bytes`));
             }
             return;
         }
-        const events = pending.subarray(0, eventsLength);
         position.lastEventId = lastEventIdIn(events) ?? position.lastEventId;
         if (!relayed.push(events)) {
             body.pause();
         }
     });
     return endOf(body, boundaries, framing).then(failure => {
-        if (failure === undefined && partialEvent.length > 0) {
+        const rest = assembler.partialEvent();
+        if (failure === undefined && rest.length > 0) {
             // Line ends after the last event.
-            relayed.push(partialEvent);
+            relayed.push(rest);
         }
         return failure;
     });
