Agents: a plain service's stream that ends inside an event is not a whole response

On sites with agents a caller got a 200 with a short stream and its length where the service closed its connection in order inside an event, or before the first one.

The agent makes the same check; the call is reported as unknown, so it is sent again only if it may run twice.

--- a/src/endpoint/serviceCalls.ts
+++ b/src/endpoint/serviceCalls.ts
@@ -3,9 +3,12 @@
  */
 
 import { Agent } from "undici";
+import type { Dispatcher } from "undici";
 import { runLimited } from "../common/callLimit.js";
 import type { Clock } from "../common/clock.js";
 import { readBytes } from "../common/readText.js";
+import { framingOf } from "../engines/enginePort.js";
+import { createEventBoundaryTracker, findMissingEnd, isEventStreamType } from "../forwarding/eventStream.js";
 import { createGuardedConnector } from "../rpc/guardedConnector.js";
 import type { Counters } from "../telemetry/telemetry.js";
 import type { EndpointHealth } from "./endpointHealth.js";
@@ -22,6 +25,7 @@
 const maxServiceConnections = 256;
 const connectTimeoutMs = 10_000;
 const plainCallCostTokens = 1;
+const statusOk = 200;
 /** As base64 in a message, such a response takes less than the limit on messages between entries and agents. */
 const maxResponseBytes = 8 * 1_024 * 1_024;
 const forwardedResponseHeaders: ReadonlySet<string> = new Set(["content-type", "cache-control", "etag", "location"]);
@@ -70,6 +74,7 @@
                 signal,
             });
             const body = await readBytes(response.body, maxResponseBytes);
+            failIfIncomplete(response, body);
             return {
                 kind: "answered",
                 status: response.statusCode,
@@ -114,6 +119,19 @@
     };
 }
 
+/** Throws if the response is a stream of events that ended too early. */
+function failIfIncomplete({ statusCode, headers }: Dispatcher.ResponseData, body: Buffer): void {
+    if (statusCode !== statusOk || !isEventStreamType(String(headers["content-type"]))) {
+        return;
+    }
+    const boundaries = createEventBoundaryTracker();
+    boundaries.push(body);
+    const missing = findMissingEnd(boundaries, framingOf(name => headers[name]?.toString()));
+    if (missing !== undefined) {
+        throw new Error(missing);
+    }
+}
+
 function forwardedHeaders(
     headers: Readonly<Record<string, string | readonly string[] | undefined>>,
 ): Readonly<Record<string, string>> {
--- a/src/forwarding/eventStream.ts
+++ b/src/forwarding/eventStream.ts
@@ -44,7 +44,11 @@
 export function isEventStream(routeKind: RouteKind, headers: readonly string[]): boolean {
     const nameIndex = headers.findIndex((name, index) => index % 2 === 0 && name.toLowerCase() === "content-type");
     const contentType = nameIndex < 0 ? "" : headers[nameIndex + 1] ?? "";
-    return routeKind === "stream" || contentType.toLowerCase().startsWith(eventStreamType);
+    return routeKind === "stream" || isEventStreamType(contentType);
+}
+
+export function isEventStreamType(contentType: string): boolean {
+    return contentType.toLowerCase().startsWith(eventStreamType);
 }
 
 /**
--- a/test/cutResponses.test.ts
+++ b/test/cutResponses.test.ts
@@ -354,6 +354,7 @@
     entryCase,
     ...agentCases,
     serviceCase("a response", "content-type: text/plain", "done", false),
+    serviceCase("a stream of events", eventType, event, true),
 ];
 
 /** How each call ended whose outcome is not expected, by the name of the last response. */
