--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -17,6 +17,7 @@
     findMissingEnd,
     isEventStream,
     lastEventIdIn,
+    maxEventBytes,
     mediaTypeOf,
     withoutLength,
 } from "./eventStream.js";
@@ -27,8 +28,6 @@
 
 const successStatus = 200;
 const unknownOutcomeStatus = 502;
-/** Limit on an incomplete event, which is kept in memory: a faulty engine may send bytes that never end an event. */
-const maxEventBytes = 262_144;
 /** Limit on what is buffered for a slow caller: a few events. */
 const readAheadBytes = 4_096;
 const endOfStream = null;
--- a/src/platform/httpPlatform.ts
+++ b/src/platform/httpPlatform.ts
@@ -10,6 +10,7 @@
 import { checkValue, describeInvalidInput } from "../common/json.js";
 import type { JsonValue } from "../common/json.js";
 import { readText } from "../common/readText.js";
+import { createGuardedConnector } from "../rpc/guardedConnector.js";
 import type { CommitOutcome, HostRecord, Platform, PlatformError, Row } from "./ports.js";
 
 export interface HttpPlatformSettings {
@@ -48,9 +49,21 @@
 /** The largest objects are snapshots of the configuration. */
 const maxResponseBytes = 64 * 1_024 * 1_024;
 const statusOk = 200;
+const statusUnavailable = 503;
+const minClientError = 400;
+const minServerError = 500;
+
+/** Whether a status means that a service refused the request; after any other failure it may have been performed. */
+export function provesNothingDone(status: number): boolean {
+    return status === statusUnavailable || (status >= minClientError && status < minServerError);
+}
 
 export function createHttpPlatform(settings: HttpPlatformSettings): Platform {
-    const dispatcher = new Agent({ connections: maxConnections, pipelining: 1 });
+    const dispatcher = new Agent({
+        connect: createGuardedConnector(settings.timeoutMs),
+        connections: maxConnections,
+        pipelining: 1,
+    });
 
     function request<Schema extends z.ZodType>(
         path: string,
@@ -77,7 +90,8 @@
             });
             const responseBody: unknown = JSON.parse(await readText(response.body, maxResponseBytes));
             if (response.statusCode !== statusOk) {
-                return Result.err({ kind: "unavailable", cause: `${path}: status ${response.statusCode}` });
+                const kind = provesNothingDone(response.statusCode) ? "unavailable" : "unknown";
+                return Result.err({ kind, cause: `${path}: status ${response.statusCode}` });
             }
             return checkValue(schema, responseBody).mapErr(invalid => ({
                 kind: "unknown",
--- a/test/responseEnds.test.ts
+++ b/test/responseEnds.test.ts
@@ -7,6 +7,7 @@
  */
 
 import { afterEach, describe, expect, it } from "vitest";
+import { cutHeads } from "../fakes/cutResponses.js";
 import { routeOf } from "../fakes/forwardingHarness.js";
 import { callEntry, startEntry, startRawEngines } from "../fakes/rawEngines.js";
 import type { Cleanups, Close, RawEngines } from "../fakes/rawEngines.js";
@@ -22,6 +23,8 @@
     readonly isShort: boolean;
     readonly close: Close;
     readonly isComplete: boolean;
+    /** A part of the head, instead of all else. */
+    readonly cutHead?: string;
 }
 
 const firstEvent = "id: 1\ndata: a\n\n";
@@ -94,7 +97,14 @@
     closeDelimited("reset", "do", "reset", false),
 ];
 
-function responseText({ framing, text, isShort }: ResponseEnd, requestId: string, contentType: string): string {
+function responseText(
+    { framing, text, isShort, cutHead }: ResponseEnd,
+    requestId: string,
+    contentType: string,
+): string {
+    if (cutHead !== undefined) {
+        return cutHead;
+    }
     const framingHeader = {
         length: `content-length: ${text.length + (isShort ? 10 : 0)}\r\n`,
         chunks: "transfer-encoding: chunked\r\n",
@@ -125,14 +135,22 @@
 }
 
 /** What a caller receives: status and text of a complete response, the status alone of an error, or how it failed. */
-async function outcomeAt(engines: RawEngines, route: Route): Promise<string> {
-    const { status, text, isComplete } = await callEntry(await startEntry(engines, route, cleanups), route);
+async function outcomeOf(
+    entryUrl: string,
+    route: Route,
+    headers: Readonly<Record<string, string>> = {},
+): Promise<string> {
+    const { status, text, isComplete } = await callEntry(entryUrl, route, headers);
     if (!isComplete) {
         return status === 0 ? "no response" : "broken";
     }
     return status === 200 ? `200 ${text}` : String(status);
 }
 
+async function outcomeAt(engines: RawEngines, route: Route): Promise<string> {
+    return outcomeOf(await startEntry(engines, route, cleanups), route);
+}
+
 const wholeEnd: ResponseEnd = {
     name: "whole",
     framing: "chunks",
@@ -195,6 +213,58 @@
     );
 });
 
+const brokenEnd: ResponseEnd = { ...wholeEnd, framing: "chunks", text: firstEvent, isShort: true, close: "end" };
+const thirdEvent = "id: 3\ndata: b\n\n";
+const headEnds: readonly ResponseEnd[] = cutHeads({
+    status: "200 OK",
+    headers: ["x-gooseberrywell-request-id: r-1", "x-gooseberrywell-response-seal: sealed"],
+    body: secondEvent,
+}).filter(({ close }) => close !== "keep").map(({ name, pieces, close }) => ({
+    ...wholeEnd,
+    name: `in the head, ${name}`,
+    isComplete: false,
+    close,
+    cutHead: pieces.join(""),
+}));
+/** The ends of streams, as they go on after the first event. */
+const continuedEnds: readonly ResponseEnd[] = streamEnds.map(end => ({
+    ...end,
+    text: end.text.replace("id: 2", "id: 3").replace("id: 1", "id: 2"),
+}));
+const firstContinuedPattern = /^id: 2\r?\ndata: a\r?\n\r?\n/u;
+
+// Only the first response of a stream had been cut at each place; none that goes on from another one.
+describe("the end of a response with which a broken stream goes on", () => {
+    it.each(named([...headEnds, ...continuedEnds]))("within one response to the caller: %s", async (name, end) => {
+        const engine = await startEngines([brokenEnd, end], "text/event-stream");
+        expect(await outcomeAt(engine, resumableRoute)).toBe(
+            end.isComplete ? `200 ${firstEvent}${end.text}` : "broken",
+        );
+        expect(engine.requests.map(({ lastEventId }) => lastEventId)).toEqual([undefined, "1"]);
+    });
+
+    it.each(named([...headEnds, ...continuedEnds]))("taken up by its caller: %s", async (name, end) => {
+        const received = end.cutHead === undefined ? firstContinuedPattern.exec(end.text)?.[0] : undefined;
+        const rest = received === undefined ? secondEvent : thirdEvent;
+        const engine = await startEngines(
+            [brokenEnd, wholeEnd, end, { ...wholeEnd, text: rest }],
+            "text/event-stream",
+        );
+        const entryUrl = await startEntry(engine, resumableRoute, cleanups);
+        expect(await outcomeOf(entryUrl, resumableRoute)).toBe(`200 ${wholeStream}`);
+        const outcome = await outcomeOf(entryUrl, resumableRoute, {
+            "x-gooseberrywell-request-id": "r-2",
+            "resumes": "r-1",
+            "last-event-id": "1",
+        });
+        const resumed = end.isComplete ? end.text : (received ?? "") + rest;
+        // A reset discards what has arrived while the engine's start is checked; the stream then goes on before it.
+        const lost = end.close === "reset" ? [`200 ${rest}`] : [];
+        expect(end.cutHead === undefined ? [`200 ${resumed}`, ...lost] : ["502"]).toContain(outcome);
+        expect(engine.requests).toHaveLength(end.isComplete || end.cutHead !== undefined ? 3 : 4);
+    });
+});
+
 describe("the end of a plain response", () => {
     it.each(named(plainEnds))("on a route that allows no repeats: %s", async (name, end) => {
         const route = routeOf("nonIdempotent");
