Connections: an incomplete request does not close one with a running request before it

Callers of a daemon that is being stopped lost the response to a running request if a further request had arrived behind it in part only: 15 s into the drain the connection was closed. Only the last request was looked at.

--- a/src/rpc/connections.ts
+++ b/src/rpc/connections.ts
@@ -30,7 +30,7 @@
      * `farewell` is sent first, so that it is the response to a request that crosses the close.
      */
     readonly closeIdle: (farewell?: string) => void;
-    /** Closes the connections on which a request has not arrived in full. */
+    /** Closes the connections on which a request has not arrived in full, and none before it is running. */
     readonly closeIncomplete: () => void;
 }
 
@@ -178,7 +178,8 @@
         closeIncomplete: () => {
             for (const [socket, { running, request, bytesBefore }] of uses) {
                 const isInHead = running.size === 0 && socket.bytesRead !== bytesBefore;
-                if (isInHead || request?.complete === false) {
+                const isInBody = running.size <= 1 && request?.complete === false;
+                if (isInHead || isInBody) {
                     socket.destroy();
                 }
             }
--- a/src/rpc/httpServer.test.ts
+++ b/src/rpc/httpServer.test.ts
@@ -6,6 +6,7 @@
 import { connect, createServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
+import { trackConnections } from "./connections.js";
 import { listen, readBody, sendJson } from "./httpServer.js";
 import type { HttpServer } from "./httpServer.js";
 import { createRpcClient } from "./rpcClient.js";
@@ -204,6 +205,25 @@
         expect(connection.text().match(/HTTP\/1.1 200 OK/g)).toHaveLength(2);
     });
 
+    // Only the last request on a connection was looked at: a running one before it lost its response.
+    it("does not close a connection with a running request for an incomplete one behind it", async () => {
+        await start();
+        const connections = trackConnections(server.server);
+        const connection = await open();
+        connection.socket.write(`${request.replace("/run", "/wait")}${head}content-length: 5\r\n\r\nab`);
+        while (waiting.length < 1) {
+            await turn();
+        }
+        await turn();
+        connections.closeIncomplete();
+        waiting.forEach(release => release());
+        await connection.received(/"run":1\}/);
+        connection.socket.write("cde");
+        await connection.received(/"run":2\}/);
+        expect(connection.text()).toContain("\"run\":2}");
+        connection.socket.destroy();
+    });
+
     it("does not wait for a client that neither sends nor closes", async () => {
         await start();
         const connection = await openUsed(true);
