Keys: a withdrawal does not close a connection on which another key's request runs

A connection that callers with several keys share was closed when one of the keys was withdrawn, unless a request of that very key ran on it; the response to another key's request was lost. Running requests are now counted for each connection over all keys.

--- a/src/keys/keyUses.test.ts
+++ b/src/keys/keyUses.test.ts
@@ -33,3 +33,31 @@
     expect(receivedBytes).toBeGreaterThan(longBodyBytes);
     await server.close();
 });
+
+// A connection without a running request of the withdrawn key was closed, although one of another key ran on it.
+it("a withdrawal does not cut the response to a request with another key", async () => {
+    const keyUses = createKeyUses();
+    let respond = (): void => undefined;
+    const server = await listen("127.0.0.1", 0, () => async (request, response) => {
+        const digest = request.url === "/first" ? digestHex : "01";
+        const use = keyUses.begin(digest, request.socket, () => undefined);
+        if (digest !== digestHex) {
+            await new Promise<void>(resolve => (respond = resolve));
+        }
+        use.end();
+        response.end(request.url);
+    });
+    const socket = connect(Number(new URL(server.url).port), "127.0.0.1");
+    let text = "";
+    socket.on("data", (chunk: Buffer) => (text += chunk.toString()));
+    socket.write("GET /first HTTP/1.1\r\nhost: x\r\n\r\n");
+    await expect.poll(() => text).toContain("/first");
+    socket.write("GET /second HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+    const noResponse = respond;
+    await expect.poll(() => respond).not.toBe(noResponse);
+    keyUses.endAll(digestHex);
+    respond();
+    await new Promise<void>(resolve => socket.once("close", () => resolve()));
+    expect(text).toContain("/second");
+    await server.close();
+});
--- a/src/keys/keyUses.ts
+++ b/src/keys/keyUses.ts
@@ -7,22 +7,27 @@
 export interface KeyUses {
     /** Registers a running request; the caller must call `end` when the request has ended. */
     readonly begin: (digestHex: string, socket: Socket, abort: () => void) => { readonly end: () => void; };
-    /** Aborts the key's running requests and closes its idle connections. */
+    /** Aborts the key's running requests and closes its idle connections, on which no request of another key runs either. */
     readonly endAll: (digestHex: string) => void;
 }
 
 interface Uses {
     /** Abort functions of the running requests. */
     readonly running: Set<() => void>;
-    /** Number of running requests per connection. */
-    readonly sockets: Map<Socket, number>;
+    readonly sockets: Set<Socket>;
 }
 
 export function createKeyUses(): KeyUses {
     const usesByDigest = new Map<string, Uses>();
+    /** Number of running requests per connection, of all keys. */
+    const runningBySocket = new WeakMap<Socket, number>();
+
+    function changeRunning(socket: Socket, change: number): void {
+        runningBySocket.set(socket, (runningBySocket.get(socket) ?? 0) + change);
+    }
 
     function usesOf(digestHex: string): Uses {
-        const uses = usesByDigest.get(digestHex) ?? { running: new Set(), sockets: new Map() };
+        const uses = usesByDigest.get(digestHex) ?? { running: new Set(), sockets: new Set() };
         usesByDigest.set(digestHex, uses);
         return uses;
     }
@@ -36,7 +41,7 @@
                 }
             });
         }
-        uses.sockets.set(socket, (uses.sockets.get(socket) ?? 0) + 1);
+        uses.sockets.add(socket);
     }
 
     return {
@@ -44,13 +49,11 @@
             const uses = usesOf(digestHex);
             uses.running.add(abort);
             trackSocket(digestHex, uses, socket);
+            changeRunning(socket, 1);
             return {
                 end: () => {
                     uses.running.delete(abort);
-                    const count = uses.sockets.get(socket);
-                    if (count !== undefined) {
-                        uses.sockets.set(socket, count - 1);
-                    }
+                    changeRunning(socket, -1);
                 },
             };
         },
@@ -59,7 +62,7 @@
             if (uses === undefined) {
                 return;
             }
-            const idle = [...uses.sockets].filter(([, count]) => count === 0).map(([socket]) => socket);
+            const idle = [...uses.sockets].filter(socket => runningBySocket.get(socket) === 0);
             uses.running.forEach(abort => abort());
             // What is left of the last response is sent first; the server drops requests that arrive from here on.
             idle.forEach(socket => socket.end());
