--- a/fakes/soakRun.ts
+++ b/fakes/soakRun.ts
@@ -333,7 +333,7 @@
         };
     }
 
-    /** The engine leaves: it announces that it drains, or only its record goes; it serves on and comes back as a new start. */
+    /** The engine leaves, with or without announcing that it drains; it serves on and comes back as a new start. */
     async function leaveAndReturn(engine: FakePlatformEngine): Promise<void> {
         if (durations() < 0.5) {
             site.register(engine, "draining");
