Limit the header lines of a response: lines without end ended an entry

Callers saw all their calls on a machine cut off: engines that send short header or trailer lines without end used up the entry's heap (110 MB, as deployed), and it ended.

Cause: undici keeps a Buffer of 96 bytes for each name and value and limits only the sum of their bytes, so that 16 KB of the shortest lines take 3 MB for each call.

Ruled out: garbage collected too late (the last collections freed nothing), bodies.

Change: GuardedClient counts the lines handed to the parser since the latest part of a body or end of a head, and closes the connection after 256; until the body begins the parser gets pieces of 1 KB. All pools and agents use it. The pieces of 4 KB moved there from the connector, which keeps the guard against resets.

--- a/src/endpoint/engineClient.ts
+++ b/src/endpoint/engineClient.ts
@@ -3,12 +3,12 @@
  */
 
 import { Result } from "true-myth";
-import { Agent } from "undici";
 import type { Dispatcher } from "undici";
 import { z } from "zod";
 import { runLimited } from "../common/callLimit.js";
 import { checkValue, describeInvalidInput } from "../common/json.js";
 import { readText } from "../common/readText.js";
+import { createGuardedAgent } from "../rpc/guardedClient.js";
 import { createGuardedConnector } from "../rpc/guardedConnector.js";
 
 export interface AttemptId {
@@ -80,7 +80,7 @@
 const statusOk = 200;
 
 export function createEngineClient(engineUrl: string): EngineClient {
-    const dispatcher = new Agent({
+    const dispatcher = createGuardedAgent({
         connect: createGuardedConnector(connectTimeoutMs),
         connections: maxEngineConnections,
         pipelining: 1,
--- a/src/endpoint/serviceCalls.ts
+++ b/src/endpoint/serviceCalls.ts
@@ -2,13 +2,13 @@
  * Sends an agent's calls to a plain service. A non-idempotent call is sent at most once per request id.
  */
 
-import { Agent } from "undici";
 import type { Dispatcher } from "undici";
 import { runLimited } from "../common/callLimit.js";
 import type { Clock } from "../common/clock.js";
 import { readBytes } from "../common/readText.js";
 import { framingOf } from "../engines/enginePort.js";
 import { createEventBoundaryTracker, findMissingEnd, isEventStreamType } from "../forwarding/eventStream.js";
+import { createGuardedAgent } from "../rpc/guardedClient.js";
 import { createGuardedConnector } from "../rpc/guardedConnector.js";
 import type { Counters } from "../telemetry/telemetry.js";
 import type { EndpointHealth } from "./endpointHealth.js";
@@ -39,7 +39,7 @@
     counters: Counters,
     checkEnded: EndpointHealth["checkEnded"],
 ): ServiceCalls {
-    const dispatcher = new Agent({
+    const dispatcher = createGuardedAgent({
         connections: maxServiceConnections,
         pipelining: 1,
         connect: createGuardedConnector(connectTimeoutMs),
--- a/src/platform/httpPlatform.ts
+++ b/src/platform/httpPlatform.ts
@@ -4,12 +4,12 @@
  */
 
 import { Result } from "true-myth";
-import { Agent } from "undici";
 import { z } from "zod";
 import { runLimited } from "../common/callLimit.js";
 import { checkValue, describeInvalidInput } from "../common/json.js";
 import type { JsonValue } from "../common/json.js";
 import { readText } from "../common/readText.js";
+import { createGuardedAgent } from "../rpc/guardedClient.js";
 import { createGuardedConnector } from "../rpc/guardedConnector.js";
 import type { CommitOutcome, HostRecord, Platform, PlatformError, Row } from "./ports.js";
 
@@ -59,7 +59,7 @@
 }
 
 export function createHttpPlatform(settings: HttpPlatformSettings): Platform {
-    const dispatcher = new Agent({
+    const dispatcher = createGuardedAgent({
         connect: createGuardedConnector(settings.timeoutMs),
         connections: maxConnections,
         pipelining: 1,
--- a/src/rpc/freshPool.ts
+++ b/src/rpc/freshPool.ts
@@ -10,10 +10,10 @@
  * A slow peer is not called more often for it: nothing is repeated here, and only unused connections are opened again.
  */
 
-import type { Socket } from "node:net";
-import { Client, Pool } from "undici";
-import type { buildConnector, Dispatcher } from "undici";
+import { Pool } from "undici";
+import type { buildConnector, Client, Dispatcher } from "undici";
 import { systemClock } from "../common/clock.js";
+import { GuardedClient } from "./guardedClient.js";
 
 export interface FreshPoolOptions extends Pool.Options {
     readonly connect: buildConnector.connector;
@@ -71,8 +71,7 @@
 }
 
 /** One connection of a pool; it is opened again when it is needed after it was closed. */
-class Connection extends Client {
-    readonly #opened: { socket: Socket | undefined; };
+class Connection extends GuardedClient {
     readonly #onSilence: (sinceMs: number) => void;
     /** Monotonic time at which the connection was opened or has delivered its latest response. */
     #deliveredAtMs = Number.NEGATIVE_INFINITY;
@@ -84,16 +83,7 @@
         connect: buildConnector.connector,
         onSilence: (sinceMs: number) => void,
     ) {
-        const opened: { socket: Socket | undefined; } = { socket: undefined };
-        super(url, {
-            ...options,
-            connect: (connectOptions, callback) =>
-                connect(connectOptions, (...outcome) => {
-                    opened.socket = outcome[1] ?? undefined;
-                    callback(...outcome);
-                }),
-        });
-        this.#opened = opened;
+        super(url, { ...options, connect });
         this.#onSilence = onSilence;
         this.on("connect", () => this.#recordDelivery());
     }
@@ -108,7 +98,7 @@
             return;
         }
         if (this.stats.size === 0) {
-            this.#opened.socket?.destroy();
+            this.closeSocket();
             return;
         }
         this.#endRunning?.();
--- /dev/null
+++ b/src/rpc/guardedClient.ts
@@ -0,0 +1,141 @@
+/**
+ * HTTP/1.1 connections for undici that guard against faulty peers: a head or trailers without end neither block this
+ * process nor use up its memory, and a reset is always an error.
+ *
+ * The parser keeps an object of about 100 bytes for each name and each value of a head, and limits only the bytes of
+ * both; 16 KB of the shortest lines would take 3 MB for each call.
+ */
+
+import type { Socket } from "node:net";
+import { Agent, Client, Pool } from "undici";
+import type { buildConnector, Dispatcher } from "undici";
+
+export interface GuardedClientOptions extends Client.Options {
+    readonly connect: buildConnector.connector;
+}
+
+export interface GuardedAgentOptions extends Agent.Options {
+    readonly connect: buildConnector.connector;
+}
+
+/** Far more than a response has; those of a head and those of its trailers are counted apart. */
+export const maxHeaderLines = 256;
+export const headerLinesErrorCode = "TOO_MANY_HEADER_LINES";
+
+/** Large enough for most heads. */
+const headPieceBytes = 1_024;
+/** Large enough for most responses. */
+const bodyPieceBytes = 4_096;
+const lineEnd = "\n".charCodeAt(0);
+
+/** What the parser was handed on the current connection. */
+interface Reading {
+    socket: Socket | undefined;
+    /** The latest piece, unless it held a part of a body or the end of a head or response. */
+    piece: Buffer | undefined;
+    /** Lines of the pieces before it since the latest such part. */
+    lines: number;
+    isInBody: boolean;
+}
+
+export class GuardedClient extends Client {
+    readonly #reading: Reading;
+
+    constructor(url: string | URL, { connect, ...options }: GuardedClientOptions) {
+        const reading: Reading = { socket: undefined, piece: undefined, lines: 0, isInBody: false };
+        super(url, {
+            ...options,
+            connect: (connectOptions, callback) =>
+                connect(connectOptions, (...outcome) => {
+                    // After a failure undici passes no second argument, contrary to the declared type.
+                    const socket: Socket | null | undefined = outcome[1];
+                    reading.socket = socket ?? undefined;
+                    if (socket) {
+                        readInPieces(socket, reading);
+                    }
+                    callback(...outcome);
+                }),
+        });
+        this.#reading = reading;
+    }
+
+    protected closeSocket(): void {
+        this.#reading.socket?.destroy();
+    }
+
+    override dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
+        const onConnect = handler.onConnect?.bind(handler);
+        const onHeaders = handler.onHeaders?.bind(handler);
+        const onData = handler.onData?.bind(handler);
+        const onComplete = handler.onComplete?.bind(handler);
+        handler.onConnect = abort => {
+            this.#startPart(false);
+            onConnect?.(abort);
+        };
+        handler.onHeaders = (...head) => {
+            this.#startPart(true);
+            return onHeaders?.(...head) ?? true;
+        };
+        handler.onData = chunk => {
+            this.#startPart(true);
+            return onData?.(chunk) ?? true;
+        };
+        handler.onComplete = trailers => {
+            this.#startPart(false);
+            onComplete?.(trailers);
+        };
+        return super.dispatch(options, handler);
+    }
+
+    #startPart(isInBody: boolean): void {
+        Object.assign(this.#reading, { piece: undefined, lines: 0, isInBody });
+    }
+}
+
+/** Creates an agent whose connections are guarded. */
+export function createGuardedAgent({ connect, ...options }: GuardedAgentOptions): Agent {
+    return new Agent({
+        ...options,
+        factory: (origin, poolOptions: Pool.Options) =>
+            new Pool(origin, {
+                ...poolOptions,
+                factory: (url, clientOptions) => new GuardedClient(url, { ...clientOptions, connect }),
+            }),
+    });
+}
+
+/**
+ * Hands out what has arrived in pieces, and nothing once the socket is destroyed. The parser goes on to the end of a piece
+ * after it has rejected a head, at a cost for each further header line, so a faulty sender would block this process.
+ */
+function readInPieces(socket: Socket, reading: Reading): void {
+    Object.assign(reading, { piece: undefined, lines: 0, isInBody: false });
+    const read = socket.read.bind(socket) as (size?: number) => Buffer | null;
+    socket.read = (size?: number): Buffer | null => {
+        if (socket.destroyed) {
+            return null;
+        }
+        if (reading.piece !== undefined) {
+            reading.lines += countLines(reading.piece);
+            reading.piece = undefined;
+            reading.isInBody = false;
+        }
+        if (reading.lines > maxHeaderLines) {
+            const error = new Error(`the response has more than ${maxHeaderLines} header lines`);
+            socket.destroy(Object.assign(error, { code: headerLinesErrorCode }));
+            return null;
+        }
+        const pieceBytes = reading.isInBody ? bodyPieceBytes : headPieceBytes;
+        const piece = socket.readableLength > pieceBytes ? read(pieceBytes) : read(size);
+        reading.piece = piece ?? undefined;
+        return piece;
+    };
+}
+
+function countLines(piece: Buffer): number {
+    let lines = 0;
+    for (let index = piece.indexOf(lineEnd); index >= 0; index = piece.indexOf(lineEnd, index + 1)) {
+        lines += 1;
+    }
+    return lines;
+}
--- a/src/rpc/guardedConnector.ts
+++ b/src/rpc/guardedConnector.ts
@@ -1,6 +1,5 @@
 /**
- * Connector for undici that guards against faulty peers: on its connections a reset is always an error, and a head or
- * trailers without end don't block this process.
+ * Connector for undici on whose connections a reset is always an error.
  *
  * A response without a length ends when its connection closes, and is complete only if the connection was closed
  * normally. Two lower layers treat a reset as a normal close: undici ignores `ECONNRESET` once such a response has
@@ -14,9 +13,6 @@
 /** Replaces the code `ECONNRESET`, so that undici does not treat the reset as a normal close. */
 export const resetErrorCode = "CONNECTION_RESET";
 
-/** Large enough for most responses. */
-const maxPieceBytes = 4_096;
-
 export function createGuardedConnector(connectTimeoutMs: number): buildConnector.connector {
     const connect = buildConnector({ timeout: connectTimeoutMs });
     return (options, callback) =>
@@ -25,7 +21,6 @@
             const socket: Socket | null | undefined = outcome[1];
             if (socket) {
                 failOnReset(socket);
-                readInPieces(socket);
             }
             callback(...outcome);
         });
@@ -47,20 +42,6 @@
     };
 }
 
-/**
- * Hands out what has arrived in pieces, and nothing once the socket is destroyed. The parser goes on to the end of a piece
- * after it has rejected a head, at a cost for each further header line, so a faulty sender would block this process.
- */
-function readInPieces(socket: Socket): void {
-    const read = socket.read.bind(socket) as (size?: number) => Buffer | null;
-    socket.read = (size?: number): Buffer | null => {
-        if (socket.destroyed) {
-            return null;
-        }
-        return socket.readableLength > maxPieceBytes ? read(maxPieceBytes) : read(size);
-    };
-}
-
 /** Detects a reset with an empty write: it fails immediately on a reset connection and does nothing on a closed one. */
 function wasReset(socket: Socket): boolean {
     if (!socket.destroyed && socket.writable) {
--- a/test/endlessBytes.test.ts
+++ b/test/endlessBytes.test.ts
@@ -15,11 +15,15 @@
 import { createPrometheusMetrics } from "../src/telemetry/prometheusMetrics.js";
 
 const callers = 64;
+/** Callers while engines send what the parser keeps with the most memory for each byte. */
+const callersOfLines = 256;
 const paths = ["/pay/x", "/look/x", "/chat/x", "/long/x"];
 const callTimeoutMs = 1_000;
 /** Long after the timeout of a call; no caller waits until then unless its call is left unanswered. */
 const patienceMs = 10_000;
 const maxResponseBytes = 65_536;
+/** Enough of an entry's log to show why it ended. */
+const maxShownBytes = 4_096;
 /** `limits.memory_mb` of the smallest machines. */
 const maxMemoryBytes = 200 * 1_024 * 1_024;
 
@@ -80,9 +84,13 @@
         if (entry === undefined) {
             throw new Error("the site has no entry");
         }
+        let exit: unknown;
+        void entry.exited.then(ended => (exit = ended));
+        const length = bytes.name.endsWith("without values") ? callersOfLines : callers;
         const outcomes = await Promise.all(
-            Array.from({ length: callers }, (unused, index) => call(entry, paths[index % paths.length] ?? "")),
+            Array.from({ length }, (unused, index) => call(entry, paths[index % paths.length] ?? "")),
         );
+        expect(exit, entry.log().slice(-maxShownBytes)).toBeUndefined();
         expect(outcomes.filter(outcome => !["broken", "502", "503", "504"].includes(outcome))).toEqual([]);
         expect(entry.peakMemoryBytes()).toBeLessThan(maxMemoryBytes);
     });
