Close the platform entry's listener only when no connection waits to be accepted

Callers whose connection was opened in the turn in which a stopping entry closed its listener got a reset: no answer, although the request may have been sent (LOST).

Cause: the operating system resets what waits to be accepted when a listener closes. Agents waited for a turn that accepts none; the platform's entry closed at the first look of the drain that found nothing running.

Change: both use the same function, moved out of trackConnections; the drain lasts until the listener is closed.

Ruled out: idle connections and requests that cross their close behave as before; their tests are unchanged.

--- a/src/daemon/shutDown.test.ts
+++ b/src/daemon/shutDown.test.ts
@@ -17,6 +17,8 @@
     readonly runningFromMs?: number;
     /** Time after the signal at which it ends; its connection is open until then. */
     readonly runningUntilMs: number;
+    /** Time after the signal at which the listener closes, at once by default. */
+    readonly acceptingUntilMs?: number;
     readonly leave: () => Promise<void>;
     readonly close: () => Promise<void>;
     /** Earliest and latest allowed end, in milliseconds after the signal. */
@@ -41,6 +43,16 @@
         from: 4_000,
         to: 4_500,
     },
+    // The process ended while connections waited to be accepted.
+    {
+        name: "connections come until 4 s",
+        runningUntilMs: 0,
+        acceptingUntilMs: 4_000,
+        leave: done,
+        close: done,
+        from: 4_000,
+        to: 4_500,
+    },
     { name: "a request does not end", runningUntilMs: 60_000, leave: done, close: done, from: 7_000, to: 7_900 },
     { name: "another entry is dead", runningUntilMs: 60_000, leave: () => never, close: done, from: 7_000, to: 7_900 },
     // The process went on until it was killed.
@@ -59,7 +71,7 @@
 describe("shutdown of an entry", () => {
     it.each(cases)(
         "$name: ends between $from and $to ms after the signal",
-        async ({ runningFromMs = 0, runningUntilMs, leave, close, from, to }) => {
+        async ({ runningFromMs = 0, runningUntilMs, acceptingUntilMs = 0, leave, close, from, to }) => {
             const clock = createVirtualClock();
             const countUntilEnd = (fromMs: number): number =>
                 clock.monotonicMs() >= fromMs && clock.monotonicMs() < runningUntilMs ? 1 : 0;
@@ -82,6 +94,7 @@
                     announceClose: () => void steps.push("announceClose"),
                     closeIdle: () => void steps.push("closeIdle"),
                     endRunning: () => void steps.push("endRunning"),
+                    isAccepting: () => clock.monotonicMs() < acceptingUntilMs,
                     requestsRunning: () => countUntilEnd(runningFromMs),
                     connectionsOpen: () => countUntilEnd(0),
                 },
--- a/src/daemon/shutDown.ts
+++ b/src/daemon/shutDown.ts
@@ -15,9 +15,11 @@
 export interface DrainableListener {
     /** Further responses ask callers to close their connections. */
     readonly announceClose: () => void;
-    /** Accepts no new connections and closes idle ones. */
+    /** Accepts no new connections once none waits to be accepted, and closes idle ones. */
     readonly closeIdle: () => void;
     readonly requestsRunning: () => number;
+    /** Whether new connections are still accepted: each may bring a request. */
+    readonly isAccepting: () => boolean;
     /** Connections that are not closed yet, or not everything is written to: each may still bring a request. */
     readonly connectionsOpen: () => number;
     /**
@@ -56,7 +58,8 @@
     const drainTimeoutMs = graceMs - exitMarginMs;
     entry.setShutdownDeadline(startedAtMs + drainTimeoutMs);
     let isClosing = false;
-    while (elapsedMs() < drainTimeoutMs && !(isClosing && ingress.connectionsOpen() === 0)) {
+    const hasClosed = (): boolean => isClosing && !ingress.isAccepting() && ingress.connectionsOpen() === 0;
+    while (elapsedMs() < drainTimeoutMs && !hasClosed()) {
         await clock.sleep(pollMs);
         isClosing ||= elapsedMs() > drainTimeoutMs - idleCloseMarginMs
             || (elapsedMs() >= balancerDetectionMs && ingress.requestsRunning() === 0);
--- a/src/rpc/connections.ts
+++ b/src/rpc/connections.ts
@@ -56,18 +56,53 @@
 /** A peer that reads nothing of a complete response for so long is considered gone. */
 const stalledResponseMs = 15_000;
 
+/**
+ * Returns a function that closes the listener once no connection has come for a moment; it resolves when all connections
+ * have been closed. The operating system resets those that wait to be accepted when the listener closes.
+ */
+export function prepareListenerClose(server: Server): () => Promise<void> {
+    let accepted = 0;
+    let lastAcceptedAtMs = Number.NEGATIVE_INFINITY;
+    server.on("connection", () => {
+        accepted += 1;
+        lastAcceptedAtMs = performance.now();
+    });
+
+    /** Calls `close` right after a turn of the event loop in which no connection was accepted. */
+    function whenNoneWaits(close: () => void): void {
+        const startedAtMs = performance.now();
+        const check = (): void => {
+            const acceptedBefore = accepted;
+            afterNextPoll(() => {
+                const nowMs = performance.now();
+                const tookMs = nowMs - startedAtMs;
+                const isQuiet = nowMs - lastAcceptedAtMs >= quietMs || tookMs >= maxAcceptMs;
+                if (isQuiet && accepted === acceptedBefore || tookMs >= 2 * maxAcceptMs) {
+                    close();
+                    return;
+                }
+                setTimeout(check, acceptCheckMs);
+            });
+        };
+        check();
+    }
+
+    return () =>
+        new Promise(resolve => {
+            // The HTTP server's own method also destroys connections, some with a response that is not sent yet.
+            whenNoneWaits(() => NetServer.prototype.close.call(server, () => resolve()));
+        });
+}
+
 /** To be called before a listener for requests is added, since it adds a header to their responses. */
 export function trackConnections(server: Server): Connections {
     const uses = new Map<Socket, ConnectionUse>();
+    const closeListener = prepareListenerClose(server);
     let isClosing = false;
-    let accepted = 0;
-    let lastAcceptedAtMs = Number.NEGATIVE_INFINITY;
     let receivedBytes = 0;
     let sentBytes = 0;
 
     server.on("connection", socket => {
-        accepted += 1;
-        lastAcceptedAtMs = performance.now();
         uses.set(socket, { running: new Set(), request: undefined, bytesBefore: 0, isStallLimited: false });
         socket.once("close", () => {
             uses.delete(socket);
@@ -111,25 +146,6 @@
         return socket.writable && running.size === 0 && (request?.complete ?? true) && socket.bytesRead === bytesBefore;
     }
 
-    /** Calls `close` right after a turn of the event loop in which no connection was accepted. */
-    function whenNoneWaits(close: () => void): void {
-        const startedAtMs = performance.now();
-        const check = (): void => {
-            const acceptedBefore = accepted;
-            afterNextPoll(() => {
-                const nowMs = performance.now();
-                const tookMs = nowMs - startedAtMs;
-                const isQuiet = nowMs - lastAcceptedAtMs >= quietMs || tookMs >= maxAcceptMs;
-                if (isQuiet && accepted === acceptedBefore || tookMs >= 2 * maxAcceptMs) {
-                    close();
-                    return;
-                }
-                setTimeout(check, acceptCheckMs);
-            });
-        };
-        check();
-    }
-
     /** Sets a limit on the responses that only wait for their peer to read. */
     function limitStalls(): void {
         for (const [socket, use] of uses) {
@@ -158,11 +174,7 @@
                 }
             }
         },
-        stopAccepting: () =>
-            new Promise(resolve => {
-                // The HTTP server's own method also destroys connections, some with a response that is not sent yet.
-                whenNoneWaits(() => NetServer.prototype.close.call(server, () => resolve()));
-            }),
+        stopAccepting: closeListener,
         closeIdle: (farewell = "") => {
             limitStalls();
             const idle = [...uses].filter(([socket, use]) => isIdle(socket, use));
