--- a/src/rpc/connections.ts
+++ b/src/rpc/connections.ts
@@ -221,7 +221,7 @@
 }
 
 /** Calls `run` once everything that has arrived by now, connections included, has been read. */
-function afterNextPoll(run: () => void): void {
+export function afterNextPoll(run: () => void): void {
     // An immediate that is set by another one runs in the next turn of the event loop, after it has polled.
     setImmediate(() => setImmediate(run));
 }
