Count the header lines that arrive together with a body or whole head

Found in review of: lines in the same piece as the end of a body were not counted (about 1,000 of the shortest), nor those of a head that arrives in one piece, so the same head passed or failed by how its bytes arrived.

Change: what follows a part of a body in its piece is counted; a whole head's lines are counted when it is complete. Informational responses no longer switch to the larger pieces of bodies.

Evidence: "a head of slightly more lines" and "trailers that do not end", each in one write, failed before.

--- a/src/rpc/guardedClient.test.ts
+++ b/src/rpc/guardedClient.test.ts
@@ -58,8 +58,15 @@
 const shortLines = (count: number): readonly string[] => Array.from({ length: count }, () => "x:\r\n");
 const cases = [
     { what: "a head of few lines", before: [start], lines: 200, after: "content-length: 2\r\n\r\nok", result: "ok" },
+    {
+        what: "a head of slightly more lines",
+        before: [start],
+        lines: maxHeaderLines + 44,
+        after: "content-length: 2\r\n\r\nok",
+    },
     { what: "a head of many lines", before: [start], lines: manyLines, after: "content-length: 2\r\n\r\nok" },
     { what: "few trailers", before: [chunked, "2\r\nok\r\n0\r\n"], lines: 200, after: "\r\n", result: "ok" },
+    { what: "trailers that do not end", before: [chunked, "2\r\nok\r\n0\r\n"], lines: 1_000, after: "" },
     { what: "many trailers", before: [chunked, "2\r\nok\r\n0\r\n"], lines: manyLines, after: "\r\n" },
     {
         what: "a body of many lines",
--- a/src/rpc/guardedClient.ts
+++ b/src/rpc/guardedClient.ts
@@ -18,7 +18,7 @@
     readonly connect: buildConnector.connector;
 }
 
-/** Far more than a response has; those of a head and those of its trailers are counted apart. */
+/** Far more than a response has. Status lines and empty lines count, and those of trailers are counted apart. */
 export const maxHeaderLines = 256;
 export const headerLinesErrorCode = "TOO_MANY_HEADER_LINES";
 
@@ -26,12 +26,15 @@
 const headPieceBytes = 1_024;
 /** Large enough for most responses. */
 const bodyPieceBytes = 4_096;
+/** Line ends between two parts of a body; more belong to trailers. */
+const maxBodyLines = 3;
+const minFinalStatus = 200;
 const lineEnd = "\n".charCodeAt(0);
 
 /** What the parser was handed on the current connection. */
 interface Reading {
     socket: Socket | undefined;
-    /** The latest piece, unless it held a part of a body or the end of a head or response. */
+    /** The latest piece, from the latest part of a body on; `undefined` if it held the end of a head or response. */
     piece: Buffer | undefined;
     /** Lines of the pieces before it since the latest such part. */
     lines: number;
@@ -68,16 +71,23 @@
         const onHeaders = handler.onHeaders?.bind(handler);
         const onData = handler.onData?.bind(handler);
         const onComplete = handler.onComplete?.bind(handler);
+        let abortRequest: (error: Error) => void = () => undefined;
         handler.onConnect = abort => {
+            abortRequest = abort;
             this.#startPart(false);
             onConnect?.(abort);
         };
-        handler.onHeaders = (...head) => {
-            this.#startPart(true);
-            return onHeaders?.(...head) ?? true;
+        handler.onHeaders = (status, rawHeaders, ...rest) => {
+            this.#startPart(status >= minFinalStatus);
+            // The lines of a head that arrived in one piece have not been counted.
+            if (rawHeaders.length > 2 * maxHeaderLines) {
+                abortRequest(createHeaderLinesError());
+                return false;
+            }
+            return onHeaders?.(status, rawHeaders, ...rest) ?? true;
         };
         handler.onData = chunk => {
-            this.#startPart(true);
+            this.#startPart(true, chunk);
             return onData?.(chunk) ?? true;
         };
         handler.onComplete = trailers => {
@@ -87,8 +97,12 @@
         return super.dispatch(options, handler);
     }
 
-    #startPart(isInBody: boolean): void {
-        Object.assign(this.#reading, { piece: undefined, lines: 0, isInBody });
+    /** Starts to count anew, after `chunk` in the piece that the parser is reading if that is known. */
+    #startPart(isInBody: boolean, chunk?: Buffer): void {
+        const { piece } = this.#reading;
+        const isInPiece = chunk !== undefined && piece?.buffer === chunk.buffer;
+        const rest = isInPiece ? piece?.subarray(chunk.byteOffset - piece.byteOffset + chunk.length) : undefined;
+        Object.assign(this.#reading, { piece: rest, lines: 0, isInBody });
     }
 }
 
@@ -116,13 +130,13 @@
             return null;
         }
         if (reading.piece !== undefined) {
-            reading.lines += countLines(reading.piece);
+            const lines = countLines(reading.piece);
+            reading.lines += lines;
             reading.piece = undefined;
-            reading.isInBody = false;
+            reading.isInBody &&= lines < maxBodyLines;
         }
         if (reading.lines > maxHeaderLines) {
-            const error = new Error(`the response has more than ${maxHeaderLines} header lines`);
-            socket.destroy(Object.assign(error, { code: headerLinesErrorCode }));
+            socket.destroy(createHeaderLinesError());
             return null;
         }
         const pieceBytes = reading.isInBody ? bodyPieceBytes : headPieceBytes;
@@ -132,6 +146,11 @@
     };
 }
 
+function createHeaderLinesError(): Error {
+    const error = new Error(`the response has more than ${maxHeaderLines} header lines`);
+    return Object.assign(error, { code: headerLinesErrorCode });
+}
+
 function countLines(piece: Buffer): number {
     let lines = 0;
     for (let index = piece.indexOf(lineEnd); index >= 0; index = piece.indexOf(lineEnd, index + 1)) {
