--- a/src/daemon/shutDown.ts
+++ b/src/daemon/shutDown.ts
@@ -23,8 +23,8 @@
     /** Connections that are not closed yet, or not everything is written to: each may still bring a request. */
     readonly connectionsOpen: () => number;
     /**
-     * Closes the listener, answers the requests that have no response yet, as not run if they were not sent to an engine, and breaks off the
-     * responses that have begun.
+     * Closes the listener, answers the requests that have no response yet, as not run if they were not sent to an engine,
+     * and breaks off the responses that have begun.
      */
     readonly endRunning: () => void;
 }
--- a/src/rpc/guardedClient.ts
+++ b/src/rpc/guardedClient.ts
@@ -1,6 +1,6 @@
 /**
  * HTTP/1.1 connections for undici that guard against faulty peers: a head or trailers without end neither block this
- * process nor use up its memory, and a reset is always an error.
+ * process nor use up its memory. A reset is always an error with the guarded connector.
  *
  * The parser keeps an object of about 100 bytes for each name and each value of a head, and limits only the bytes of
  * both; 16 KB of the shortest lines would take 3 MB for each call.
