--- a/src/rpc/guardedClient.test.ts
+++ b/src/rpc/guardedClient.test.ts
@@ -67,6 +67,13 @@
     { what: "a head of many lines", before: [start], lines: manyLines, after: "content-length: 2\r\n\r\nok" },
     { what: "few trailers", before: [chunked, "2\r\nok\r\n0\r\n"], lines: 200, after: "\r\n", result: "ok" },
     { what: "trailers that do not end", before: [chunked, "2\r\nok\r\n0\r\n"], lines: 1_000, after: "" },
+    // Here they arrive in the same piece as the end of the body.
+    {
+        what: "trailers that do not end after a larger body",
+        before: [chunked, `400\r\n${"z".repeat(0x400)}\r\n0\r\n`],
+        lines: 1_000,
+        after: "",
+    },
     { what: "many trailers", before: [chunked, "2\r\nok\r\n0\r\n"], lines: manyLines, after: "\r\n" },
     {
         what: "a body of many lines",
