Decode priorities, home regions, cold rates and host limits

Cause: the platform's desired state and settings carry them, and nothing read them.

Change: Route and ClientAccount have priority and homeRegions, Service has coldRequestsPerSecond and coldStartMs, the settings have hostLimits, coldRate and regions; a routed request has its priority and home regions.

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -168,6 +168,8 @@
         maxEngines: 2,
         isPublic: true,
         isResumable: false,
+        priority: 5,
+        homeRegions: undefined,
         ...overrides,
     };
 }
@@ -177,10 +179,12 @@
         version: 1,
         routes,
         services: [
-            { name: "desk", maxConnections: 10, engine: undefined },
+            { name: "desk", maxConnections: 10, coldRequestsPerSecond: 0, coldStartMs: 0, engine: undefined },
             {
                 name: "models",
                 maxConnections: 10,
+                coldRequestsPerSecond: 0,
+                coldStartMs: 0,
                 engine: {
                     slots: 8,
                     kvTokens: 10_000,
@@ -197,6 +201,8 @@
             plainTokens: 10,
             ratePerSecond: 100,
             burst: 1_000,
+            priority: undefined,
+            homeRegions: undefined,
         }],
         limits: { maxHeaderBytes: 1_000, maxBodyBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 },
     };
--- a/fakes/simulatedFleet.ts
+++ b/fakes/simulatedFleet.ts
@@ -172,8 +172,16 @@
             plainTokens: 0,
             ratePerSecond: 0,
             burst: 0,
+            priority: undefined,
+            homeRegions: undefined,
         })),
-        services: [{ name: service, maxConnections: 400, engine: engineSpec }],
+        services: [{
+            name: service,
+            maxConnections: 400,
+            coldRequestsPerSecond: 0,
+            coldStartMs: 0,
+            engine: engineSpec,
+        }],
     };
     const enginePort = createEnginePort(engines);
     const contexts = Array.from({ length: spec.entries }, (unused, index) => {
--- a/src/daemon/forwardingSettings.ts
+++ b/src/daemon/forwardingSettings.ts
@@ -9,6 +9,15 @@
     readonly port: number;
 }
 
+/** What the host offers to the process. */
+export interface HostLimits {
+    /** Memory of the process, in bytes; it is killed beyond that. */
+    readonly memoryBytes: number | undefined;
+    /** Fraction of a core. */
+    readonly cpuShare: number | undefined;
+    readonly linkMbps: number | undefined;
+}
+
 export interface ForwardingSettings {
     readonly host: string;
     readonly dataCentre: string;
@@ -32,4 +41,9 @@
     readonly retryBudget: RetryBudgetSettings;
     /** Cost (see `FleetQuota`) that the fleet may admit beyond rate and burst in one window. */
     readonly quotaSlack: number;
+    readonly hostLimits: HostLimits;
+    /** Multiple of the rate of a cold engine, and requests besides, that it may get in one second. */
+    readonly coldRate: { readonly overshoot: number; readonly slack: number; };
+    /** Region of each data centre. */
+    readonly regions: Readonly<Record<string, string>>;
 }
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -15,6 +15,7 @@
 import { callPlain } from "./plainCall.js";
 import { refuseQuarantined } from "./quarantineChecks.js";
 import { findResumedOrigin, isResumed } from "./resumedStream.js";
+import { homeRegionsOf } from "./routedRequest.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import { refuseIfTooLate } from "./shutdownChecks.js";
 
@@ -95,6 +96,8 @@
         route,
         service,
         softwareVersion: origin?.value.softwareVersion,
+        priority: account?.priority ?? route.priority,
+        homeRegions: homeRegionsOf(route, account),
         fingerprint,
         deadlineMs,
     };
--- a/src/forwarding/routedRequest.ts
+++ b/src/forwarding/routedRequest.ts
@@ -3,7 +3,7 @@
  */
 
 import type { EngineRecord } from "../engines/enginePort.js";
-import type { EngineSpec, Route } from "../routes/desiredState.js";
+import type { ClientAccount, EngineSpec, Route } from "../routes/desiredState.js";
 import type { EngineCallBudget } from "./engineCallBudget.js";
 import type { ForwardRequest, GenerationSize } from "./forwardRequest.js";
 
@@ -16,10 +16,23 @@
     readonly deadlineMs: number;
     /** The only software version whose engines may run the request; `undefined` if each may. */
     readonly softwareVersion: string | undefined;
+    /** Rank among the requests of its service; 0 is the most urgent. */
+    readonly priority: number;
+    /** Regions whose engines may run the request; `undefined` if all may. */
+    readonly homeRegions: readonly string[] | undefined;
     /** See `fingerprintOf`. */
     readonly fingerprint: string;
 }
 
+/** The regions that a route and a client account both allow; `undefined` if neither restricts them. */
+export function homeRegionsOf(route: Route, account: ClientAccount | undefined): readonly string[] | undefined {
+    const accountRegions = account?.homeRegions;
+    if (route.homeRegions === undefined || accountRegions === undefined) {
+        return route.homeRegions ?? accountRegions;
+    }
+    return route.homeRegions.filter(region => accountRegions.includes(region));
+}
+
 /** Whether an engine has the software version that the request needs. */
 export function hasVersionFor(
     { softwareVersion }: Pick<RoutedRequest, "softwareVersion">,
--- a/src/routes/desiredState.ts
+++ b/src/routes/desiredState.ts
@@ -31,6 +31,10 @@
     /** Served without an API key. */
     readonly isPublic: boolean;
     readonly isResumable: boolean;
+    /** Rank of its requests; 0 is the most urgent. A client account's own priority takes precedence. */
+    readonly priority: number;
+    /** Regions to whose engines its requests may go; `undefined` if every region is allowed. */
+    readonly homeRegions: readonly string[] | undefined;
 }
 
 /** Properties of a service's model engines. */
@@ -49,6 +53,10 @@
 export interface Service {
     readonly name: string;
     readonly maxConnections: number;
+    /** Requests a second that an engine accepts from all entries together while it is cold; 0 if cold engines need no limit. */
+    readonly coldRequestsPerSecond: number;
+    /** How long an engine is cold after its start. */
+    readonly coldStartMs: number;
     /** `undefined` for plain services. */
     readonly engine: EngineSpec | undefined;
 }
@@ -63,6 +71,10 @@
     /** 0 means no limit. */
     readonly ratePerSecond: number;
     readonly burst: number;
+    /** Takes precedence over the priority of a route; `undefined` if the route's holds. */
+    readonly priority: number | undefined;
+    /** See `Route.homeRegions`; where both are set, both bind. */
+    readonly homeRegions: readonly string[] | undefined;
 }
 
 export interface CallerLimits {
--- a/src/scheduling/scheduling.test.ts
+++ b/src/scheduling/scheduling.test.ts
@@ -40,6 +40,8 @@
         service: "models",
         deadlineMs: 2_000,
         softwareVersion: undefined,
+        priority: 5,
+        homeRegions: undefined,
         fingerprint: "request:1",
         size,
         engineSpec,
