Place work near first where many entries share a lagging view

KV caches crossed data centres because the prefill engine was chosen near the entry.

Change: the advantage that a far decode or prefill engine must have grows with the number of entries; with four it is what it was.

Result: the table in src/scheduling/scheduling.test.ts; the rows with 25 entries and the one of the prefill engine fail on the code before (no such parameter; ranked near the entry).

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -260,6 +260,7 @@
     const view: PlacementView = {
         dataCentre: "a",
         workAt: loads.total,
+        entries: () => 4,
         enginesFor: (service, stage) => directory.usable(service).filter(engine => engine.stage === stage),
         random,
     };
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -188,6 +188,7 @@
     const view: PlacementView = {
         dataCentre: settings.dataCentre,
         workAt: loads.total,
+        entries: () => peerSync.members(),
         enginesFor: (service, stage) =>
             directory.usable(service).filter(engine => engine.stage === stage && !stages.isReconfiguring(engine.id)),
         random,
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -287,7 +287,7 @@
     const compatible = prefillEnginesFor(context.view, service, decodeEngine);
     const engines = context.health.withoutEjected(compatible)
         .filter(engine => !context.engineRates.areExhausted([engine]));
-    const ranked = rankForPrefill(context.view, engines);
+    const ranked = rankForPrefill(context.view, engines, decodeEngine);
     for (const engine of ranked.slice(0, maxPrefillEngines)) {
         if (
             allowsLocalPrefill(generation.route, generation.engineSpec)
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -14,19 +14,26 @@
     readonly workAt: (engineId: string) => EngineWork;
     /** Engines of a service that accept work of a stage now: ready, and not changing their stage. */
     readonly enginesFor: (service: string, stage: Stage) => readonly EngineRecord[];
+    /** Number of entries that place work at these engines, including this one. */
+    readonly entries: () => number;
     /** From 0 to 1; breaks ties, so that entries with the same view do not all choose the same engine. */
     readonly random: () => number;
 }
 
 /** Prefill rate of a prefill engine (platform's data sheet; engines of one pool differ by a factor of up to 1.5). */
 export const prefillTokensPerMs = 50;
-/** A KV transfer from another data centre is slower: a local wait of up to this much longer is preferred. */
-const crossDataCentrePrefillPenaltyMs = 8;
 /**
- * Additional fraction of KV memory that an engine in another data centre must have free, because its tokens cross data
- * centres.
+ * Longer wait that is preferred to a prefill engine in another data centre than the decode engine, for each other entry:
+ * a KV transfer between data centres is slower, and a view that lags sends the work of all entries to the same engine.
  */
-const crossDataCentreMemoryPenalty = 0.06;
+const crossDataCentrePrefillPenaltyMs = 8 / 3;
+/**
+ * Additional fraction of KV memory that an engine in another data centre must have free, for each other entry. Its tokens
+ * cross data centres, and the more entries place work, the less the engine that looks freest to all of them is.
+ */
+const crossDataCentreMemoryPenalty = 0.02;
+/** An engine in another data centre is preferred to a near one with no memory left. */
+const maxCrossDataCentreMemoryPenalty = 0.5;
 /** Less than one request, so that an instance with one request fewer is preferred even in another data centre. */
 const crossDataCentreRequestPenalty = 0.9;
 
@@ -76,12 +83,21 @@
     return view.enginesFor(service, "prefill").filter(engine => engine.softwareVersion === softwareVersion);
 }
 
-/** Prefill engines in order of increasing wait. */
-export function rankForPrefill(view: PlacementView, engines: readonly EngineRecord[]): readonly EngineRecord[] {
+function otherEntries(view: PlacementView): number {
+    return Math.max(1, view.entries() - 1);
+}
+
+/** Prefill engines in order of increasing wait, those near the decode engine first. */
+export function rankForPrefill(
+    view: PlacementView,
+    engines: readonly EngineRecord[],
+    decodeEngine: EngineRecord,
+): readonly EngineRecord[] {
+    const farPenaltyMs = crossDataCentrePrefillPenaltyMs * otherEntries(view);
     return sortBy(
         engines,
         engine =>
-            prefillWaitMs(view, engine) + (engine.dataCentre === view.dataCentre ? 0 : crossDataCentrePrefillPenaltyMs)
+            prefillWaitMs(view, engine) + (engine.dataCentre === decodeEngine.dataCentre ? 0 : farPenaltyMs)
             + view.random(),
     );
 }
@@ -92,9 +108,10 @@
     engines: readonly EngineRecord[],
     kvTokens: number,
 ): readonly EngineRecord[] {
+    const farPenalty = Math.min(maxCrossDataCentreMemoryPenalty, crossDataCentreMemoryPenalty * otherEntries(view));
     return sortBy(engines, engine => {
         const usedFraction = view.workAt(engine.id).kvTokens / Math.max(1, kvTokens);
-        return usedFraction + (engine.dataCentre === view.dataCentre ? 0 : crossDataCentreMemoryPenalty)
+        return usedFraction + (engine.dataCentre === view.dataCentre ? 0 : farPenalty)
             + view.random() / 1_000;
     });
 }
--- a/src/scheduling/scheduling.test.ts
+++ b/src/scheduling/scheduling.test.ts
@@ -21,7 +21,7 @@
 import type { GenerationRequest } from "../forwarding/routedRequest.js";
 import { createDecodeQueue } from "./decodeQueue.js";
 import type { QueuedRequest } from "./decodeQueue.js";
-import { allowsLocalPrefill, isLocalPrefillFaster, rankForDecode, rankForPlain } from "./placement.js";
+import { allowsLocalPrefill, isLocalPrefillFaster, rankForDecode, rankForPlain, rankForPrefill } from "./placement.js";
 import { createStreamDurations } from "./streamDurations.js";
 
 const decode = [engineRecord("m-1", "decode"), engineRecord("m-2", "decode")];
@@ -222,8 +222,9 @@
 
 describe("placement", () => {
     const work = { requests: 0, kvTokens: 0, prefillTokens: 0 };
-    const viewOf = (loads: Readonly<Record<string, Partial<typeof work>>>) => ({
+    const viewOf = (loads: Readonly<Record<string, Partial<typeof work>>>, entries = 4) => ({
         dataCentre: "a",
+        entries: () => entries,
         workAt: (id: string) => ({ ...work, ...loads[id] }),
         enginesFor: (service: string, stage: Stage) => [prefill, ...decode].filter(engine => engine.stage === stage),
         random: () => 0,
@@ -235,6 +236,51 @@
         expect(rankForDecode(viewOf({ near: { kvTokens: 5_000 } }), engines, 10_000)[0]?.id).toBe("far");
     });
 
+    const nearnessCases = [
+        { name: "a near engine with a little less free memory", entries: 4, near: 500, chosen: "near" },
+        { name: "a far engine with much more free memory", entries: 4, near: 1_000, chosen: "far" },
+        { name: "a near engine where many entries see the same free engine", entries: 25, near: 4_500, chosen: "near" },
+        { name: "a far engine where near room is short", entries: 25, near: 5_500, chosen: "far" },
+        {
+            name: "a far engine rather than a full one, however many entries",
+            entries: 1_400,
+            near: 9_000,
+            chosen: "far",
+        },
+    ];
+
+    it.each(nearnessCases)("decode: chooses $name", ({ entries, near, chosen }) => {
+        const engines = [engineRecord("far", "decode", { dataCentre: "b" }), engineRecord("near", "decode")];
+        const view = viewOf({ near: { kvTokens: near } }, entries);
+        expect(rankForDecode(view, engines, 10_000)[0]?.id).toBe(chosen);
+    });
+
+    const prefillCases = [
+        {
+            name: "the engine near the decode engine, not near the entry",
+            entries: 4,
+            waiting: 0,
+            chosen: "near-decode",
+        },
+        { name: "a far engine that starts sooner", entries: 4, waiting: 1_000, chosen: "near-entry" },
+        {
+            name: "the engine near the decode engine among many entries",
+            entries: 25,
+            waiting: 2_500,
+            chosen: "near-decode",
+        },
+    ];
+
+    it.each(prefillCases)("prefill: chooses $name", ({ entries, waiting, chosen }) => {
+        const engines = [
+            engineRecord("near-entry", "prefill", { dataCentre: "a" }),
+            engineRecord("near-decode", "prefill", { dataCentre: "b" }),
+        ];
+        const view = viewOf({ "near-decode": { prefillTokens: waiting } }, entries);
+        const decodeEngine = engineRecord("d", "decode", { dataCentre: "b" });
+        expect(rankForPrefill(view, engines, decodeEngine)[0]?.id).toBe(chosen);
+    });
+
     it("prefers the plain instance with fewer requests", () => {
         const engines = [engineRecord("x"), engineRecord("y")];
         expect(rankForPlain(viewOf({ x: { requests: 2 } }), engines)[0]?.id).toBe("y");
