Age the prompts that other entries report at an engine

Cause: a prompt of 5,000 tokens is read within 100 ms, and the reports of 24 other entries are 0.4 s old on average. Entries avoided engines that had become free and met at the others; a prefill of such a prompt took 467 ms.

Change: reported prompt tokens count less with the age of the reports, by what the engine reads in that time.

Ruled out: an imbalance of the decode engines. The busiest engine got 2.65 times the mean because it prefills.

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -45,6 +45,7 @@
 import type { DecodeScheduler, DecodeSchedulerDependencies } from "../src/scheduling/decodeScheduler.js";
 import { defaultDecodeSchedulerSettings } from "../src/scheduling/decodeSchedulerSettings.js";
 import type { DecodeSchedulerSettings } from "../src/scheduling/decodeSchedulerSettings.js";
+import { prefillTokensPerMs } from "../src/scheduling/placement.js";
 import type { PlacementView } from "../src/scheduling/placement.js";
 import type { DecisionLog } from "../src/telemetry/decisionLog.js";
 import { createPrometheusMetrics } from "../src/telemetry/prometheusMetrics.js";
@@ -243,7 +244,7 @@
     } = options;
     const directory = createEngineDirectory(clock, silentDecisionLog, notices);
     const health = createEngineHealth(clock);
-    const loads = createEngineLoads();
+    const loads = createEngineLoads(clock, prefillTokensPerMs);
     const engineRates = createEngineRateLimiter({
         clock,
         random,
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -45,6 +45,7 @@
 import { createDecodeScheduler } from "../scheduling/decodeScheduler.js";
 import type { DecodeScheduler } from "../scheduling/decodeScheduler.js";
 import { defaultDecodeSchedulerSettings } from "../scheduling/decodeSchedulerSettings.js";
+import { prefillTokensPerMs } from "../scheduling/placement.js";
 import type { PlacementView } from "../scheduling/placement.js";
 import { createOrderLeadership } from "../stages/orderLeadership.js";
 import { createStageController } from "../stages/stageController.js";
@@ -151,7 +152,7 @@
     rates.onChange(() => peerSync.syncNow());
     const health = createEngineHealth(clock);
     const startChecks = createStartChecks(engines, clock, log);
-    const loads = createEngineLoads();
+    const loads = createEngineLoads(clock, prefillTokensPerMs);
     const quota = createFleetQuota(clock, {
         burstTolerance: settings.quotaSlack * quotaSlackFraction,
         limitsOf: name => desiredState.routes()?.state.clientAccounts?.find(account => account.name === name),
--- a/src/engines/engineLoads.ts
+++ b/src/engines/engineLoads.ts
@@ -2,9 +2,13 @@
  * Work that this entry and the other entries have in flight at each engine.
  *
  * Engines report their own load with a lag of up to a second, so counting the work that was sent is more accurate. The
- * work of other entries is as of the last round of peer synchronization with each of them.
+ * work of other entries is as of the last round of peer synchronization with each of them. A prefill takes less time than
+ * the rounds of many entries, so the prompts that others reported count less with the age of the report: by what the
+ * engine has prefilled since then.
  */
 
+import type { Clock } from "../common/clock.js";
+
 /** Work in flight at one engine. */
 export interface EngineWork {
     /** Running and queued requests. */
@@ -42,9 +46,16 @@
     };
 }
 
-export function createEngineLoads(): EngineLoads {
+/** Work of another entry, and the monotonic time at which it was reported. */
+interface ReportedWork {
+    readonly work: WorkByEngine;
+    readonly atMs: number;
+}
+
+/** `prefillTokensPerMs` is the rate at which an engine prefills the prompts of all entries. */
+export function createEngineLoads(clock: Clock, prefillTokensPerMs: number): EngineLoads {
     const own = new Map<string, EngineWork>();
-    const peers = new Map<string, WorkByEngine>();
+    const peers = new Map<string, ReportedWork>();
     const listeners: (() => void)[] = [];
 
     return {
@@ -67,15 +78,22 @@
             };
         },
         own: () => Object.fromEntries(own),
-        setPeer: (peer, work) => void peers.set(peer, work),
+        setPeer: (peer, work) => void peers.set(peer, { work, atMs: clock.monotonicMs() }),
         forgetPeer: peer => void peers.delete(peer),
         total: engineId => {
-            let total = own.get(engineId) ?? noWork;
-            for (const work of peers.values()) {
+            const nowMs = clock.monotonicMs();
+            let reported = noWork;
+            let tokenAgesMs = 0;
+            for (const { work, atMs } of peers.values()) {
                 const peerWork = work[engineId];
-                total = peerWork === undefined ? total : add(total, peerWork);
+                if (peerWork !== undefined) {
+                    reported = add(reported, peerWork);
+                    tokenAgesMs += peerWork.prefillTokens * (nowMs - atMs);
+                }
             }
-            return total;
+            const meanAgeMs = tokenAgesMs / Math.max(1, reported.prefillTokens);
+            const prefillTokens = Math.max(0, reported.prefillTokens - prefillTokensPerMs * meanAgeMs);
+            return add(own.get(engineId) ?? noWork, { ...reported, prefillTokens });
         },
         onEnd: listener => void listeners.push(listener),
     };
--- a/src/stages/stages.test.ts
+++ b/src/stages/stages.test.ts
@@ -311,7 +311,7 @@
             silentDecisionLog,
             createEngineNotices(clock, silentDecisionLog),
         );
-        const loads = createEngineLoads();
+        const loads = createEngineLoads(clock, 50);
         const sent: string[] = [];
         const report: EngineReport = {
             stage: "decode",
