Send peers only what has changed in an entry's state

Cause: each call of peer synchronization carried both entries' whole states, which were most of the bytes between data centres.

Change: an entry numbers its states and says in each message which number of the receiver's state it holds; a message then carries the parts that changed since, and the keys that are gone. Usage and work change by key, announcements (leaving, evidence, rates, reconfiguring, entries) are sent once for each change, any other field is sent as a whole when it differs. A receiver that lacks the state at which changes start says so and gets the whole state at once. The history's size doesn't depend on the number of peers. Entries of earlier versions get and send whole states as before. Each message names two seen peers again, so that an entry which has removed a peer still hears of it.

Ruled out: per-peer copies of what was sent (memory grows with peers); holding announcements at the receiver (its modules hold them already).

--- a/src/peerSync/messages.ts
+++ b/src/peerSync/messages.ts
@@ -1,6 +1,6 @@
 /**
- * Messages of peer synchronization. Each carries a full state rather than a change, so messages may be lost or
- * duplicated.
+ * Messages of peer synchronization. Each carries a whole state or what has changed since a state that the receiver holds,
+ * so messages may be lost, duplicated or reordered.
  */
 
 import { z } from "zod";
@@ -22,7 +22,7 @@
 
 const workSchema = z.object({ requests: z.number(), kvTokens: z.number(), prefillTokens: z.number() });
 
-/** The state of one entry, used both as the request and as the response. */
+/** The state of one entry. */
 export const entryStateSchema = z.object({
     /** Base URL of the entry. */
     url: z.string(),
@@ -52,10 +52,41 @@
     reconfiguring: z.record(z.string(), z.number()),
     /** Base URLs of the peers that it has seen. */
     entries: z.array(z.string()),
+    /** Its data centre; entries of earlier versions send none. */
+    dataCentre: z.string().optional(),
 });
 
 export type EntryState = z.output<typeof entryStateSchema>;
 
+/** The latest number of the receiver's state that the sender holds; absent if it holds none. */
+const holdsSchema = z.number().optional();
+
+const wholeStateSchema = entryStateSchema.extend({
+    form: z.literal("whole").optional(),
+    /** Entries of earlier versions, which send and understand only whole states, send none. */
+    sync: z.object({ number: z.number(), holds: holdsSchema }).optional(),
+});
+
+/** What has changed in an entry's state since the one with the number `since`. */
+const stateChangesSchema = z.object({
+    form: z.literal("changes"),
+    url: z.string(),
+    start: z.string(),
+    uptimeMs: z.number().min(0).optional(),
+    sync: z.object({ number: z.number(), since: z.number(), holds: holdsSchema }),
+    /** Fields of the `EntryState`: whole ones, or their changed parts; checked once they are merged. */
+    changed: z.record(z.string(), z.unknown()),
+    /** Keys that are gone, by field. */
+    removed: z.record(z.string(), z.array(z.string())),
+});
+
+/** A state, used both as the request and as the response. */
+export const stateMessageSchema = z.discriminatedUnion("form", [stateChangesSchema, wholeStateSchema]);
+
+export type WholeState = z.output<typeof wholeStateSchema>;
+export type StateChanges = z.output<typeof stateChangesSchema>;
+export type StateMessage = z.output<typeof stateMessageSchema>;
+
 /** Position of an entry's copy of a table. */
 export function positionOf({ revisions, eras }: Pick<EntryState, "revisions" | "eras">, table: string): StorePosition {
     const revision = revisions[table];
--- a/src/peerSync/peerSync.ts
+++ b/src/peerSync/peerSync.ts
@@ -3,7 +3,8 @@
  *
  * In each round, at a fixed interval, an entry calls a bounded number of peers: those without contact for the longest
  * time, so that the age of every peer's state is bounded. Each side of a call receives the other's state, so a peer that
- * has just called is not called back. Entries send only their own state and the URLs of the peers they have seen; they do
+ * has just called is not called back. With more than a few peers, those of other data centres are called less often. A
+ * message carries what has changed since the state that the receiver says it holds, or the whole state. Entries send only their own state and the URLs of the peers they have seen; they do
  * not relay the states of others, except what all entries must learn: leaving engines, the rates that engines name and
  * evidence against requests. Peers are found through the seeds in the settings, the list in the store and other peers. A
  * peer that was seen once remains a member until it announces its shutdown or has not been seen for `memberTimeoutMs`,
@@ -12,21 +13,25 @@
 
 import type { Clock } from "../common/clock.js";
 import { checkValue } from "../common/json.js";
+import type { InvalidInput } from "../common/json.js";
 import type { RpcClient } from "../rpc/rpcClient.js";
 import { rpcMethod } from "../rpc/rpcServer.js";
 import type { RpcMethods } from "../rpc/rpcServer.js";
 import type { Log } from "../telemetry/telemetry.js";
+import { receiveMessage } from "./heldState.js";
+import type { HeldState } from "./heldState.js";
 import {
     copyRequestSchema,
     encodeTableCopy,
-    entryStateSchema,
     leaveSchema,
     peerSyncMethods,
     positionOf,
+    stateMessageSchema,
     tableCopySchema,
     usageReportSchema,
 } from "./messages.js";
-import type { EntryState, UsageReport } from "./messages.js";
+import type { EntryState, StateMessage, UsageReport } from "./messages.js";
+import { createStateHistory } from "./stateHistory.js";
 import { isLater, unknownPosition } from "./storePosition.js";
 import type { StorePosition } from "./storePosition.js";
 import type { TableReplica } from "./tableReplica.js";
@@ -38,6 +43,8 @@
     readonly start: string;
     /** Base URLs of entries that are added again as peers in every round. */
     readonly seeds: readonly string[];
+    /** Data centre of this entry; without one, all peers count as near. */
+    readonly dataCentre?: string;
 }
 
 /** The part of an entry's state that other modules supply. */
@@ -60,7 +67,10 @@
     /** Replicas of the store's tables, by table name. */
     readonly replicas: Readonly<Record<string, TableReplica>>;
     readonly localState: () => LocalState;
-    /** Called with each state received from a peer. */
+    /**
+     * Called with the state of a peer after each message that is not late. Of `leaving`, `crashEvidence`, `engineRates`,
+     * `reconfiguring` and `entries` it has what is new since the previous one, or more.
+     */
     readonly onState: (state: EntryState) => void;
     readonly onUsageReport: (report: UsageReport) => void;
     /** Called when a peer has been removed. */
@@ -82,6 +92,10 @@
     readonly reportUsage: (clientAccount: string, admittedCost: number) => void;
     /** Sends this entry's state to its live peers now, ahead of the next round; in fleets of many entries, to some. */
     readonly syncNow: () => void;
+    /** Bytes of states sent and received since the start, without the envelope of the calls. */
+    readonly traffic: () => PeerSyncTraffic;
+    /** Time since the live peer that was seen longest ago was seen; 0 without live peers. */
+    readonly oldestStateMs: () => number;
     /** Adds peers found elsewhere, such as in the store's list. */
     readonly addPeers: (urls: readonly string[]) => void;
     readonly run: (signal: AbortSignal) => Promise<void>;
@@ -91,9 +105,23 @@
     readonly leave: () => Promise<void>;
 }
 
+/** Bytes exchanged with peers of the same data centre and of others. */
+export interface PeerSyncTraffic {
+    readonly near: DirectedBytes;
+    readonly far: DirectedBytes;
+}
+
+export interface DirectedBytes {
+    readonly sent: number;
+    readonly received: number;
+}
+
 interface Peer {
     /** Identifier of the peer's last known start; `undefined` until it has been seen. */
     start: string | undefined;
+    held: HeldState | undefined;
+    /** Number of this entry's state that the peer said it holds; `undefined` if the whole state must be sent. */
+    confirmedNumber: number | undefined;
     /** Monotonic time of that start. */
     startedAtMs: number;
     lastSeenAtMs: number | undefined;
@@ -104,6 +132,10 @@
 
 /** Interval between rounds; the possible overshoot of rate limits grows with it. */
 export const peerSyncIntervalMs = 400;
+/** Seen peers named in a message besides new ones, so that an entry which has removed one of them hears of it again. */
+const entryReminders = 2;
+/** Less than the number of any state. */
+const unconfirmed = -1;
 /** Peers called per round, so that the total cost grows linearly, not quadratically, with the number of entries. */
 const callsPerRound = 6;
 const callTimeoutMs = 700;
@@ -144,11 +176,16 @@
     const startedAtMs = clock.monotonicMs();
     const peers = new Map<string, Peer>();
     const lags = new Map<string, Lag>();
+    const history = createStateHistory();
+    const bytes = { near: { sent: 0, received: 0 }, far: { sent: 0, received: 0 } };
+    let remindersSent = 0;
 
     function addPeer(url: string): void {
         if (url !== settings.url && !peers.has(url)) {
             peers.set(url, {
                 start: undefined,
+                held: undefined,
+                confirmedNumber: undefined,
                 startedAtMs: Number.NEGATIVE_INFINITY,
                 lastSeenAtMs: undefined,
                 addedAtMs: clock.monotonicMs(),
@@ -158,26 +195,75 @@
         }
     }
 
-    function ownState(): EntryState {
+    function ownState(): Omit<EntryState, "url" | "start" | "uptimeMs"> {
         const positions = Object.entries(replicas).map(([table, replica]) => [table, replica.position()] as const);
-        const seenUrls = [...peers].filter(([, peer]) => peer.lastSeenAtMs !== undefined).map(([url]) => url);
         return {
-            url: settings.url,
-            start: settings.start,
             revisions: Object.fromEntries(positions.map(([table, { revision }]) => [table, revision])),
             eras: Object.fromEntries(positions.map(([table, { era }]) => [table, era])),
-            entries: seenUrls,
-            uptimeMs: clock.monotonicMs() - startedAtMs,
+            entries: seenUrls(),
+            dataCentre: settings.dataCentre,
             ...dependencies.localState(),
         };
     }
 
-    function handleState(state: EntryState): void {
-        addPeer(state.url);
-        const peer = peers.get(state.url);
+    function seenUrls(): string[] {
+        return [...peers].filter(([, peer]) => peer.lastSeenAtMs !== undefined).map(([url]) => url);
+    }
+
+    /** The next of the peers that this entry has seen, in turn. */
+    function nextReminders(): readonly string[] {
+        const urls = seenUrls();
+        const first = urls.length === 0 ? 0 : remindersSent % urls.length;
+        remindersSent += entryReminders;
+        return [...urls.slice(first), ...urls.slice(0, first)].slice(0, entryReminders);
+    }
+
+    /** This entry's state for a peer: what has changed since the state that the peer holds, or the whole. */
+    function messageTo(peer: Peer | undefined): StateMessage {
+        const nowMs = clock.monotonicMs();
+        const state = ownState();
+        const number = history.update(state, nowMs);
+        const holds = peer?.held?.number;
+        const head = { url: settings.url, start: settings.start, uptimeMs: Math.round(nowMs - startedAtMs) };
+        const since = peer?.confirmedNumber;
+        const changes = since === undefined ? undefined : history.changesSince(since);
+        if (since === undefined || changes === undefined) {
+            return { form: "whole", ...head, ...state, sync: { number, holds } };
+        }
+        const newEntries = changes.changed["entries"] as readonly string[] | undefined;
+        const entries = [...new Set([...newEntries ?? [], ...nextReminders()])];
+        return {
+            form: "changes",
+            ...head,
+            sync: { number, since, holds },
+            changed: { ...changes.changed, entries },
+            removed: changes.removed,
+        };
+    }
+
+    function handleMessage(message: StateMessage): void {
+        addPeer(message.url);
+        const peer = peers.get(message.url);
         if (peer === undefined) {
             return;
         }
+        peer.confirmedNumber = message.sync?.holds;
+        const reception = receiveMessage(peer.held, message);
+        if (reception.isErr) {
+            logInvalid(message.url, reception.error);
+            peer.held = undefined;
+        }
+        else if (reception.value.kind === "received") {
+            peer.held = reception.value.held;
+            handleState(reception.value.state, peer);
+        }
+    }
+
+    function logInvalid(url: string, { path }: InvalidInput): void {
+        log.warn("an entry answered with an invalid state", { entry: url, field: path });
+    }
+
+    function handleState(state: EntryState, peer: Peer): void {
         if (peer.start !== state.start) {
             log.info("heard a new start of an entry", { entry: state.url, members: members() });
         }
@@ -221,16 +307,46 @@
 
     async function callPeer(url: string, peer: Peer): Promise<void> {
         peer.isCallPending = true;
-        peer.calledAtMs = clock.monotonicMs();
-        const response = await rpc.call(url, peerSyncMethods.state, ownState(), { timeoutMs: callTimeoutMs });
+        const sent = await exchangeStates(url, peer);
+        // A peer that lacks the state at which the changes start has said so, and gets the whole state.
+        if (sent.form === "changes" && (peer.confirmedNumber ?? unconfirmed) < sent.sync.since) {
+            await exchangeStates(url, peer);
+        }
         peer.isCallPending = false;
-        const state = response.isOk ? checkValue(entryStateSchema, response.value) : undefined;
-        if (state?.isOk) {
-            handleState(state.value);
+    }
+
+    /** Sends this entry's state to a peer and handles the response; returns what was sent. */
+    async function exchangeStates(url: string, peer: Peer): Promise<StateMessage> {
+        peer.calledAtMs = clock.monotonicMs();
+        const sent = messageTo(peer);
+        countBytes(peer, "sent", sent);
+        const response = await rpc.call(url, peerSyncMethods.state, sent, { timeoutMs: callTimeoutMs });
+        if (response.isErr) {
+            if (response.error.kind === "rejected") {
+                // The URL may have passed to an entry of an earlier version, which understands only whole states.
+                peer.confirmedNumber = undefined;
+            }
+            return sent;
+        }
+        countBytes(peer, "received", response.value);
+        const message = checkValue(stateMessageSchema, response.value);
+        if (message.isOk) {
+            handleMessage(message.value);
         }
-        else if (state?.isErr) {
-            log.warn("an entry answered with an invalid state", { entry: url, field: state.error.path });
+        else {
+            logInvalid(url, message.error);
         }
+        return sent;
+    }
+
+    function countBytes(peer: Peer | undefined, direction: keyof DirectedBytes, message: unknown): void {
+        const isOther = peer !== undefined && isInOtherDataCentre(peer);
+        bytes[isOther ? "far" : "near"][direction] += Buffer.byteLength(JSON.stringify(message));
+    }
+
+    function isInOtherDataCentre({ held }: Peer): boolean {
+        const dataCentre = held?.state.dataCentre;
+        return settings.dataCentre !== undefined && dataCentre !== undefined && dataCentre !== settings.dataCentre;
     }
 
     /** Catches up with a peer whose copy of a table is newer: from the store if it responds, else from the peer. */
@@ -331,9 +447,13 @@
                 dependencies.onUsageReport(report);
                 return {};
             }),
-            [peerSyncMethods.state]: rpcMethod(entryStateSchema, async state => {
-                handleState(state);
-                return ownState();
+            [peerSyncMethods.state]: rpcMethod(stateMessageSchema, async message => {
+                handleMessage(message);
+                const peer = peers.get(message.url);
+                countBytes(peer, "received", message);
+                const response = messageTo(peer);
+                countBytes(peer, "sent", response);
+                return response;
             }),
             [peerSyncMethods.leave]: rpcMethod(leaveSchema, async ({ url, start }) => {
                 if (peers.get(url)?.start === start) {
@@ -356,6 +476,14 @@
             const stable = live.filter(entry => clock.monotonicMs() - entry.startedAtMs >= stableAfterMs);
             return (stable.length > 0 ? stable : live).map(({ url }) => url);
         },
+        traffic: () => bytes,
+        oldestStateMs: () => {
+            const nowMs = clock.monotonicMs();
+            const agesMs = [...peers.values()].filter(isLive).map(({ lastSeenAtMs }) =>
+                nowMs - (lastSeenAtMs ?? nowMs)
+            );
+            return Math.max(0, ...agesMs);
+        },
         addPeers: urls => urls.forEach(addPeer),
         run: async signal => {
             while (!signal.aborted) {
