Send nothing to the engines of evacuated data centres

Cause: the operator's rows `op/evacuate/DATA_CENTRE` were replicated with the desired state, and nothing read them.

Change: each copy of the table sets the evacuated data centres (engines/evacuations), before the desired state of the same copy. The engine directory leaves their engines out, so placement, prefill, hedges, retries, resumed streams and the stage split follow, and the engine client asks again when a connection is free. An entry forwards nothing and is not ready until it has a copy of the rows: before, a desired state that another entry sent made it ready. Without a row nothing changes.

Ruled out: a message of its own between entries, which would need an order of its own; moving running streams.

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -25,6 +25,8 @@
 } from "../src/engines/enginePort.js";
 import { createEngineRates } from "../src/engines/engineRates.js";
 import type { EngineRates } from "../src/engines/engineRates.js";
+import { createEvacuations } from "../src/engines/evacuations.js";
+import type { Evacuations } from "../src/engines/evacuations.js";
 import { createStartChecks } from "../src/engines/startChecks.js";
 import type { ForwardContext } from "../src/forwarding/context.js";
 import type { ForwardOutcome, ForwardRequest, GenerationSize } from "../src/forwarding/forwardRequest.js";
@@ -152,6 +154,7 @@
     readonly context: ForwardContext;
     readonly clock: VirtualClock;
     readonly notices: EngineNotices;
+    readonly evacuations: Evacuations;
     readonly load: (engines: readonly EngineRecord[]) => void;
 }
 
@@ -218,6 +221,8 @@
     readonly entries?: () => number;
     readonly notices?: EngineNotices;
     readonly rates?: EngineRates;
+    /** None by default. */
+    readonly evacuations?: Evacuations;
     /** By default the entry is the only one and its store is empty. */
     readonly streamOrigins?: StreamOrigins;
     readonly createScheduler?: (dependencies: DecodeSchedulerDependencies) => DecodeScheduler;
@@ -240,8 +245,9 @@
     const {
         notices = createEngineNotices(clock, silentDecisionLog),
         rates = createEngineRates(clock, silentDecisionLog),
+        evacuations = createEvacuations(clock, silentDecisionLog),
     } = options;
-    const directory = createEngineDirectory(clock, silentDecisionLog, notices);
+    const directory = createEngineDirectory(clock, silentDecisionLog, notices, evacuations);
     const health = createEngineHealth(clock);
     const loads = createEngineLoads();
     const engineRates = createEngineRateLimiter({
@@ -322,10 +328,12 @@
     const calls: string[] = [];
     const notices = createEngineNotices(clock, silentDecisionLog);
     const rates = createEngineRates(clock, silentDecisionLog);
+    const evacuations = createEvacuations(clock, silentDecisionLog);
     const context = createTestForwardContext({
         clock,
         notices,
         rates,
+        evacuations,
         engines: scriptedEngines(script, calls),
         state,
         budget,
@@ -335,7 +343,15 @@
                 { ...defaultDecodeSchedulerSettings, ...schedulerSettings },
             ),
     });
-    return { context, clock, calls, notices, rates, load: records => context.directory.load(records, "current") };
+    return {
+        context,
+        clock,
+        calls,
+        notices,
+        rates,
+        evacuations,
+        load: records => context.directory.load(records, "current"),
+    };
 }
 
 export const smallSize: GenerationSize = { promptTokens: 1_000, maxOutputTokens: 200, outputHintTokens: 100 };
--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -84,6 +84,8 @@
     readonly plainEngines?: number;
     /** Number of instances of the second plain service, `annex`; none by default. */
     readonly annexEngines?: number;
+    /** Data centres of engines by id; `a`, that of the entries, by default. */
+    readonly dataCentres?: Readonly<Record<string, string>>;
     /** Maps an engine's address to the one that entries connect to, such as that of a proxy. */
     readonly proxyEngineAddress?: (address: string) => Promise<string>;
     /** Maps the store's address to the one that an entry connects to; called once per entry. */
@@ -317,7 +319,7 @@
             JSON.stringify({
                 service,
                 address: addresses.get(engine.id),
-                zone: "a",
+                zone: options.dataCentres?.[engine.id] ?? "a",
                 version: softwareVersionOf(engine.id),
                 slots: 50,
                 state,
--- a/fakes/rawEngines.ts
+++ b/fakes/rawEngines.ts
@@ -12,6 +12,7 @@
 import { createEngineNotices } from "../src/engines/engineNotices.js";
 import type { EnginePort } from "../src/engines/enginePort.js";
 import { createEngineRates } from "../src/engines/engineRates.js";
+import { createEvacuations } from "../src/engines/evacuations.js";
 import { forward } from "../src/forwarding/forward.js";
 import type { Route } from "../src/routes/desiredState.js";
 import { createPrometheusMetrics } from "../src/telemetry/prometheusMetrics.js";
@@ -115,6 +116,7 @@
         log: silentDecisionLog,
         notices,
         rates: createEngineRates(systemClock, silentDecisionLog),
+        evacuations: createEvacuations(systemClock, silentDecisionLog),
     });
     const context = createTestForwardContext({ clock, notices, engines, state: desiredStateOf([route]) });
     const service = route.services[0]?.service ?? "";
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -16,6 +16,7 @@
 import type { EngineNotices } from "../engines/engineNotices.js";
 import type { EnginePort, EngineRecord, EngineRecordDecoder } from "../engines/enginePort.js";
 import type { EngineRates } from "../engines/engineRates.js";
+import type { Evacuations } from "../engines/evacuations.js";
 import { createStartChecks } from "../engines/startChecks.js";
 import type { ForwardContext } from "../forwarding/context.js";
 import { forward } from "../forwarding/forward.js";
@@ -39,6 +40,7 @@
 import { createRequestQuarantine } from "../quarantine/requestQuarantine.js";
 import { createStreamOrigins } from "../resumption/streamOrigins.js";
 import type { CallerLimits, DesiredState } from "../routes/desiredState.js";
+import type { RouteTable } from "../routes/routeTable.js";
 import { listen } from "../rpc/httpServer.js";
 import { createRpcClient } from "../rpc/rpcClient.js";
 import { createRpcHandler, rpcPath } from "../rpc/rpcServer.js";
@@ -55,12 +57,14 @@
 /** What an adapter provides to the entry. */
 export interface ForwardingPorts {
     readonly tables: TableService;
-    /** The table with the desired state, and its decoder. */
+    /** The table with the desired state and the evacuations, and their decoders. */
     readonly desiredState: {
         readonly table: string;
         readonly key: string;
         readonly feed: TableFeed;
         readonly decode: (value: JsonValue) => Result<DesiredState, string>;
+        /** The data centre that the row with a key evacuates; `undefined` if it is another row. */
+        readonly evacuatedDataCentre: (key: string) => string | undefined;
     };
     /** The table of registered engines, and its decoder. */
     readonly registry: { readonly table: string; readonly feed: TableFeed; readonly decode: EngineRecordDecoder; };
@@ -68,6 +72,8 @@
     /** What engines announce in their responses; the adapter records it. */
     readonly notices: EngineNotices;
     readonly rates: EngineRates;
+    /** The adapter asks it before it writes a request to an engine. */
+    readonly evacuations: Evacuations;
 }
 
 /** A started entry. */
@@ -135,8 +141,8 @@
     const random = createRandom(Math.trunc(clock.wallMs()) ^ Number.parseInt(startId.slice(0, 8), 16));
     const stopping = new AbortController();
     const rpc = createRpcClient(maxPeerResponseBytes);
-    const { notices, rates } = ports;
-    const directory = createEngineDirectory(clock, log, notices);
+    const { notices, rates, evacuations } = ports;
+    const directory = createEngineDirectory(clock, log, notices, evacuations);
     const engineRates = createEngineRateLimiter({
         clock,
         random,
@@ -228,12 +234,29 @@
         return Math.round(minFeedWaitMs + random() * (longestMs - minFeedWaitMs));
     }
 
+    /** Applies the evacuations first, so that they are known before the first desired state makes the entry ready. */
+    function applyOperatorRows(copy: TableCopy, origin: CopyOrigin): void {
+        const evacuated = copy.rows.map(({ key }) => ports.desiredState.evacuatedDataCentre(key))
+            .filter(dataCentre => dataCentre !== undefined);
+        const added = evacuated.filter(dataCentre => !evacuations.isEvacuated(dataCentre));
+        evacuations.apply(evacuated, origin);
+        added.filter(dataCentre => !isKnownDataCentre(dataCentre)).forEach(dataCentre =>
+            log.warn("an evacuated data centre is not known", { dataCentre })
+        );
+        desiredState.applyCopy(copy);
+    }
+
+    function isKnownDataCentre(dataCentre: string): boolean {
+        return dataCentre === settings.dataCentre || settings.regions[dataCentre] !== undefined
+            || directory.known().some(engine => engine.dataCentre === dataCentre);
+    }
+
     const desiredStateReplica = createTableReplica(ports.desiredState.feed, clock, log, {
         table: ports.desiredState.table,
         waitMs: feedWaitMs,
         pauseMs: () => desiredStatePauseMs,
         retryMs: feedRetryMs,
-    }, desiredState.applyCopy);
+    }, applyOperatorRows);
     const registryReplica = createTableReplica(ports.registry.feed, clock, log, {
         table: ports.registry.table,
         waitMs: feedWaitMs,
@@ -303,9 +326,13 @@
         (method, path) => method === "POST" && path === rpcPath ? handler : undefined,
     );
 
-    /** Requests table copies from other entries until a desired state is known. */
+    /** The routes in force, once the evacuations are known as well: another entry may send a desired state without them. */
+    const routes = (): RouteTable | undefined =>
+        desiredStateReplica.position().revision < 0 ? undefined : desiredState.routes();
+
+    /** Requests table copies from other entries until the desired state and the evacuations are known. */
     async function fetchCopies(): Promise<void> {
-        while (!stopping.signal.aborted && desiredState.routes() === undefined) {
+        while (!stopping.signal.aborted && routes() === undefined) {
             await clock.sleep(peerRefreshMs, stopping.signal);
             await peerSync.fetchMissingCopies();
         }
@@ -326,6 +353,11 @@
         "requests that wait for a place at a decode engine",
         decodeScheduler.queuedRequests,
     );
+    metrics.gauge(
+        "evacuatedDataCentres",
+        "data centres to whose engines nothing is sent",
+        () => evacuations.dataCentres().length,
+    );
     metrics.gauge("desiredStateVersion", "version in force", desiredState.version);
     metrics.gauge(
         "storeSilenceMs",
@@ -349,7 +381,7 @@
         log,
         metrics,
         view,
-        routes: desiredState.routes,
+        routes,
         directory,
         health,
         loads,
@@ -370,7 +402,7 @@
         forward: request => forward(context, request),
         limits: () => desiredState.routes()?.state.limits ?? initialLimits,
         desiredStateVersion: () => desiredState.routes()?.state.version,
-        isReady: () => desiredState.routes() !== undefined && registryReplica.position().revision >= 0,
+        isReady: () => routes() !== undefined && registryReplica.position().revision >= 0,
         setShutdownDeadline: deadlineMs => {
             shutdown = { startedAtMs: clock.monotonicMs(), deadlineMs };
         },
--- a/src/engines/engineDirectory.ts
+++ b/src/engines/engineDirectory.ts
@@ -1,5 +1,6 @@
 /**
- * Engines that are known from the registry and from their own announcements.
+ * Engines that are known from the registry and from their own announcements. Those of evacuated data centres stay known,
+ * but accept no work.
  *
  * An engine that has started to drain stays draining until it restarts, and a record of an earlier start never replaces
  * one of a later start. A record that disappeared while the registry was unavailable, or because the registry was
@@ -13,6 +14,7 @@
 import type { Log } from "../telemetry/telemetry.js";
 import type { EngineNotices, EngineStart } from "./engineNotices.js";
 import type { EngineRecord, Stage } from "./enginePort.js";
+import type { Evacuations } from "./evacuations.js";
 
 /** Within two seconds of the end of a registry outage, live engines are listed again (platform); others have ended. */
 export const missingRecordGraceMs = 2_000;
@@ -55,7 +57,12 @@
     readonly removedAtMs: number;
 }
 
-export function createEngineDirectory(clock: Clock, log: Log, notices: EngineNotices): EngineDirectory {
+export function createEngineDirectory(
+    clock: Clock,
+    log: Log,
+    notices: EngineNotices,
+    evacuations: Pick<Evacuations, "isEvacuated" | "onChange">,
+): EngineDirectory {
     let enginesById = new Map<string, KnownEngine>();
     let usableByService = new Map<string, readonly EngineRecord[]>();
     let nextExpiryMs = Number.POSITIVE_INFINITY;
@@ -74,7 +81,7 @@
     }
 
     function isUsable({ record, doubtfulUntilMs }: KnownEngine): boolean {
-        return record.state === "ready" && !notices.isClosed(record)
+        return record.state === "ready" && !notices.isClosed(record) && !evacuations.isEvacuated(record.dataCentre)
             && (doubtfulUntilMs === undefined || doubtfulUntilMs <= clock.monotonicMs());
     }
 
@@ -147,6 +154,7 @@
     }
 
     notices.onChange(rebuildIndex);
+    evacuations.onChange(rebuildIndex);
 
     return {
         usable: service => {
@@ -165,6 +173,7 @@
             const restsMs = [...enginesById.values()]
                 .filter(({ record }) => record.service === service && record.stage === stage)
                 .filter(({ record }) => record.state === "ready" && !notices.isLeaving(record))
+                .filter(({ record }) => !evacuations.isEvacuated(record.dataCentre))
                 .map(({ record }) => notices.restRemainingMs(record))
                 .filter(restMs => restMs > 0);
             return restsMs.length === 0 ? undefined : Math.min(...restsMs);
--- a/src/engines/engines.test.ts
+++ b/src/engines/engines.test.ts
@@ -15,6 +15,8 @@
 import type { EngineRecord } from "./enginePort.js";
 import { createEngineRates } from "./engineRates.js";
 import type { EngineRates } from "./engineRates.js";
+import { createEvacuations } from "./evacuations.js";
+import type { Evacuations } from "./evacuations.js";
 
 const first = engineRecord("i-1", undefined, { recordSequence: 5 });
 
@@ -22,10 +24,13 @@
     readonly clock: VirtualClock;
     readonly directory: EngineDirectory;
     readonly notices: EngineNotices;
+    readonly evacuations: Evacuations;
 } {
     const clock = createVirtualClock();
     const notices = createEngineNotices(clock, silentDecisionLog);
-    return { clock, directory: createEngineDirectory(clock, silentDecisionLog, notices), notices };
+    const evacuations = createEvacuations(clock, silentDecisionLog);
+    const directory = createEngineDirectory(clock, silentDecisionLog, notices, evacuations);
+    return { clock, directory, notices, evacuations };
 }
 
 interface RecordCase {
--- a/src/stages/stages.test.ts
+++ b/src/stages/stages.test.ts
@@ -19,6 +19,7 @@
 import { createEngineLoads } from "../engines/engineLoads.js";
 import { createEngineNotices } from "../engines/engineNotices.js";
 import type { EngineRecord, EngineReport } from "../engines/enginePort.js";
+import { createEvacuations } from "../engines/evacuations.js";
 import { createMemoryPlatform } from "../platform/memoryPlatform.js";
 import type { TableService } from "../platform/ports.js";
 import { createRouteTable } from "../routes/routeTable.js";
@@ -248,6 +249,8 @@
     readonly name: string;
     /** Engines that leave at 5 s, while the pause after the first change lasts. */
     readonly leaving: readonly string[];
+    /** Engines whose data centre is evacuated from the start. */
+    readonly evacuated?: readonly string[];
     readonly orders: readonly string[];
 }
 
@@ -258,6 +261,12 @@
         leaving: ["p-1", "d-1"],
         orders: ["d-1 prefill", "d-2 prefill"],
     },
+    {
+        name: "neither counts nor orders the engines of an evacuated data centre",
+        leaving: [],
+        evacuated: ["d-1", "d-2", "d-3"],
+        orders: [],
+    },
 ];
 
 interface VersionSplitCase {
@@ -303,13 +312,17 @@
 });
 
 describe("the stage controller", () => {
-    it.each(controllerCases)("$name", async ({ leaving, orders }) => {
+    it.each(controllerCases)("$name", async ({ leaving, evacuated = [], orders }) => {
         const clock = createVirtualClock();
+        const evacuations = createEvacuations(clock, silentDecisionLog);
+        evacuations.apply(["evacuated"], "current");
+        const dataCentreOf = (id: string): string => evacuated.includes(id) ? "evacuated" : "a";
         const state = desiredStateOf([routeOf("stream")]);
         const directory = createEngineDirectory(
             clock,
             silentDecisionLog,
             createEngineNotices(clock, silentDecisionLog),
+            evacuations,
         );
         const loads = createEngineLoads();
         const sent: string[] = [];
@@ -344,7 +357,9 @@
             metrics: createPrometheusMetrics(),
             routes: () => createRouteTable(state),
         }, { prefillFraction: 0.25 });
-        const decode = ["d-1", "d-2", "d-3", "d-4", "d-5"].map(id => engineRecord(id, "decode"));
+        const decode = ["d-1", "d-2", "d-3", "d-4", "d-5"].map(id =>
+            engineRecord(id, "decode", { dataCentre: dataCentreOf(id) })
+        );
         directory.load([engineRecord("p-1", "prefill"), ...decode], "current");
         ["d-2", "d-3", "d-4", "d-5"].forEach(id => loads.start(id, { requests: 1, kvTokens: 1, prefillTokens: 0 }));
         loads.start("d-3", { requests: 1, kvTokens: 1, prefillTokens: 0 });
@@ -354,7 +369,10 @@
         void controller.run(stopping.signal);
         await clock.advance(5_000);
         // The first order has been carried out.
-        const changed = [engineRecord("d-1", "prefill", { recordSequence: 2 }), ...decode.slice(1)];
+        const first = engineRecord("d-1", "prefill", { recordSequence: 2, dataCentre: dataCentreOf("d-1") });
+        const changed = evacuated.length > 0
+            ? [engineRecord("p-1", "prefill"), ...decode]
+            : [first, ...decode.slice(1)];
         directory.load(changed.filter(({ id }) => !leaving.includes(id)), "current");
         await clock.advance(5_000);
         expect(sent).toEqual(orders);
--- a/test/callLimits.test.ts
+++ b/test/callLimits.test.ts
@@ -24,6 +24,7 @@
 import { systemClock } from "../src/common/clock.js";
 import { createEngineNotices } from "../src/engines/engineNotices.js";
 import { createEngineRates } from "../src/engines/engineRates.js";
+import { createEvacuations } from "../src/engines/evacuations.js";
 import { forward } from "../src/forwarding/forward.js";
 import type { ForwardRequest } from "../src/forwarding/forwardRequest.js";
 import type { Route } from "../src/routes/desiredState.js";
@@ -130,7 +131,8 @@
 ): Promise<(request: ForwardRequest) => Promise<string>> {
     const notices = createEngineNotices(systemClock, silentDecisionLog);
     const rates = createEngineRates(systemClock, silentDecisionLog);
-    const engines = createEngineClient({ clock: systemClock, log: silentDecisionLog, notices, rates });
+    const evacuations = createEvacuations(systemClock, silentDecisionLog);
+    const engines = createEngineClient({ clock: systemClock, log: silentDecisionLog, notices, rates, evacuations });
     const state = desiredStateOf([route]);
     // Without reservations, the first call to the engine is the request itself.
     const services = state.services.map(({ engine, ...service }) => ({
--- a/test/cutResponses.test.ts
+++ b/test/cutResponses.test.ts
@@ -20,6 +20,7 @@
 import { createEngineNotices } from "../src/engines/engineNotices.js";
 import type { EnginePort, EngineRecord, EngineRequest } from "../src/engines/enginePort.js";
 import { createEngineRates } from "../src/engines/engineRates.js";
+import { createEvacuations } from "../src/engines/evacuations.js";
 import { createHttpPlatform } from "../src/platform/httpPlatform.js";
 import type { TableService } from "../src/platform/ports.js";
 import { createRpcClient } from "../src/rpc/rpcClient.js";
@@ -79,6 +80,7 @@
                 log: silentDecisionLog,
                 notices: createEngineNotices(systemClock, silentDecisionLog),
                 rates: createEngineRates(systemClock, silentDecisionLog),
+                evacuations: createEvacuations(systemClock, silentDecisionLog),
             });
             return { call: () => call(client, engineAt(address)), close: client.close };
         },
--- a/test/lateCopies.test.ts
+++ b/test/lateCopies.test.ts
@@ -22,6 +22,7 @@
 import { createEngineNotices } from "../src/engines/engineNotices.js";
 import type { EnginePort, EngineRecord } from "../src/engines/enginePort.js";
 import { createEngineRates } from "../src/engines/engineRates.js";
+import { createEvacuations } from "../src/engines/evacuations.js";
 import { forward } from "../src/forwarding/forward.js";
 
 const cleanups: (() => unknown)[] = [];
@@ -82,7 +83,8 @@
 function createEngines(): EnginePort {
     const notices = createEngineNotices(systemClock, silentDecisionLog);
     const rates = createEngineRates(systemClock, silentDecisionLog);
-    const engines = createEngineClient({ clock: systemClock, log: silentDecisionLog, notices, rates });
+    const evacuations = createEvacuations(systemClock, silentDecisionLog);
+    const engines = createEngineClient({ clock: systemClock, log: silentDecisionLog, notices, rates, evacuations });
     // Leaves one connection to an engine, so that the next call comes on the one that is in use.
     engines.setMaxConnections("models", 1);
     cleanups.push(() => engines.close());
--- a/test/silentConnections.test.ts
+++ b/test/silentConnections.test.ts
@@ -17,6 +17,7 @@
 import { systemClock } from "../src/common/clock.js";
 import { createEngineNotices } from "../src/engines/engineNotices.js";
 import { createEngineRates } from "../src/engines/engineRates.js";
+import { createEvacuations } from "../src/engines/evacuations.js";
 import { createRpcClient } from "../src/rpc/rpcClient.js";
 
 const cleanups: (() => unknown)[] = [];
@@ -90,6 +91,7 @@
                 log: silentDecisionLog,
                 notices: createEngineNotices(systemClock, silentDecisionLog),
                 rates: createEngineRates(systemClock, silentDecisionLog),
+                evacuations: createEvacuations(systemClock, silentDecisionLog),
             });
             cleanups.push(() => client.close());
             const engine = engineRecord("e-1", undefined, { address });
