--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -25,6 +25,8 @@
 } from "../src/engines/enginePort.js";
 import { createEngineRates } from "../src/engines/engineRates.js";
 import type { EngineRates } from "../src/engines/engineRates.js";
+import { createEvacuations } from "../src/engines/evacuations.js";
+import type { Evacuations } from "../src/engines/evacuations.js";
 import { createStartChecks } from "../src/engines/startChecks.js";
 import type { ForwardContext } from "../src/forwarding/context.js";
 import type { ForwardOutcome, ForwardRequest, GenerationSize } from "../src/forwarding/forwardRequest.js";
@@ -153,6 +155,7 @@
     readonly context: ForwardContext;
     readonly clock: VirtualClock;
     readonly notices: EngineNotices;
+    readonly evacuations: Evacuations;
     readonly load: (engines: readonly EngineRecord[]) => void;
 }
 
@@ -219,6 +222,8 @@
     readonly entries?: () => number;
     readonly notices?: EngineNotices;
     readonly rates?: EngineRates;
+    /** None by default. */
+    readonly evacuations?: Evacuations;
     /** By default the entry is the only one and its store is empty. */
     readonly streamOrigins?: StreamOrigins;
     readonly createScheduler?: (dependencies: DecodeSchedulerDependencies) => DecodeScheduler;
@@ -241,8 +246,9 @@
     const {
         notices = createEngineNotices(clock, silentDecisionLog),
         rates = createEngineRates(clock, silentDecisionLog),
+        evacuations = createEvacuations(clock, silentDecisionLog),
     } = options;
-    const directory = createEngineDirectory(clock, silentDecisionLog, notices);
+    const directory = createEngineDirectory(clock, silentDecisionLog, notices, evacuations);
     const health = createEngineHealth(clock);
     const loads = createEngineLoads(clock, prefillTokensPerMs);
     const engineRates = createEngineRateLimiter({
@@ -324,10 +330,12 @@
     const calls: string[] = [];
     const notices = createEngineNotices(clock, silentDecisionLog);
     const rates = createEngineRates(clock, silentDecisionLog);
+    const evacuations = createEvacuations(clock, silentDecisionLog);
     const context = createTestForwardContext({
         clock,
         notices,
         rates,
+        evacuations,
         engines: scriptedEngines(script, calls),
         state,
         budget,
@@ -337,7 +345,15 @@
                 { ...defaultDecodeSchedulerSettings, ...schedulerSettings },
             ),
     });
-    return { context, clock, calls, notices, rates, load: records => context.directory.load(records, "current") };
+    return {
+        context,
+        clock,
+        calls,
+        notices,
+        rates,
+        evacuations,
+        load: records => context.directory.load(records, "current"),
+    };
 }
 
 export const smallSize: GenerationSize = { promptTokens: 1_000, maxOutputTokens: 200, outputHintTokens: 100 };
