Keep calls that may run once from instances in doubt

Cause: each entry ejects an instance by its own requests, and the next callers' requests try it again, whatever they are. An instance that resets what it gets looks free, so it draws calls that may run only once, and each entry learns that anew after every ejection.

Change: an instance that broke requests off or was silent stays in doubt after its ejection until a request succeeds there or a status check does. Calls that may run once go elsewhere meanwhile; calls that may be repeated try it, one at a time; a status check follows if none comes. Two interruptions in a row eject, one while nothing has succeeded since. Entries share verdicts in the synchronization state, with their age, at once, and only if their requests succeed elsewhere; silence at another entry only raises doubt.

Ruled out: sharing verdicts on model engines, which have many peers and their own scheduler; doubt from responses that only reject a request.

--- a/fakes/engineRateFleet.ts
+++ b/fakes/engineRateFleet.ts
@@ -118,6 +118,7 @@
                 leaving: [],
                 crashEvidence: [],
                 engineRates: [...rates.notices()],
+                ejections: [],
             }),
             onState: state => rates.apply(state.engineRates),
             onUsageReport: () => undefined,
--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -26,6 +26,7 @@
 import { createEngineRates } from "../src/engines/engineRates.js";
 import type { EngineRates } from "../src/engines/engineRates.js";
 import { createStartChecks } from "../src/engines/startChecks.js";
+import { createStatusChecks } from "../src/engines/statusChecks.js";
 import type { ForwardContext } from "../src/forwarding/context.js";
 import type { ForwardOutcome, ForwardRequest, GenerationSize } from "../src/forwarding/forwardRequest.js";
 import { createResponseTimes } from "../src/forwarding/responseTimes.js";
@@ -89,6 +90,7 @@
     ) => Promise<Result<PrefilledCache, EngineError>>;
     readonly reserve?: (engine: EngineRecord, tokens: number) => Promise<Result<Reservation, EngineError>>;
     readonly report?: (engine: EngineRecord) => Promise<Result<EngineReport, EngineError>>;
+    readonly checkStatus?: (engine: EngineRecord) => Promise<Result<boolean, EngineError>>;
     /** By default no connection was opened after the engine was confirmed to be the start that its record names. */
     readonly connectedAtMs?: (engine: EngineRecord) => number;
 }
@@ -139,6 +141,10 @@
         releaseCache: ({ address }) => void calls.push(`releaseCache ${address}`),
         releaseReservation: engine => void calls.push(`releaseReservation ${engine.id}`),
         report: async engine => script.report?.(engine) ?? errorOf("unreachable"),
+        checkStatus: async (engine, path) => {
+            calls.push(`check ${engine.id} ${path}`);
+            return script.checkStatus?.(engine) ?? Result.ok(true);
+        },
         orderStage: async () => "rejected",
         connectedAtMs: engine => script.connectedAtMs?.(engine) ?? Number.NEGATIVE_INFINITY,
         keepOnly: () => undefined,
@@ -179,7 +185,14 @@
         version: 1,
         routes,
         services: [
-            { name: "desk", maxConnections: 10, coldRequestsPerSecond: 0, coldStartMs: 0, engine: undefined },
+            {
+                name: "desk",
+                maxConnections: 10,
+                coldRequestsPerSecond: 0,
+                coldStartMs: 0,
+                healthCheckPath: "/health",
+                engine: undefined,
+            },
             {
                 name: "models",
                 maxConnections: 10,
@@ -306,6 +319,7 @@
         }),
         engineRuns: createEngineRuns({ clock, quarantine, report: engines.report, isReplaced: () => false }),
         startChecks: createStartChecks(engines, clock, log),
+        statusChecks: createStatusChecks({ clock, random, log, metrics, health, engines }),
         responseTimes: createResponseTimes(),
         shutdown: () => undefined,
     };
--- a/fakes/simulatedFleet.ts
+++ b/fakes/simulatedFleet.ts
@@ -80,6 +80,7 @@
         releaseReservation: (engine, { id }) => engineOf(engine.id).releaseReservation(id),
         releaseCache: ({ address, handle }) => void engineOf(address).takeCache(handle, false),
         report: async () => Result.err({ kind: "unreachable", cause: "the simulation has no reports" }),
+        checkStatus: async () => Result.err({ kind: "unreachable", cause: "the simulation has no status checks" }),
         orderStage: async () => "rejected",
         connectedAtMs: () => Number.NEGATIVE_INFINITY,
         keepOnly: () => undefined,
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -16,7 +16,9 @@
 import type { EngineNotices } from "../engines/engineNotices.js";
 import type { EnginePort, EngineRecord, EngineRecordDecoder } from "../engines/enginePort.js";
 import type { EngineRates } from "../engines/engineRates.js";
+import { createSharedEjections } from "../engines/sharedEjections.js";
 import { createStartChecks } from "../engines/startChecks.js";
+import { createStatusChecks } from "../engines/statusChecks.js";
 import type { ForwardContext } from "../forwarding/context.js";
 import { forward } from "../forwarding/forward.js";
 import type { ForwardRequest, ForwardResult } from "../forwarding/forwardRequest.js";
@@ -150,6 +152,9 @@
     const engines = limitControlCalls(ports.engines, engineRates, directory, log);
     rates.onChange(() => peerSync.syncNow());
     const health = createEngineHealth(clock);
+    const ejections = createSharedEjections({ clock, log, metrics, health });
+    ejections.onChange(() => peerSync.syncNow());
+    const statusChecks = createStatusChecks({ clock, random, log, metrics, health, engines });
     const startChecks = createStartChecks(engines, clock, log);
     const loads = createEngineLoads();
     const quota = createFleetQuota(clock, {
@@ -245,6 +250,8 @@
         const known = directory.known();
         engines.keepOnly(known);
         health.keepOnly(known);
+        ejections.keepOnly(known);
+        statusChecks.keepOnly(known);
         startChecks.keepOnly(known);
     });
 
@@ -256,6 +263,7 @@
         state.leaving.forEach(notices.recordLeaving);
         quarantine.applyEvidence(state.crashEvidence);
         rates.apply(state.engineRates);
+        ejections.apply(state.ejections);
         void desiredState.applyPeerState(state);
     }
 
@@ -276,6 +284,7 @@
             leaving: [...notices.leaving()],
             crashEvidence: [...quarantine.evidence()],
             engineRates: [...rates.notices()],
+            ejections: [...ejections.notices()],
         }),
         onState: applyPeerState,
         onUsageReport: ({ start, clientAccount, admittedCost }) =>
@@ -362,6 +371,7 @@
         engineRuns,
         streamOrigins,
         startChecks,
+        statusChecks,
         responseTimes: createResponseTimes(),
         shutdown: () => shutdown,
     };
--- a/src/engines/enginePort.ts
+++ b/src/engines/enginePort.ts
@@ -176,6 +176,12 @@
     ) => Promise<Result<Reservation, EngineError>>;
     readonly releaseReservation: (engine: EngineRecord, reservation: Reservation) => void;
     readonly report: (engine: EngineRecord, timeoutMs: number) => Promise<Result<EngineReport, EngineError>>;
+    /** Requests an instance's status at `path`; whether it considers itself healthy. */
+    readonly checkStatus: (
+        engine: EngineRecord,
+        path: string,
+        timeoutMs: number,
+    ) => Promise<Result<boolean, EngineError>>;
     readonly orderStage: (engine: EngineRecord, order: StageOrder, timeoutMs: number) => Promise<OrderOutcome>;
     /** Monotonic time at which the newest connection to an engine was opened; infinite if there is none. */
     readonly connectedAtMs: (engine: EngineRecord) => number;
--- a/src/forwarding/context.ts
+++ b/src/forwarding/context.ts
@@ -9,6 +9,7 @@
 import type { EngineLoads } from "../engines/engineLoads.js";
 import type { EnginePort } from "../engines/enginePort.js";
 import type { StartChecks } from "../engines/startChecks.js";
+import type { StatusChecks } from "../engines/statusChecks.js";
 import type { EngineRateLimiter } from "../limits/engineRateLimiter.js";
 import type { FleetQuota } from "../limits/fleetQuota.js";
 import type { FleetRetryBudget } from "../limits/fleetRetryBudget.js";
@@ -43,6 +44,7 @@
     readonly engineRuns: EngineRuns;
     readonly streamOrigins: StreamOrigins;
     readonly startChecks: StartChecks;
+    readonly statusChecks: StatusChecks;
     readonly responseTimes: ResponseTimes;
     /** `undefined` unless this process is shutting down. */
     readonly shutdown: () => Shutdown | undefined;
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -15,13 +15,13 @@
 import { isConnectionRefused, provesNotRun } from "../engines/enginePort.js";
 import type { BodyFraming, EngineError, EngineRecord, EngineResponse } from "../engines/enginePort.js";
 import type { EngineRun } from "../quarantine/engineRuns.js";
-import { rankForPlain } from "../scheduling/placement.js";
 import type { ForwardContext } from "./context.js";
 import { discardBody } from "./discardBody.js";
 import { createEventOrder } from "./eventOrder.js";
 import { createEventBoundaryTracker, findMissingEnd, isEventStream, withoutLength } from "./eventStream.js";
 import { answered, refuse } from "./forwardRequest.js";
 import type { ForwardOutcome } from "./forwardRequest.js";
+import { plainEnginesInOrder } from "./plainEngines.js";
 import { endBrokenRun, isQuarantined } from "./quarantineChecks.js";
 import { hasVersionFor, suspectsOf } from "./routedRequest.js";
 import type { RoutedRequest } from "./routedRequest.js";
@@ -131,7 +131,7 @@
     if (!mayRunAgain || attempts >= maxAttempts || state.refusedConnections >= maxRefusedConnections) {
         return false;
     }
-    for (const engine of enginesInOrder(context, routed, state.triedEngines)) {
+    for (const engine of plainEnginesInOrder(context, routed, isRepeatable(routed), state.triedEngines)) {
         // No await otherwise: the engine's load is to be counted before another call is placed.
         if (context.engineRates.isLimited(engine) && !await context.engineRates.acquire(engine)) {
             continue;
@@ -206,18 +206,6 @@
     return routed.deadlineMs - context.clock.monotonicMs();
 }
 
-/** The engines that have not been tried, the best ones first; ejected ones are the last resort. */
-function* enginesInOrder(
-    context: ForwardContext,
-    routed: RoutedRequest,
-    triedEngines: ReadonlySet<string>,
-): Generator<EngineRecord> {
-    const usable = context.directory.usable(routed.service).filter(engine => hasVersionFor(routed, engine));
-    for (const engines of [context.health.withoutEjected(usable), usable]) {
-        yield* rankForPlain(context.view, engines).filter(engine => !triedEngines.has(engine.id));
-    }
-}
-
 async function sendAttempt(
     context: ForwardContext,
     routed: RoutedRequest,
@@ -315,7 +303,7 @@
         context.health.recordNoResponse(engine.id, result.error);
     }
     else {
-        context.health.recordOutcome(engine.id, "failed");
+        context.health.recordOutcome(engine.id, result.error.kind === "interrupted" ? "interrupted" : "notServed");
     }
 }
 
--- a/src/limits/controlCallLimits.ts
+++ b/src/limits/controlCallLimits.ts
@@ -37,6 +37,8 @@
             await rates.acquire(engine)
                 ? engines.report(engine, timeoutMs)
                 : Result.err({ kind: "unreachable", cause }),
+        checkStatus: async (engine, path, timeoutMs) =>
+            await rates.acquire(engine) ? engines.checkStatus(engine, path, timeoutMs) : rejected(),
         orderStage: async (engine, order, timeoutMs) =>
             await rates.acquire(engine) ? engines.orderStage(engine, order, timeoutMs) : "rejected",
         releaseReservation: (engine, reservation) =>
--- a/src/peerSync/messages.ts
+++ b/src/peerSync/messages.ts
@@ -7,6 +7,7 @@
 import { isDeeplyNested } from "../common/json.js";
 import type { JsonValue } from "../common/json.js";
 import { rateNoticeSchema } from "../engines/engineRates.js";
+import { ejectionNoticeSchema } from "../engines/sharedEjections.js";
 import { crashEvidenceSchema } from "../quarantine/crashEvidence.js";
 import { unknownPosition } from "./storePosition.js";
 import type { StorePosition } from "./storePosition.js";
@@ -48,6 +49,8 @@
     uptimeMs: z.number().min(0).optional(),
     /** Rates that engines name for themselves, or have ceased to name. */
     engineRates: z.array(rateNoticeSchema).default([]),
+    /** Newest verdicts on instances of plain services that were ejected; entries of earlier versions send none. */
+    ejections: z.array(ejectionNoticeSchema).default([]),
     /** Remaining time in ms of each engine's change to another stage, by engine. */
     reconfiguring: z.record(z.string(), z.number()),
     /** Base URLs of the peers that it has seen. */
--- a/src/peerSync/peerSync.ts
+++ b/src/peerSync/peerSync.ts
@@ -4,8 +4,8 @@
  * In each round, at a fixed interval, an entry calls a bounded number of peers: those without contact for the longest
  * time, so that the age of every peer's state is bounded. Each side of a call receives the other's state, so a peer that
  * has just called is not called back. Entries send only their own state and the URLs of the peers they have seen; they do
- * not relay the states of others, except what all entries must learn: leaving engines, the rates that engines name and
- * evidence against requests. Peers are found through the seeds in the settings, the list in the store and other peers. A
+ * not relay the states of others, except what all entries must learn: leaving engines, the rates that engines name, verdicts on
+ * ejected instances and evidence against requests. Peers are found through the seeds in the settings, the list in the store and other peers. A
  * peer that was seen once remains a member until it announces its shutdown or has not been seen for `memberTimeoutMs`,
  * because it may be cut off and still admit requests. On the wire, the methods are named `exchange.*`.
  */
@@ -51,6 +51,7 @@
     | "leaving"
     | "crashEvidence"
     | "engineRates"
+    | "ejections"
 >;
 
 export interface PeerSyncDependencies {
--- a/src/routes/desiredState.ts
+++ b/src/routes/desiredState.ts
@@ -57,6 +57,8 @@
     readonly coldRequestsPerSecond: number;
     /** How long an engine is cold after its start. */
     readonly coldStartMs: number;
+    /** Path of its instances' status checks; `undefined` if it names none. */
+    readonly healthCheckPath?: string | undefined;
     /** `undefined` for plain services. */
     readonly engine: EngineSpec | undefined;
 }
--- a/src/telemetry/prometheusMetrics.ts
+++ b/src/telemetry/prometheusMetrics.ts
@@ -15,6 +15,10 @@
     callersGone: "requests whose callers went away",
     quarantined: "requests refused because engines ended under a part of their prompts",
     exhausted: "requests refused because all engines have got as many as the rates that they name",
+    ejections:
+        "verdicts on instances of plain services by this entry's own requests, by failure; `cleared` ends a doubt",
+    ejectionsHeard: "other entries' verdicts on instances of plain services that this entry applied",
+    statusChecks: "status checks of instances after their ejection, by result",
     storeCalls: "calls to the platform's store by outcome",
     ordersSent: "orders to engines by outcome",
 } as const;
