--- a/src/peerSync/heldState.ts
+++ b/src/peerSync/heldState.ts
@@ -30,6 +30,7 @@
     leaving: [],
     crashEvidence: [],
     engineRates: [],
+    ejections: [],
     entries: [],
 };
 
--- a/src/peerSync/stateChanges.test.ts
+++ b/src/peerSync/stateChanges.test.ts
@@ -27,6 +27,7 @@
     leaving: [],
     crashEvidence: [],
     engineRates: [],
+    ejections: [],
 };
 
 interface Entry {
--- a/src/peerSync/stateFields.ts
+++ b/src/peerSync/stateFields.ts
@@ -72,6 +72,10 @@
         key: `${bornMs} ${engine}`,
         comparable: `${startTimeOf(agoMs, nowMs)} ${ratePerSecond}`,
     })),
+    ejections: announcements(({ engine, bornMs, failure, failures, agoMs }, nowMs) => ({
+        key: `${bornMs} ${engine}`,
+        comparable: `${startTimeOf(agoMs, nowMs)} ${failure} ${failures}`,
+    })),
     entries: announcements(url => ({ key: url, comparable: "" })),
 };
 
