Let less urgent generations yield when decode engines are short of room

Cause: the decode queue ordered by latest start and account only, and a refusal never asked what it costs; the most urgent generations were refused as often as the least urgent ones.

Change: the decode queue uses the order of src/overload; an arrival counts only the work that does not yield to it; less urgent requests that would wait in vain leave for a more urgent arrival at once (503, not run, Retry-After by the queue), and leave a little of each engine's memory free while more urgent ones arrive. A counter (turned_away) and a decision line name what yielded for whom. The experiment has two patterns with priorities, a policy without them, and prints what became of each priority.

Tests of src/overload, src/scheduling, src/forwarding, src/daemon and test/experiment: 235 pass. Without the priority in the rank 5 of them fail, without room kept 1, without departures 1, without shares 1, with room kept at idle engines 1.

Priorities are not passed to the engines.

--- a/fakes/loadPatterns.ts
+++ b/fakes/loadPatterns.ts
@@ -62,8 +62,17 @@
     return Math.max(16, Math.min(maxTokens, Math.round(sample)));
 }
 
+interface ArrivalOptions {
+    readonly promptTokens?: number;
+    /** Each client account has one of them, in turn. */
+    readonly priorities?: readonly number[];
+}
+
 /** Arrivals of a Poisson process whose rate changes with each phase. */
-function arrivalsOf(phases: readonly LoadPhase[], promptTokens = meanPromptTokens): LoadPattern["arrivals"] {
+function arrivalsOf(
+    phases: readonly LoadPhase[],
+    { promptTokens = meanPromptTokens, priorities = [5] }: ArrivalOptions = {},
+): LoadPattern["arrivals"] {
     return seed => {
         const random = createRandom(seed);
         const arrivals: Arrival[] = [];
@@ -75,9 +84,11 @@
                 atMs += -Math.log(1 - random()) * msPerSecond / requestsPerSecond;
                 const outputTokens = drawTokens(random, meanOutputTokens, outputSigma);
                 const isHotAccount = random() < hotAccountFraction;
+                const account = isHotAccount ? 0 : Math.floor(random() * accounts.length);
                 arrivals.push({
                     atMs,
-                    clientAccount: accounts[isHotAccount ? 0 : Math.floor(random() * accounts.length)] ?? "account-1",
+                    clientAccount: accounts[account] ?? "account-1",
+                    priority: priorities[account % priorities.length] ?? 5,
                     size: { promptTokens: drawTokens(random, promptTokens, promptSigma), outputTokens },
                     hintTokens: Math.max(16, Math.round(outputTokens * Math.exp(hintSigma * standardNormal(random)))),
                 });
@@ -112,7 +123,24 @@
             requestsPerSecond: 7,
         }]),
     },
-    largePrompts: { fleet: sixEngines, arrivals: arrivalsOf([{ durationMs: 15_000, requestsPerSecond: 6 }], 9_000) },
+    largePrompts: {
+        fleet: sixEngines,
+        arrivals: arrivalsOf([{ durationMs: 15_000, requestsPerSecond: 6 }], { promptTokens: 9_000 }),
+    },
+    /** Mixed priorities in a burst. */
+    mixedPriorities: {
+        fleet: sixEngines,
+        arrivals: arrivalsOf([
+            { durationMs: 5_000, requestsPerSecond: 7 },
+            { durationMs: 10_000, requestsPerSecond: 18 },
+            { durationMs: 5_000, requestsPerSecond: 7 },
+        ], { priorities: [0, 1, 2, 2] }),
+    },
+    /** Twice as many requests as can be served, most of them urgent. */
+    mostlyUrgent: {
+        fleet: sixEngines,
+        arrivals: arrivalsOf([{ durationMs: 20_000, requestsPerSecond: 24 }], { priorities: [0, 0, 0, 2] }),
+    },
 };
 
 export const patternNames = Object.keys(patterns);
--- a/fakes/loadPolicies.ts
+++ b/fakes/loadPolicies.ts
@@ -3,7 +3,8 @@
  */
 
 import { Result } from "true-myth";
-import { createDecodeScheduler, expectedOutputTokens } from "../src/scheduling/decodeScheduler.js";
+import { expectedOutputTokens } from "../src/scheduling/decodeReservations.js";
+import { createDecodeScheduler } from "../src/scheduling/decodeScheduler.js";
 import type { DecodeScheduler, DecodeSchedulerDependencies } from "../src/scheduling/decodeScheduler.js";
 import { defaultDecodeSchedulerSettings } from "../src/scheduling/decodeSchedulerSettings.js";
 import type { DecodeSchedulerSettings } from "../src/scheduling/decodeSchedulerSettings.js";
@@ -26,6 +27,12 @@
     return dependencies => createDecodeScheduler(dependencies, { ...defaultDecodeSchedulerSettings, ...settings });
 }
 
+/** The default scheduler for requests that all have one priority, whatever the desired state says. */
+function withEqualPriorities(dependencies: DecodeSchedulerDependencies): DecodeScheduler {
+    const scheduler = createDecodeScheduler(dependencies, defaultDecodeSchedulerSettings);
+    return { ...scheduler, allocate: generation => scheduler.allocate({ ...generation, priority: 5 }) };
+}
+
 /** Tries to reserve at one engine, chosen by `chooseIndex`, and refuses the request if it is full: no queue, no load estimate. */
 function withoutQueue(
     chooseIndex: (engineCount: number) => number,
@@ -67,6 +74,7 @@
 export const policies: Readonly<Record<string, LoadPolicy>> = {
     /** The default settings of the decode scheduler. */
     inForce: { createScheduler: withSettings({}), divideEngines: unchanged },
+    equalPriorities: { createScheduler: withEqualPriorities, divideEngines: unchanged },
     onePrefillEngine: { createScheduler: withSettings({}), divideEngines: withPrefillEngines(1) },
     threePrefillEngines: { createScheduler: withSettings({}), divideEngines: withPrefillEngines(3) },
     /** Keeps requests queued for 0.6 s after they have missed their objective; an earlier default. */
--- a/fakes/simulatedFleet.ts
+++ b/fakes/simulatedFleet.ts
@@ -30,6 +30,8 @@
 export interface Arrival {
     readonly atMs: number;
     readonly clientAccount: string;
+    /** The client account's; 0 is the most urgent. */
+    readonly priority: number;
     readonly size: SimulatedRequest;
     /** The caller's estimate of its output tokens. */
     readonly hintTokens: number;
@@ -47,13 +49,30 @@
     /** Lowest fraction of requests with a good response of any client account. */
     readonly worstAccountFraction: number;
     readonly refusedFraction: number;
+    /** From the most urgent priority to the least. */
+    readonly byPriority: readonly PriorityMetrics[];
+}
+
+/** What became of the requests of one priority. */
+export interface PriorityMetrics {
+    readonly priority: number;
+    readonly requestCount: number;
+    readonly goodFraction: number;
+    readonly lateFraction: number;
+    readonly refusedFraction: number;
+    readonly brokenFraction: number;
+    /** Mean time from the arrival to the refusal of a refused request; 0 if none was refused. */
+    readonly refusedAfterMs: number;
 }
 
 export type DecodeSchedulerFactory = (dependencies: DecodeSchedulerDependencies, random: Random) => DecodeScheduler;
 
 interface RequestResult {
     readonly clientAccount: string;
+    readonly priority: number;
     readonly outcome: "good" | "late" | "refused" | "broken";
+    /** Time from the arrival to the first event or the refusal. */
+    readonly answeredAfterMs: number;
 }
 
 const service = "models";
@@ -122,13 +141,13 @@
     clock: VirtualClock,
     spec: FleetSpec,
 ): Promise<RequestResult> {
-    const { clientAccount } = arrival;
-    if (outcome.kind === "refused") {
-        return { clientAccount, outcome: "refused" };
-    }
+    const { clientAccount, priority } = arrival;
     // The response head arrives with the first event.
     let lastEventAtMs = clock.monotonicMs();
-    const firstEventMs = lastEventAtMs - arrival.atMs;
+    const answeredAfterMs = lastEventAtMs - arrival.atMs;
+    if (outcome.kind === "refused") {
+        return { clientAccount, priority, outcome: "refused", answeredAfterMs };
+    }
     let maxGapMs = 0;
     try {
         for await (const chunk of outcome.answer.body) {
@@ -138,10 +157,10 @@
         }
     }
     catch {
-        return { clientAccount, outcome: "broken" };
+        return { clientAccount, priority, outcome: "broken", answeredAfterMs };
     }
-    const isGood = firstEventMs <= spec.objectiveMs && maxGapMs <= spec.maxGapMs;
-    return { clientAccount, outcome: isGood ? "good" : "late" };
+    const isGood = answeredAfterMs <= spec.objectiveMs && maxGapMs <= spec.maxGapMs;
+    return { clientAccount, priority, outcome: isGood ? "good" : "late", answeredAfterMs };
 }
 
 export async function simulateFleet(
@@ -165,14 +184,16 @@
     };
     const state = {
         ...baseState,
-        clientAccounts: [...new Set(arrivals.map(({ clientAccount }) => clientAccount))].map(name => ({
+        clientAccounts: [
+            ...new Map(arrivals.map(({ clientAccount, priority }) => [clientAccount, priority])),
+        ].map(([name, priority]) => ({
             name,
             keys: [name],
             unit: "tokens" as const,
             plainTokens: 0,
             ratePerSecond: 0,
             burst: 0,
-            priority: undefined,
+            priority,
             homeRegions: undefined,
         })),
         services: [{
@@ -265,5 +286,19 @@
             ...accounts.map(account => fractionOf(results.filter(item => item.clientAccount === account), "good")),
         ),
         refusedFraction: fractionOf(results, "refused"),
+        byPriority: [...new Set(results.map(({ priority }) => priority))].sort((a, b) => a - b).map(priority => {
+            const subset = results.filter(item => item.priority === priority);
+            const refused = subset.filter(({ outcome }) => outcome === "refused");
+            return {
+                priority,
+                requestCount: subset.length,
+                goodFraction: fractionOf(subset, "good"),
+                lateFraction: fractionOf(subset, "late"),
+                refusedFraction: fractionOf(subset, "refused"),
+                brokenFraction: fractionOf(subset, "broken"),
+                refusedAfterMs: refused.reduce((sum, { answeredAfterMs }) => sum + answeredAfterMs, 0)
+                    / Math.max(1, refused.length),
+            };
+        }),
     };
 }
--- a/scripts/experiment.ts
+++ b/scripts/experiment.ts
@@ -4,13 +4,14 @@
  *     npm run experiment -- --pattern burst --policy inForce,atRandom --seeds 3
  *
  * Prints for each policy the responses within both latency targets, wasted prefill work, the worst-served client
- * account and refusals. Earlier policies are kept as baselines.
+ * account and refusals; and, of patterns with several priorities, what became of the requests of each. Earlier policies
+ * are kept as baselines.
  */
 
 import { cac } from "cac";
 import { patternNames, patterns } from "../fakes/loadPatterns.js";
 import { policies, policyNames } from "../fakes/loadPolicies.js";
-import type { FleetMetrics } from "../fakes/simulatedFleet.js";
+import type { FleetMetrics, PriorityMetrics } from "../fakes/simulatedFleet.js";
 import { simulateFleet } from "../fakes/simulatedFleet.js";
 import { formatTable } from "../src/cli/table.js";
 
@@ -36,6 +37,33 @@
     return runs.reduce((sum, run) => sum + measure(run), 0) / runs.length;
 }
 
+/** One row for each priority of a pattern that has several. */
+function priorityRows(pattern: string, policy: string, runs: readonly FleetMetrics[]): string[][] {
+    const priorities = (runs[0]?.byPriority ?? []).map(({ priority }) => priority);
+    if (priorities.length < 2) {
+        return [];
+    }
+    return priorities.map(priority => {
+        const mean = (measure: (metrics: PriorityMetrics) => number): number =>
+            meanOf(runs, run =>
+                run.byPriority.filter(item => item.priority === priority).reduce(
+                    (sum, item) => sum + measure(item),
+                    0,
+                ));
+        return [
+            pattern,
+            policy,
+            String(priority),
+            mean(metrics => metrics.requestCount).toFixed(0),
+            percent(mean(metrics => metrics.goodFraction)),
+            percent(mean(metrics => metrics.lateFraction)),
+            percent(mean(metrics => metrics.refusedFraction)),
+            percent(mean(metrics => metrics.brokenFraction)),
+            mean(metrics => metrics.refusedAfterMs).toFixed(0),
+        ];
+    });
+}
+
 const program = cac("experiment");
 program
     .command("", "Runs load patterns against policies")
@@ -52,6 +80,7 @@
         const chosenPolicies = choose("policy", String(flags["policy"]), policies);
         const seeds = Array.from({ length: Number(flags["seeds"]) }, (unused, index) => index + 1);
         const rows: string[][] = [];
+        const rowsByPriority: string[][] = [];
         for (const [patternName, { fleet, arrivals }] of chosenPatterns) {
             for (const [policyName, policy] of chosenPolicies) {
                 const runs: FleetMetrics[] = [];
@@ -60,6 +89,7 @@
                         await simulateFleet(policy.divideEngines(fleet), arrivals(seed), policy.createScheduler, seed),
                     );
                 }
+                rowsByPriority.push(...priorityRows(patternName, policyName, runs));
                 rows.push([
                     patternName,
                     policyName,
@@ -73,6 +103,20 @@
         }
         const headings = ["pattern", "policy", "good/s", "good", "prefill wasted", "worst account", "refused"];
         console.log(formatTable(headings, rows));
+        if (rowsByPriority.length > 0) {
+            const priorityHeadings = [
+                "pattern",
+                "policy",
+                "priority",
+                "requests",
+                "on time",
+                "late",
+                "refused",
+                "failed",
+                "refused after ms",
+            ];
+            console.log(formatTable(priorityHeadings, rowsByPriority));
+        }
     });
 program.help();
 program.parse();
--- a/src/forwarding/forward.test.ts
+++ b/src/forwarding/forward.test.ts
@@ -19,7 +19,7 @@
 import type { EngineScript, ForwardingHarness } from "../../fakes/forwardingHarness.js";
 import type { EngineError } from "../engines/enginePort.js";
 import type { Route, RouteKind } from "../routes/desiredState.js";
-import { expectedOutputTokens } from "../scheduling/decodeScheduler.js";
+import { expectedOutputTokens } from "../scheduling/decodeReservations.js";
 import { forward } from "./forward.js";
 import type { ForwardRequest, GenerationSize } from "./forwardRequest.js";
 
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -10,8 +10,9 @@
 import { limitCall, runLimited } from "../common/callLimit.js";
 import { provesNotRun } from "../engines/enginePort.js";
 import type { EngineError, EngineRecord, EngineResponse, PrefilledCache } from "../engines/enginePort.js";
+import { shuttingDown } from "../overload/notRunRefusal.js";
 import type { EngineRun } from "../quarantine/engineRuns.js";
-import type { DecodeAllocation } from "../scheduling/decodeScheduler.js";
+import type { DecodeAllocation } from "../scheduling/decodeReservations.js";
 import {
     allowsLocalPrefill,
     isLocalPrefillFaster,
@@ -26,7 +27,7 @@
 import { endBrokenRun, isQuarantined, refuseQuarantined } from "./quarantineChecks.js";
 import { suspectsOf } from "./routedRequest.js";
 import type { GenerationRequest } from "./routedRequest.js";
-import { mayOutlastEntry, refuseIfTooLate, shuttingDownCause } from "./shutdownChecks.js";
+import { mayOutlastEntry, refuseIfTooLate } from "./shutdownChecks.js";
 import { relayStream } from "./streamRelay.js";
 
 /** A stream that is running at an engine, and its decode allocation. */
@@ -187,7 +188,7 @@
     if (mayOutlastEntry(context, generation)) {
         endPrefillLoad();
         releaseResources(context, allocation, cache);
-        return Result.err({ kind: "unreachable", cause: shuttingDownCause });
+        return Result.err({ kind: "unreachable", cause: shuttingDown.cause });
     }
     if (!context.directory.isUsable(allocation.engine)) {
         endPrefillLoad();
--- a/src/forwarding/shutdownChecks.ts
+++ b/src/forwarding/shutdownChecks.ts
@@ -8,6 +8,7 @@
  */
 
 import type { Clock } from "../common/clock.js";
+import { shuttingDown } from "../overload/notRunRefusal.js";
 import type { DecodeScheduler } from "../scheduling/decodeScheduler.js";
 import { refuse } from "./forwardRequest.js";
 import type { ForwardOutcome } from "./forwardRequest.js";
@@ -34,9 +35,6 @@
 
 /** The load balancer checks readiness every second and needs two failures before it sends callers to other entries. */
 export const balancerDetectionMs = 2_500;
-/** Retry delay during shutdown: none, since the load balancer sends the retry to another entry. */
-export const shutdownRetryMs = 0;
-export const shuttingDownCause = "this entry is shutting down";
 /** Expected duration of a stream of unknown size or of a service that has not ended any: the platform's average. */
 const averageStreamMs = 3_600;
 /** 5% of responses take longer than this multiple of their expected time. */
@@ -76,5 +74,5 @@
 
 /** The refusal of a request that might outlast the entry; `undefined` for any other request. */
 export function refuseIfTooLate(context: ShutdownChecksContext, request: TimedRequest): ForwardOutcome | undefined {
-    return mayOutlastEntry(context, request) ? refuse(503, shuttingDownCause, shutdownRetryMs) : undefined;
+    return mayOutlastEntry(context, request) ? refuse(503, shuttingDown.cause, shuttingDown.retryAfterMs) : undefined;
 }
--- a/src/overload/servedShares.ts
+++ b/src/overload/servedShares.ts
@@ -13,6 +13,8 @@
     readonly recordServed: (request: SharedRequest, nowMs: number) => void;
     /** Whether requests of the same priority, or of the same priority and about the same work, are served too seldom. */
     readonly isOwed: (request: SharedRequest, nowMs: number) => boolean;
+    /** How far a request's priority is below the most urgent one that has arrived lately; 0 if it is owed room. */
+    readonly stepsBehind: (request: SharedRequest, nowMs: number) => number;
 }
 
 /** Decayed numbers of requests, valid at `atMs`. */
@@ -28,6 +30,8 @@
 const owedFraction = 0.5;
 /** Fewer arrivals say nothing of a share. */
 const minArrivals = 2;
+/** A priority counts as arriving until the decayed number of its arrivals falls below this. */
+const arrivingCount = 0.3;
 const allRequests = "all";
 
 /** The groups of a request: its priority, and within that the requests whose work is within a factor of two. */
@@ -37,6 +41,7 @@
 
 export function createServedShares(): ServedShares {
     const countsByGroup = new Map<string, Counts>();
+    const priorities = new Set<number>();
 
     function countsAt(group: string, nowMs: number): Counts {
         const { arrived, served, atMs } = countsByGroup.get(group) ?? { arrived: 0, served: 0, atMs: nowMs };
@@ -51,15 +56,26 @@
         }
     }
 
+    function isOwed(request: SharedRequest, nowMs: number): boolean {
+        const all = countsAt(allRequests, nowMs);
+        return groupsOf(request).some(group => {
+            const { arrived, served } = countsAt(group, nowMs);
+            return arrived >= minArrivals && served * all.arrived < owedFraction * all.served * arrived;
+        });
+    }
+
     return {
-        recordArrival: (request, nowMs) => record(request, "arrived", nowMs),
+        recordArrival: (request, nowMs) => {
+            priorities.add(request.priority);
+            record(request, "arrived", nowMs);
+        },
         recordServed: (request, nowMs) => record(request, "served", nowMs),
-        isOwed: (request, nowMs) => {
-            const all = countsAt(allRequests, nowMs);
-            return groupsOf(request).some(group => {
-                const { arrived, served } = countsAt(group, nowMs);
-                return arrived >= minArrivals && served * all.arrived < owedFraction * all.served * arrived;
-            });
+        isOwed,
+        stepsBehind: (request, nowMs) => {
+            const moreUrgent = [...priorities].filter(priority =>
+                priority < request.priority && countsAt(String(priority), nowMs).arrived >= arrivingCount
+            );
+            return moreUrgent.length === 0 || isOwed(request, nowMs) ? 0 : request.priority - Math.min(...moreUrgent);
         },
     };
 }
--- a/src/overload/yieldOrder.ts
+++ b/src/overload/yieldOrder.ts
@@ -14,6 +14,9 @@
  * until they are served that often again. So none starve, however long more urgent requests alone could fill the room, and
  * none are served more often than more urgent ones for that.
  *
+ * Room that is nearly full is kept for those who pay most for a delay: a less urgent request gets room only if
+ * `keptRoomFraction` of the whole stays free, unless it is owed room or nothing more urgent has arrived lately.
+ *
  * Priority only counts between requests that differ in it. Among equal ones the order is by time and account alone.
  */
 
@@ -48,9 +51,17 @@
 /** Bounds of the factor for the work of a request relative to the average. */
 const minWorkFactor = 0.5;
 const maxWorkFactor = 2;
+/** Fraction of the room that is kept free for each step of priority, and at most. */
+const keptFractionPerStep = 0.02;
+const maxKeptFraction = 0.04;
 /** Moves late requests behind all others. */
 const latePenaltyMs = 1e9;
 
+/** Fraction of the whole room that must stay free after a request gets some that is `stepsBehind` the most urgent ones. */
+export function keptRoomFraction(stepsBehind: number): number {
+    return Math.min(maxKeptFraction, stepsBehind * keptFractionPerStep);
+}
+
 /** The order of the requests that wait at one time, `waiting`, including any that has just arrived. */
 export function yieldOrderOf(
     waiting: readonly WaitingRequest[],
--- a/src/scheduling/scheduling.test.ts
+++ b/src/scheduling/scheduling.test.ts
@@ -3,6 +3,7 @@
  * pattern that the test covers.
  */
 
+import fc from "fast-check";
 import { Result } from "true-myth";
 import { describe, expect, it } from "vitest";
 import {
@@ -27,7 +28,11 @@
 const decode = [engineRecord("m-1", "decode"), engineRecord("m-2", "decode")];
 const prefill = engineRecord("p-1", "prefill");
 
-function generationOf(size: GenerationSize, request: Partial<ForwardRequest> = {}): GenerationRequest {
+function generationOf(
+    size: GenerationSize,
+    request: Partial<ForwardRequest> = {},
+    priority = 5,
+): GenerationRequest {
     const state = desiredStateOf([routeOf("stream")]);
     const engineSpec = state.services[1]?.engine;
     const route = state.routes[0];
@@ -40,7 +45,7 @@
         service: "models",
         deadlineMs: 2_000,
         softwareVersion: undefined,
-        priority: 5,
+        priority,
         homeRegions: undefined,
         fingerprint: "request:1",
         size,
@@ -154,7 +159,8 @@
     return {
         name,
         clientAccount: name,
-        tokens: 100,
+        priority: 5,
+        work: 100,
         enqueuedAtMs: 0,
         latestStartMs: 500,
         queueDeadlineMs: 1_000,
@@ -194,7 +200,7 @@
         name: "large requests: a request at the head that has waited too long is not overtaken",
         nowMs: 400,
         queued: [
-            queuedRequest("large", { tokens: 9_000 }),
+            queuedRequest("large", { work: 9_000 }),
             queuedRequest("small", { enqueuedAtMs: 390, latestStartMs: 890 }),
         ],
         order: ["large"],
@@ -220,6 +226,109 @@
     });
 });
 
+/** The order of a queue whose requests all have one priority, as it is without priorities. */
+function orderOfEqualPriorities<Item extends QueuedRequest>(
+    queued: readonly Item[],
+    penaltyMs: Readonly<Record<string, number>>,
+    nowMs: number,
+): readonly Item[] {
+    const rankOf = ({ clientAccount, latestStartMs }: Item): number =>
+        (nowMs > latestStartMs ? 1e9 : 0) + latestStartMs + (penaltyMs[clientAccount] ?? 0);
+    const ordered = [...queued].sort((a, b) => rankOf(a) - rankOf(b)).slice(0, 4);
+    const blocking = ordered.findIndex(item => nowMs - item.enqueuedAtMs > 350);
+    return blocking < 0 ? ordered : ordered.slice(0, blocking + 1);
+}
+
+const equalRequests = fc.record({
+    clientAccount: fc.constantFrom("a", "b", "c"),
+    work: fc.integer({ min: 1, max: 20_000 }),
+    enqueuedAtMs: fc.integer({ min: 0, max: 400 }),
+    latestStartMs: fc.integer({ min: 300, max: 1_500 }),
+    isServed: fc.boolean(),
+});
+
+describe("equal priorities", () => {
+    it("change nothing: neither the order nor who is admitted, leaves the queue or finds room", () => {
+        fc.assert(
+            fc.property(
+                fc.array(equalRequests, { maxLength: 12 }),
+                fc.integer({ min: 0, max: 9 }),
+                (drawn, priority) => {
+                    const nowMs = 400;
+                    const queue = createDecodeQueue<QueuedRequest>();
+                    const queued = drawn.map(request => ({ ...request, priority, queueDeadlineMs: 1_000 }));
+                    for (const request of queued) {
+                        queue.recordArrival(request, request.enqueuedAtMs);
+                        queue.add(request);
+                        if (request.isServed) {
+                            queue.recordServed(request, nowMs);
+                        }
+                    }
+                    queue.recordAllocatedTokens("a", 50_000, nowMs);
+                    expect(queue.candidates(nowMs)).toEqual(orderOfEqualPriorities(queued, { a: 200 }, nowMs));
+                    const arrival = queuedRequest("arrival", { priority, latestStartMs: 0 });
+                    expect(queue.tokensAheadOf(arrival, nowMs)).toBe(queue.tokens());
+                    expect(queue.stepsBehind(arrival, nowMs)).toBe(0);
+                    queue.add(arrival);
+                    expect(queue.takeYielding(arrival, () => true, nowMs)).toEqual([]);
+                },
+            ),
+            { seed: 20_261_206, numRuns: 300 },
+        );
+    });
+});
+
+describe("mixed priorities in a burst", () => {
+    const large = sizeOf(3_000);
+
+    it("an urgent arrival is admitted where a less urgent one is refused, and others leave the full queue for it", async () => {
+        const harness = harnessWith(() => false);
+        const { decodeScheduler, metrics } = harness.context;
+        const lessUrgent = Array.from({ length: 12 }, () => decodeScheduler.allocate(generationOf(large, {}, 3)));
+        await harness.clock.settle();
+        const queuedBefore = decodeScheduler.queuedRequests();
+        expect(queuedBefore).toBeLessThan(12);
+        const urgent = [1, 2].map(() => decodeScheduler.allocate(generationOf(large, {}, 0)));
+        expect(await Promise.race([...urgent, harness.clock.settle()])).toBeUndefined();
+        expect(decodeScheduler.queuedRequests()).toBeLessThan(queuedBefore + 2);
+        const refused = await Promise.race([...lessUrgent.slice(0, queuedBefore).reverse(), harness.clock.settle()]);
+        expect(refused?.isErr && refused.error.cause).toBe("more urgent requests need the room that is left");
+        expect(refused?.isErr && refused.error.retryAfterMs).toBeGreaterThan(400);
+        expect(await metrics.text()).toContain("turned_away{label=\"displaced\",outcome=\"3\"}");
+        await harness.clock.advance(2_000);
+        await Promise.all([...lessUrgent, ...urgent]);
+    });
+
+    it("the last room of an engine is kept for more urgent requests, and found by them", async () => {
+        const harness = harnessWith(() => true);
+        const { decodeScheduler } = harness.context;
+        // Each of two engines has 10,000 tokens; 9,300 of them are in use.
+        const running = [1, 2].map(() => decodeScheduler.allocate(generationOf(sizeOf(9_200), {}, 0)));
+        await harness.clock.advance(50);
+        expect((await Promise.all(running)).every(({ isOk }) => isOk)).toBe(true);
+        const order: string[] = [];
+        const small = { promptTokens: 500, maxOutputTokens: 100, outputHintTokens: 100 };
+        const all = [["less", 2], ["more", 0]].map(async ([name, priority]) => {
+            const allocation = await decodeScheduler.allocate(generationOf(small, {}, Number(priority)));
+            order.push(`${name}: ${allocation.isOk ? "placed" : "refused"}`);
+        });
+        await harness.clock.advance(2_000);
+        await Promise.all(all);
+        expect(order).toEqual(["more: placed", "less: refused"]);
+    });
+
+    it("a less urgent request that needs a whole engine gets an idle one", async () => {
+        const harness = harnessWith(() => true);
+        const { decodeScheduler } = harness.context;
+        const urgent = decodeScheduler.allocate(generationOf(smallSize, {}, 0));
+        await harness.clock.advance(50);
+        expect((await urgent).isOk).toBe(true);
+        const whole = decodeScheduler.allocate(generationOf(sizeOf(9_800), {}, 9));
+        await harness.clock.advance(2_000);
+        expect((await whole).isOk).toBe(true);
+    });
+});
+
 describe("placement", () => {
     const work = { requests: 0, kvTokens: 0, prefillTokens: 0 };
     const viewOf = (loads: Readonly<Record<string, Partial<typeof work>>>) => ({
--- a/src/telemetry/prometheusMetrics.ts
+++ b/src/telemetry/prometheusMetrics.ts
@@ -15,6 +15,7 @@
     callersGone: "requests whose callers went away",
     quarantined: "requests refused because engines ended under a part of their prompts",
     exhausted: "requests refused because all engines have got as many as the rates that they name",
+    turnedAway: "generations refused for lack of room, by cause (displaced, notAdmitted, expired) and priority",
     storeCalls: "calls to the platform's store by outcome",
     ordersSent: "orders to engines by outcome",
 } as const;
--- a/test/experiment.test.ts
+++ b/test/experiment.test.ts
@@ -173,4 +173,27 @@
             expect(await meanGoodFraction("inForce")).toBeGreaterThan(await meanGoodFraction(baseline));
         },
     );
+
+    it.each(["mixedPriorities", "mostlyUrgent"])(
+        "%s: the more urgent, the less is refused; none starves",
+        async pattern => {
+            const runs: FleetMetrics[] = [];
+            for (const seed of [1, 2, 3, 4]) {
+                runs.push(await simulate(pattern, "inForce", seed));
+            }
+            const refusedOf = (priority: number): number =>
+                runs.reduce(
+                    (sum, run) => sum + (run.byPriority.find(item => item.priority === priority)?.refusedFraction ?? 0),
+                    0,
+                ) / runs.length;
+            const servedOfAll = 1 - runs.reduce((sum, run) => sum + run.refusedFraction, 0) / runs.length;
+            const refused = (runs[0]?.byPriority ?? []).map(({ priority }) => refusedOf(priority));
+            expect(refused.length).toBeGreaterThan(1);
+            refused.slice(1).forEach((lessUrgent, index) => {
+                expect(lessUrgent).toBeGreaterThan((refused[index] ?? 0) - 0.05);
+            });
+            expect(refused.at(-1)).toBeGreaterThan(refused[0] ?? 1);
+            expect(1 - Math.max(...refused)).toBeGreaterThan(servedOfAll / 4);
+        },
+    );
 });
