Count rare requests of a priority for what it is owed

Cause: counts decayed in 10 s, and fewer than two arrivals say nothing of a share. At an entry that gets a priority's request every ten seconds the count never reached two, so these requests were never owed room and could starve under lasting overload.

Change: counts decay in 30 s. Whether something more urgent arrives is told by its last arrival (10 s), not by the count, so that room isn't kept for longer than before.

Tests of src/overload, src/scheduling, test/experiment: pass.

--- a/src/overload/servedShares.ts
+++ b/src/overload/servedShares.ts
@@ -25,13 +25,13 @@
 }
 
 /** Time constant with which the counts decay. */
-const countDecayMs = 10_000;
+const countDecayMs = 30_000;
 /** A group is owed room below this fraction of the share that is served of all requests. */
 const owedFraction = 0.5;
 /** Fewer arrivals say nothing of a share. */
 const minArrivals = 2;
-/** A priority counts as arriving until the decayed number of its arrivals falls below this. */
-const arrivingCount = 0.3;
+/** For how long after its last arrival a priority counts as arriving. */
+const arrivingWindowMs = 10_000;
 const allRequests = "all";
 
 /** The groups of a request: its priority, and within that the requests whose work is within a factor of two. */
@@ -41,7 +41,7 @@
 
 export function createServedShares(): ServedShares {
     const countsByGroup = new Map<string, Counts>();
-    const priorities = new Set<number>();
+    const lastArrivalMs = new Map<number, number>();
 
     function countsAt(group: string, nowMs: number): Counts {
         const { arrived, served, atMs } = countsByGroup.get(group) ?? { arrived: 0, served: 0, atMs: nowMs };
@@ -66,15 +66,15 @@
 
     return {
         recordArrival: (request, nowMs) => {
-            priorities.add(request.priority);
+            lastArrivalMs.set(request.priority, nowMs);
             record(request, "arrived", nowMs);
         },
         recordServed: (request, nowMs) => record(request, "served", nowMs),
         isOwed,
         stepsBehind: (request, nowMs) => {
-            const moreUrgent = [...priorities].filter(priority =>
-                priority < request.priority && countsAt(String(priority), nowMs).arrived >= arrivingCount
-            );
+            const moreUrgent = [...lastArrivalMs]
+                .filter(([priority, atMs]) => priority < request.priority && nowMs - atMs <= arrivingWindowMs)
+                .map(([priority]) => priority);
             return moreUrgent.length === 0 || isOwed(request, nowMs) ? 0 : request.priority - Math.min(...moreUrgent);
         },
     };
