--- a/src/telemetry/prometheusMetrics.ts
+++ b/src/telemetry/prometheusMetrics.ts
@@ -19,6 +19,7 @@
         "verdicts on instances of plain services by this entry's own requests, by failure; `cleared` ends a doubt",
     ejectionsHeard: "other entries' verdicts on instances of plain services that this entry applied",
     statusChecks: "status checks of instances after their ejection, by result",
+    turnedAway: "generations refused for lack of room, by cause (displaced, notAdmitted, expired) and priority",
     storeCalls: "calls to the platform's store by outcome",
     ordersSent: "orders to engines by outcome",
 } as const;
