Call entries of other data centres less often; show the traffic

Cause: entries called each peer as often wherever it is, and bytes between data centres are the dearest.

Change: with more than 8 peers, one of another data centre that was seen within 1.5 s is not called; entries name their data centre in their states. Such a peer counts as live for at least 2.7 s. A member is no longer removed while it counts as live, which took 30 s of silence in fleets above 900 entries too, where contacts are further apart. Work is sent without the names of its figures. Gauges show the bytes of states sent and received, near and far, and the age of the oldest state.

Ruled out for now: relays between data centres (docs/design/exchange.md).

--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -31,6 +31,7 @@
 import { createEntryList } from "../peerSync/entryList.js";
 import type { EntryState } from "../peerSync/messages.js";
 import { createPeerSync } from "../peerSync/peerSync.js";
+import { registerPeerSyncGauges } from "../peerSync/peerSyncGauges.js";
 import { createTableReplica } from "../peerSync/tableReplica.js";
 import type { CopyOrigin, TableCopy, TableFeed } from "../peerSync/tableReplica.js";
 import type { TableService } from "../platform/ports.js";
@@ -259,7 +260,12 @@
         void desiredState.applyPeerState(state);
     }
 
-    const peerSync = createPeerSync({ url, start: startId, seeds: settings.seeds.filter(seed => seed !== url) }, {
+    const peerSync = createPeerSync({
+        url,
+        start: startId,
+        seeds: settings.seeds.filter(seed => seed !== url),
+        dataCentre: settings.dataCentre,
+    }, {
         clock,
         rpc,
         log,
@@ -321,6 +327,7 @@
     }
 
     metrics.gauge("membersKnown", "entries that may be admitting", peerSync.members);
+    registerPeerSyncGauges(metrics, peerSync);
     metrics.gauge(
         "requestsWaiting",
         "requests that wait for a place at a decode engine",
--- a/src/peerSync/heldState.ts
+++ b/src/peerSync/heldState.ts
@@ -67,11 +67,13 @@
 }
 
 function mergeField(base: EntryState, { changed, removed }: StateChanges, field: string): unknown {
-    if (partedField(field)?.isHeld !== true) {
+    const parted = partedField(field);
+    if (parted?.isHeld !== true) {
         // A removed field is absent.
         return changed[field];
     }
-    const record = { ...base[field as keyof EntryState] as object, ...changed[field] as object | undefined };
     const removedKeys = new Set(removed[field]);
-    return Object.fromEntries(Object.entries(record).filter(([key]) => !removedKeys.has(key)));
+    const kept = Object.entries(base[field as keyof EntryState] as object).filter(([key]) => !removedKeys.has(key));
+    const parts = Object.entries(Object(changed[field]) as object).map(([key, sent]) => [key, parted.decodePart(sent)]);
+    return Object.fromEntries([...kept, ...parts]);
 }
--- a/src/peerSync/peerSync.ts
+++ b/src/peerSync/peerSync.ts
@@ -144,6 +144,10 @@
  * peer arrives before this entry's next round.
  */
 const skipRecentlySeenMs = 300;
+/** With at most this many peers, those of other data centres are called as often as those of the same one. */
+const maxPeersCalledAlike = 8;
+/** With more, a peer of another data centre that was seen within this time is not called. */
+const skipFarSeenMs = 1_500;
 /** By then, a new entry has called all others, directly or after they heard of it from those that it called first. */
 const stableAfterMs = 5_000;
 /** A peer counts as live if it was seen within this many of the intervals at which it is expected to be seen. */
@@ -153,7 +157,10 @@
 /** Peers that get a state ahead of the rounds; they pass on what all entries must learn. */
 const maxEarlySyncPeers = 20;
 const usageReportTimeoutMs = 400;
-/** A member that was not seen for this long is removed; longer than a network partition on the platform may last. */
+/**
+ * A member that was not seen for this long is removed, or for as long as it may be live in a large fleet; longer than a
+ * network partition on the platform may last.
+ */
 const memberTimeoutMs = 30_000;
 /** A peer that has never been seen, such as a seed that does not respond, is removed after this shorter time. */
 const unseenPeerTimeoutMs = 4_000;
@@ -284,7 +291,9 @@
     function removeExpiredPeers(): void {
         const nowMs = clock.monotonicMs();
         for (const [url, peer] of peers) {
-            const limitMs = peer.lastSeenAtMs === undefined ? unseenPeerTimeoutMs : memberTimeoutMs;
+            const limitMs = peer.lastSeenAtMs === undefined
+                ? unseenPeerTimeoutMs
+                : Math.max(memberTimeoutMs, liveWindowMs());
             if (nowMs - (peer.lastSeenAtMs ?? peer.addedAtMs) > limitMs) {
                 removePeer(url, "it was not seen for too long");
             }
@@ -298,7 +307,14 @@
     }
 
     function isLive(peer: Peer): boolean {
-        return peer.lastSeenAtMs !== undefined && clock.monotonicMs() - peer.lastSeenAtMs < liveWindowMs();
+        const windowMs = isCalledSeldom(peer)
+            ? Math.max(liveWindowMs(), skipFarSeenMs + liveWindowIntervals * peerSyncIntervalMs)
+            : liveWindowMs();
+        return peer.lastSeenAtMs !== undefined && clock.monotonicMs() - peer.lastSeenAtMs < windowMs;
+    }
+
+    function isCalledSeldom(peer: Peer): boolean {
+        return peers.size > maxPeersCalledAlike && isInOtherDataCentre(peer);
     }
 
     function members(): number {
@@ -414,10 +430,11 @@
         const nowMs = clock.monotonicMs();
         const lastContactMs = ({ lastSeenAtMs, calledAtMs }: Peer): number =>
             Math.max(lastSeenAtMs ?? Number.NEGATIVE_INFINITY, calledAtMs ?? Number.NEGATIVE_INFINITY);
+        const isDue = (peer: Peer): boolean =>
+            peer.lastSeenAtMs === undefined
+            || nowMs - peer.lastSeenAtMs >= (isCalledSeldom(peer) ? skipFarSeenMs : skipRecentlySeenMs);
         return [...peers]
-            .filter(([, { isCallPending, lastSeenAtMs }]) =>
-                !isCallPending && (lastSeenAtMs === undefined || nowMs - lastSeenAtMs >= skipRecentlySeenMs)
-            )
+            .filter(([, peer]) => !peer.isCallPending && isDue(peer))
             .sort(([, left], [, right]) => lastContactMs(left) - lastContactMs(right))
             .slice(0, callsPerRound);
     }
--- a/src/peerSync/stateChanges.test.ts
+++ b/src/peerSync/stateChanges.test.ts
@@ -323,7 +323,7 @@
             url: "http://a",
             start: "s",
         });
-        const changes = { work: { b: work(2) }, leaving: [{ id: "i", bornMs: 1 }], url: "http://other" };
+        const changes = { work: { b: [2, 14, 0] }, leaving: [{ id: "i", bornMs: 1 }], url: "http://other" };
         const reception = receiveMessage({ state: { ...state, work: { a: work(1), b: work(1) } }, number: 5 }, {
             form: "changes",
             url: "http://a",
@@ -351,10 +351,10 @@
             url: "http://a",
             start: "s",
             sync: { number: 6, since: 5 },
-            changed: { work: { a: 7 } },
+            changed: { work: { a: ["7", 1, 1] } },
             removed: {},
         });
-        expect(received.isErr && received.error.path).toBe("work.a");
+        expect(received.isErr && received.error.path).toBe("work.a.requests");
     });
 });
 
@@ -375,7 +375,7 @@
         before: { work: { a: work(1), b: work(1) } },
         after: { work: { b: work(1), c: work(2) } },
         passedMs: 5,
-        changed: { work: { c: work(2) } },
+        changed: { work: { c: [2, 14, 0] } },
         removed: { work: ["a"] },
     },
     {
--- a/src/peerSync/stateFields.ts
+++ b/src/peerSync/stateFields.ts
@@ -19,13 +19,17 @@
 export interface PartedField<Value> {
     /** The parts of a value, at the sender's monotonic time `nowMs`. */
     readonly parts: (value: Value, nowMs: number) => readonly Part[];
+    /** The value of some parts as it is sent. */
     readonly join: (parts: readonly Part[]) => unknown;
+    /** Decodes a part of a held field as it was sent; what is invalid is returned as it is. */
+    readonly decodePart: (sent: unknown) => unknown;
     /** Whether the receiver holds the parts, so that removed ones have to be named. */
     readonly isHeld: boolean;
 }
 
 type PartedFields = { readonly [Field in keyof EntryState]?: PartedField<EntryState[Field]>; };
 
+const unchanged = (value: unknown): unknown => value;
 const joinRecord = (parts: readonly Part[]): unknown => Object.fromEntries(parts.map(({ key, value }) => [key, value]));
 const joinList = (parts: readonly Part[]): unknown => parts.map(({ value }) => value);
 
@@ -34,16 +38,31 @@
         parts: record =>
             Object.entries(record).map(([key, value]) => ({ key, value, comparable: JSON.stringify(value) })),
         join: joinRecord,
+        decodePart: unchanged,
         isHeld: true,
     };
 }
 
+type Work = EntryState["work"];
+
+/** Work is sent without the names of its figures, since it is most of what changes. */
+const workField: PartedField<Work> = {
+    ...heldRecord<Work[string]>(),
+    join: parts =>
+        Object.fromEntries(parts.map(({ key, value }) => {
+            const { requests, kvTokens, prefillTokens } = value as Work[string];
+            return [key, [requests, kvTokens, prefillTokens]];
+        })),
+    decodePart: sent => Array.isArray(sent) ? { requests: sent[0], kvTokens: sent[1], prefillTokens: sent[2] } : sent,
+};
+
 function announcements<Value>(describe: (value: Value, nowMs: number) => Omit<Part, "value">): PartedField<
     readonly Value[]
 > {
     return {
         parts: (values, nowMs) => values.map(value => ({ value, ...describe(value, nowMs) })),
         join: joinList,
+        decodePart: unchanged,
         isHeld: false,
     };
 }
@@ -52,7 +71,7 @@
 
 const partedFields: PartedFields = {
     usage: heldRecord(),
-    work: heldRecord(),
+    work: workField,
     reconfiguring: {
         parts: (remainingMs, nowMs) =>
             Object.entries(remainingMs).map(([key, value]) => ({
@@ -61,6 +80,7 @@
                 comparable: String(Math.round(nowMs + value)),
             })),
         join: joinRecord,
+        decodePart: unchanged,
         isHeld: false,
     },
     leaving: announcements(({ id, bornMs }) => ({ key: `${bornMs} ${id}`, comparable: "" })),
