Admit plain calls by the loads that instances report

Cause: each call was sent at once to the instance with the fewest known calls. In a burst the instances' queues filled until nearly all calls were late, and most sends were rejected and sent again. Nothing read X-Gooseberrywell-Server-Load, so slow instances got as much as fast ones.

Change: the header is decoded. Where all instances of a plain service report their load, a call is sent if a slot is free or it would still be on time; otherwise it waits at the entry for a quarter of its objective, in the order of a comparison passed as an argument, or is refused as not run with a Retry-After. Where they say how long work takes, they are ordered by expected completion. Hedges go only where a slot is free. A further attempt after a rejection takes its retry as before.

Without a burst calls go to the same instances as without reports.

Ruled out: fixed shares of the slots, and waiting for a free slot, which leave slots idle while views lag.

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -25,6 +25,8 @@
 } from "../src/engines/enginePort.js";
 import { createEngineRates } from "../src/engines/engineRates.js";
 import type { EngineRates } from "../src/engines/engineRates.js";
+import { createReportedLoads } from "../src/engines/reportedLoads.js";
+import type { ReportedLoads } from "../src/engines/reportedLoads.js";
 import { createStartChecks } from "../src/engines/startChecks.js";
 import { createStatusChecks } from "../src/engines/statusChecks.js";
 import type { ForwardContext } from "../src/forwarding/context.js";
@@ -46,7 +48,9 @@
 import type { DecodeScheduler, DecodeSchedulerDependencies } from "../src/scheduling/decodeScheduler.js";
 import { defaultDecodeSchedulerSettings } from "../src/scheduling/decodeSchedulerSettings.js";
 import type { DecodeSchedulerSettings } from "../src/scheduling/decodeSchedulerSettings.js";
+import { createInstanceLoads } from "../src/scheduling/instanceLoads.js";
 import type { PlacementView } from "../src/scheduling/placement.js";
+import { compareByObjective, createPlainQueue } from "../src/scheduling/plainQueue.js";
 import type { DecisionLog } from "../src/telemetry/decisionLog.js";
 import { createPrometheusMetrics } from "../src/telemetry/prometheusMetrics.js";
 import { createVirtualClock } from "./virtualClock.js";
@@ -155,6 +159,7 @@
 
 export interface ForwardingHarness extends EngineCalls {
     readonly rates: EngineRates;
+    readonly reportedLoads: ReportedLoads;
     readonly context: ForwardContext;
     readonly clock: VirtualClock;
     readonly notices: EngineNotices;
@@ -231,6 +236,7 @@
     readonly entries?: () => number;
     readonly notices?: EngineNotices;
     readonly rates?: EngineRates;
+    readonly reportedLoads?: ReportedLoads;
     /** By default the entry is the only one and its store is empty. */
     readonly streamOrigins?: StreamOrigins;
     readonly createScheduler?: (dependencies: DecodeSchedulerDependencies) => DecodeScheduler;
@@ -253,10 +259,12 @@
     const {
         notices = createEngineNotices(clock, silentDecisionLog),
         rates = createEngineRates(clock, silentDecisionLog),
+        reportedLoads = createReportedLoads(clock),
     } = options;
     const directory = createEngineDirectory(clock, silentDecisionLog, notices);
     const health = createEngineHealth(clock);
     const loads = createEngineLoads();
+    const instanceLoads = createInstanceLoads(clock, reportedLoads, loads);
     const engineRates = createEngineRateLimiter({
         clock,
         random,
@@ -302,6 +310,14 @@
             entries,
             mayStart: () => true,
         }),
+        instanceLoads,
+        plainQueue: createPlainQueue({
+            clock,
+            random,
+            instanceLoads,
+            onEnd: loads.onEnd,
+            compare: compareByObjective,
+        }),
         quota: createFleetQuota(clock, {
             burstTolerance: 0,
             limitsOf: () => undefined,
@@ -336,8 +352,10 @@
     const calls: string[] = [];
     const notices = createEngineNotices(clock, silentDecisionLog);
     const rates = createEngineRates(clock, silentDecisionLog);
+    const reportedLoads = createReportedLoads(clock);
     const context = createTestForwardContext({
         clock,
+        reportedLoads,
         notices,
         rates,
         engines: scriptedEngines(script, calls),
@@ -349,7 +367,15 @@
                 { ...defaultDecodeSchedulerSettings, ...schedulerSettings },
             ),
     });
-    return { context, clock, calls, notices, rates, load: records => context.directory.load(records, "current") };
+    return {
+        context,
+        clock,
+        calls,
+        notices,
+        rates,
+        reportedLoads,
+        load: records => context.directory.load(records, "current"),
+    };
 }
 
 export const smallSize: GenerationSize = { promptTokens: 1_000, maxOutputTokens: 200, outputHintTokens: 100 };
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -16,6 +16,8 @@
 import type { EngineNotices } from "../engines/engineNotices.js";
 import type { EnginePort, EngineRecord, EngineRecordDecoder } from "../engines/enginePort.js";
 import type { EngineRates } from "../engines/engineRates.js";
+import { createReportedLoads } from "../engines/reportedLoads.js";
+import type { ReportedLoads } from "../engines/reportedLoads.js";
 import { createSharedEjections } from "../engines/sharedEjections.js";
 import { createStartChecks } from "../engines/startChecks.js";
 import { createStatusChecks } from "../engines/statusChecks.js";
@@ -47,7 +49,9 @@
 import { createDecodeScheduler } from "../scheduling/decodeScheduler.js";
 import type { DecodeScheduler } from "../scheduling/decodeScheduler.js";
 import { defaultDecodeSchedulerSettings } from "../scheduling/decodeSchedulerSettings.js";
+import { createInstanceLoads } from "../scheduling/instanceLoads.js";
 import type { PlacementView } from "../scheduling/placement.js";
+import { compareByObjective, createPlainQueue } from "../scheduling/plainQueue.js";
 import { createOrderLeadership } from "../stages/orderLeadership.js";
 import { createStageController } from "../stages/stageController.js";
 import type { DecisionLog } from "../telemetry/decisionLog.js";
@@ -70,6 +74,8 @@
     /** What engines announce in their responses; the adapter records it. */
     readonly notices: EngineNotices;
     readonly rates: EngineRates;
+    /** Loads that engines report; without it, none does. */
+    readonly reportedLoads?: ReportedLoads;
 }
 
 /** A started entry. */
@@ -157,6 +163,14 @@
     const statusChecks = createStatusChecks({ clock, random, log, metrics, health, engines });
     const startChecks = createStartChecks(engines, clock, log);
     const loads = createEngineLoads();
+    const instanceLoads = createInstanceLoads(clock, ports.reportedLoads ?? createReportedLoads(clock), loads);
+    const plainQueue = createPlainQueue({
+        clock,
+        random,
+        instanceLoads,
+        onEnd: loads.onEnd,
+        compare: compareByObjective,
+    });
     const quota = createFleetQuota(clock, {
         burstTolerance: settings.quotaSlack * quotaSlackFraction,
         limitsOf: name => desiredState.routes()?.state.clientAccounts?.find(account => account.name === name),
@@ -335,6 +349,7 @@
         "requests that wait for a place at a decode engine",
         decodeScheduler.queuedRequests,
     );
+    metrics.gauge("callsWaiting", "plain calls that wait for a slot", plainQueue.waitingCalls);
     metrics.gauge("desiredStateVersion", "version in force", desiredState.version);
     metrics.gauge(
         "storeSilenceMs",
@@ -365,6 +380,8 @@
         engines,
         engineRates,
         decodeScheduler,
+        instanceLoads,
+        plainQueue,
         quota,
         retryBudget,
         quarantine,
--- a/src/engines/engineLoads.ts
+++ b/src/engines/engineLoads.ts
@@ -23,6 +23,8 @@
     readonly start: (engineId: string, work: EngineWork) => () => void;
     /** This entry's work. */
     readonly own: () => WorkByEngine;
+    /** This entry's work at an engine. */
+    readonly ownAt: (engineId: string) => EngineWork;
     /** Replaces the work of another entry. */
     readonly setPeer: (peer: string, work: WorkByEngine) => void;
     readonly forgetPeer: (peer: string) => void;
@@ -67,6 +69,7 @@
             };
         },
         own: () => Object.fromEntries(own),
+        ownAt: engineId => own.get(engineId) ?? noWork,
         setPeer: (peer, work) => void peers.set(peer, work),
         forgetPeer: peer => void peers.delete(peer),
         total: engineId => {
--- a/src/forwarding/context.ts
+++ b/src/forwarding/context.ts
@@ -18,7 +18,9 @@
 import type { StreamOrigins } from "../resumption/streamOrigins.js";
 import type { RouteTable } from "../routes/routeTable.js";
 import type { DecodeScheduler } from "../scheduling/decodeScheduler.js";
+import type { InstanceLoads } from "../scheduling/instanceLoads.js";
 import type { PlacementView } from "../scheduling/placement.js";
+import type { PlainQueue } from "../scheduling/plainQueue.js";
 import type { DecisionLog } from "../telemetry/decisionLog.js";
 import type { PrometheusMetrics } from "../telemetry/prometheusMetrics.js";
 import type { ResponseTimes } from "./responseTimes.js";
@@ -38,6 +40,8 @@
     readonly engines: EnginePort;
     readonly engineRates: EngineRateLimiter;
     readonly decodeScheduler: DecodeScheduler;
+    readonly instanceLoads: InstanceLoads;
+    readonly plainQueue: PlainQueue;
     readonly quota: FleetQuota;
     readonly retryBudget: FleetRetryBudget;
     readonly quarantine: RequestQuarantine;
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -21,7 +21,8 @@
 import { createEventBoundaryTracker, findMissingEnd, isEventStream, withoutLength } from "./eventStream.js";
 import { answered, refuse } from "./forwardRequest.js";
 import type { ForwardOutcome } from "./forwardRequest.js";
-import { plainEnginesInOrder } from "./plainEngines.js";
+import { admitPlain } from "./plainAdmission.js";
+import { hasSlotForHedge, isRepeatable, plainEnginesInOrder } from "./plainEngines.js";
 import { endBrokenRun, isQuarantined } from "./quarantineChecks.js";
 import { hasVersionFor, suspectsOf } from "./routedRequest.js";
 import type { RoutedRequest } from "./routedRequest.js";
@@ -82,13 +83,19 @@
         isSuspected: false,
         last: undefined,
     };
+    const admission = admitPlain(context, routed);
+    const refusal = admission === undefined ? undefined : await admission;
+    if (refusal !== undefined) {
+        return refusal;
+    }
     await startAttempt(context, routed, state);
     let mayHedge = isRepeatable(routed) && !context.quarantine.isSuspected(suspectsOf(routed));
     while (state.running.size > 0) {
         const ended = await nextEnd(context, routed, state, mayHedge);
         if (ended === undefined) {
             // The running attempt is an outlier: the call is also sent to another engine, and the first response counts.
-            mayHedge = await startAttempt(context, routed, state);
+            mayHedge = hasSlotForHedge(context, routed, state.triedEngines)
+                && await startAttempt(context, routed, state);
             if (mayHedge) {
                 context.metrics.count("hedges", routed.service);
             }
@@ -112,10 +119,6 @@
     return outcomeOf(context, routed, last, possibleRuns);
 }
 
-function isRepeatable({ route }: RoutedRequest): boolean {
-    return route.kind === "idempotent" || route.isResumable;
-}
-
 function isFinal({ result }: Attempt): boolean {
     return result.isOk && result.value.status < serverError;
 }
@@ -131,7 +134,7 @@
     if (!mayRunAgain || attempts >= maxAttempts || state.refusedConnections >= maxRefusedConnections) {
         return false;
     }
-    for (const engine of plainEnginesInOrder(context, routed, isRepeatable(routed), state.triedEngines)) {
+    for (const engine of plainEnginesInOrder(context, routed, state.triedEngines)) {
         // No await otherwise: the engine's load is to be counted before another call is placed.
         if (context.engineRates.isLimited(engine) && !await context.engineRates.acquire(engine)) {
             continue;
@@ -220,6 +223,7 @@
         cancelledBy: [overtaken, request.callerDisconnected],
     });
     const sentAtMs = context.clock.monotonicMs();
+    const sentTo = context.instanceLoads.loadOf(engine);
     const endLoad = context.loads.start(engine.id, { requests: 1, kvTokens: 0, prefillTokens: 0 });
     const run = context.engineRuns.start(engine, suspectsOf(routed));
     request.onSend();
@@ -237,7 +241,9 @@
     }
     endLoad();
     if (result.isOk && result.value.status < serverError) {
-        context.responseTimes.record(routed.service, context.clock.monotonicMs() - sentAtMs);
+        const durationMs = context.clock.monotonicMs() - sentAtMs;
+        context.responseTimes.record(routed.service, durationMs);
+        context.instanceLoads.recordDuration(routed.service, durationMs, sentTo);
     }
     recordHealth(context, engine, result, limit.isTimedOut(), request.callerDisconnected.aborted);
     const isCancelled = overtaken.aborted || request.callerDisconnected.aborted;
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -5,6 +5,7 @@
 import type { EngineWork } from "../engines/engineLoads.js";
 import type { EngineRecord, Stage } from "../engines/enginePort.js";
 import type { EngineSpec, Route } from "../routes/desiredState.js";
+import type { InstanceLoad } from "./instanceLoads.js";
 
 /** State of the engines as seen by one entry. */
 export interface PlacementView {
@@ -109,3 +110,20 @@
             + view.random() / 2,
     );
 }
+
+/**
+ * Instances of a plain service in order of the time at which they would end a call, in multiples of a usual call. The calls
+ * in flight count before the slots are full as well, so that entries with the same reports do not all choose one instance.
+ */
+export function rankByCompletion(
+    view: PlacementView,
+    engines: readonly EngineRecord[],
+    loadOf: (engine: EngineRecord) => InstanceLoad | undefined,
+): readonly EngineRecord[] {
+    return sortBy(engines, engine => {
+        const { inFlight, slots, slowdown = 1 } = loadOf(engine)
+            ?? { inFlight: view.workAt(engine.id).requests, slots: engine.slots };
+        const penalty = engine.dataCentre === view.dataCentre ? 0 : crossDataCentreRequestPenalty;
+        return slowdown * (1 + inFlight / slots) + (penalty + view.random() / 2) / slots;
+    });
+}
--- a/src/telemetry/prometheusMetrics.ts
+++ b/src/telemetry/prometheusMetrics.ts
@@ -18,6 +18,7 @@
     ejections:
         "verdicts on instances of plain services by this entry's own requests, by failure; `cleared` ends a doubt",
     ejectionsHeard: "other entries' verdicts on instances of plain services that this entry applied",
+    callsTurnedAway: "plain calls refused because no instance had room in time, by cause",
     statusChecks: "status checks of instances after their ejection, by result",
     storeCalls: "calls to the platform's store by outcome",
     ordersSent: "orders to engines by outcome",
@@ -25,6 +26,7 @@
 
 const histogramHelp = {
     placeWaitMs: "time that requests waited for a place at a decode engine",
+    slotWaitMs: "time that plain calls waited for a slot, of those that found none on arrival",
     prefillMs: "time from the send of a prefill to its result",
     firstByteMs: "time from a request's arrival to the first byte of its answer",
     wholeAnswerMs: "time from a request's arrival to the end of its answer",
