--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -27,6 +27,8 @@
 import type { EngineRates } from "../src/engines/engineRates.js";
 import { createEvacuations } from "../src/engines/evacuations.js";
 import type { Evacuations } from "../src/engines/evacuations.js";
+import { createReportedLoads } from "../src/engines/reportedLoads.js";
+import type { ReportedLoads } from "../src/engines/reportedLoads.js";
 import { createStartChecks } from "../src/engines/startChecks.js";
 import { createStatusChecks } from "../src/engines/statusChecks.js";
 import type { ForwardContext } from "../src/forwarding/context.js";
@@ -48,8 +50,10 @@
 import type { DecodeScheduler, DecodeSchedulerDependencies } from "../src/scheduling/decodeScheduler.js";
 import { defaultDecodeSchedulerSettings } from "../src/scheduling/decodeSchedulerSettings.js";
 import type { DecodeSchedulerSettings } from "../src/scheduling/decodeSchedulerSettings.js";
+import { createInstanceLoads } from "../src/scheduling/instanceLoads.js";
 import { prefillTokensPerMs } from "../src/scheduling/placement.js";
 import type { PlacementView } from "../src/scheduling/placement.js";
+import { compareByObjective, createPlainQueue } from "../src/scheduling/plainQueue.js";
 import type { DecisionLog } from "../src/telemetry/decisionLog.js";
 import { createPrometheusMetrics } from "../src/telemetry/prometheusMetrics.js";
 import { createVirtualClock } from "./virtualClock.js";
@@ -158,6 +162,7 @@
 
 export interface ForwardingHarness extends EngineCalls {
     readonly rates: EngineRates;
+    readonly reportedLoads: ReportedLoads;
     readonly context: ForwardContext;
     readonly clock: VirtualClock;
     readonly notices: EngineNotices;
@@ -237,6 +242,7 @@
     readonly rates?: EngineRates;
     /** None by default. */
     readonly evacuations?: Evacuations;
+    readonly reportedLoads?: ReportedLoads;
     /** By default the entry is the only one and its store is empty. */
     readonly streamOrigins?: StreamOrigins;
     readonly createScheduler?: (dependencies: DecodeSchedulerDependencies) => DecodeScheduler;
@@ -260,10 +266,12 @@
         notices = createEngineNotices(clock, silentDecisionLog),
         rates = createEngineRates(clock, silentDecisionLog),
         evacuations = createEvacuations(clock, silentDecisionLog),
+        reportedLoads = createReportedLoads(clock),
     } = options;
     const directory = createEngineDirectory(clock, silentDecisionLog, notices, evacuations);
     const health = createEngineHealth(clock);
     const loads = createEngineLoads(clock, prefillTokensPerMs);
+    const instanceLoads = createInstanceLoads(clock, reportedLoads, loads);
     const engineRates = createEngineRateLimiter({
         clock,
         random,
@@ -310,6 +318,14 @@
             entries,
             mayStart: () => true,
         }),
+        instanceLoads,
+        plainQueue: createPlainQueue({
+            clock,
+            random,
+            instanceLoads,
+            onEnd: loads.onEnd,
+            compare: compareByObjective,
+        }),
         quota: createFleetQuota(clock, {
             burstTolerance: 0,
             limitsOf: () => undefined,
@@ -345,8 +361,10 @@
     const notices = createEngineNotices(clock, silentDecisionLog);
     const rates = createEngineRates(clock, silentDecisionLog);
     const evacuations = createEvacuations(clock, silentDecisionLog);
+    const reportedLoads = createReportedLoads(clock);
     const context = createTestForwardContext({
         clock,
+        reportedLoads,
         notices,
         rates,
         evacuations,
@@ -366,6 +384,7 @@
         notices,
         rates,
         evacuations,
+        reportedLoads,
         load: records => context.directory.load(records, "current"),
     };
 }
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -17,6 +17,8 @@
 import type { EnginePort, EngineRecord, EngineRecordDecoder } from "../engines/enginePort.js";
 import type { EngineRates } from "../engines/engineRates.js";
 import type { Evacuations } from "../engines/evacuations.js";
+import { createReportedLoads } from "../engines/reportedLoads.js";
+import type { ReportedLoads } from "../engines/reportedLoads.js";
 import { createSharedEjections } from "../engines/sharedEjections.js";
 import { createStartChecks } from "../engines/startChecks.js";
 import { createStatusChecks } from "../engines/statusChecks.js";
@@ -50,8 +52,10 @@
 import { createDecodeScheduler } from "../scheduling/decodeScheduler.js";
 import type { DecodeScheduler } from "../scheduling/decodeScheduler.js";
 import { defaultDecodeSchedulerSettings } from "../scheduling/decodeSchedulerSettings.js";
+import { createInstanceLoads } from "../scheduling/instanceLoads.js";
 import { prefillTokensPerMs } from "../scheduling/placement.js";
 import type { PlacementView } from "../scheduling/placement.js";
+import { compareByObjective, createPlainQueue } from "../scheduling/plainQueue.js";
 import { createOrderLeadership } from "../stages/orderLeadership.js";
 import { createStageController } from "../stages/stageController.js";
 import type { DecisionLog } from "../telemetry/decisionLog.js";
@@ -78,6 +82,8 @@
     readonly rates: EngineRates;
     /** The adapter asks it before it writes a request to an engine. */
     readonly evacuations: Evacuations;
+    /** Loads that engines report; without it, none does. */
+    readonly reportedLoads?: ReportedLoads;
 }
 
 /** A started entry. */
@@ -165,6 +171,14 @@
     const statusChecks = createStatusChecks({ clock, random, log, metrics, health, engines });
     const startChecks = createStartChecks(engines, clock, log);
     const loads = createEngineLoads(clock, prefillTokensPerMs);
+    const instanceLoads = createInstanceLoads(clock, ports.reportedLoads ?? createReportedLoads(clock), loads);
+    const plainQueue = createPlainQueue({
+        clock,
+        random,
+        instanceLoads,
+        onEnd: loads.onEnd,
+        compare: compareByObjective,
+    });
     const quota = createFleetQuota(clock, {
         burstTolerance: settings.quotaSlack * quotaSlackFraction,
         limitsOf: name => desiredState.routes()?.state.clientAccounts?.find(account => account.name === name),
@@ -376,6 +390,7 @@
         "data centres to whose engines nothing is sent",
         () => evacuations.dataCentres().length,
     );
+    metrics.gauge("callsWaiting", "plain calls that wait for a slot", plainQueue.waitingCalls);
     metrics.gauge("desiredStateVersion", "version in force", desiredState.version);
     metrics.gauge(
         "storeSilenceMs",
@@ -406,6 +421,8 @@
         engines,
         engineRates,
         decodeScheduler,
+        instanceLoads,
+        plainQueue,
         quota,
         retryBudget,
         quarantine,
--- a/src/engines/engineLoads.ts
+++ b/src/engines/engineLoads.ts
@@ -27,6 +27,8 @@
     readonly start: (engineId: string, work: EngineWork) => () => void;
     /** This entry's work. */
     readonly own: () => WorkByEngine;
+    /** This entry's work at an engine. */
+    readonly ownAt: (engineId: string) => EngineWork;
     /** Replaces the work of another entry. */
     readonly setPeer: (peer: string, work: WorkByEngine) => void;
     readonly forgetPeer: (peer: string) => void;
@@ -79,6 +81,7 @@
         },
         own: () => Object.fromEntries(own),
         setPeer: (peer, work) => void peers.set(peer, { work, atMs: clock.monotonicMs() }),
+        ownAt: engineId => own.get(engineId) ?? noWork,
         forgetPeer: peer => void peers.delete(peer),
         total: engineId => {
             const nowMs = clock.monotonicMs();
