Hold requests to cold engines to their service's rate

Cause: an engine that is cold bears few requests a second from all entries together. Nothing counted them, and only the prefill wait read the remaining time in its record.

Change: engines/coldEngines keeps the time for which each engine says that it stays cold, from records, from the header in any response and from other entries (EntryState.coldEngines), and counts it down. The counting entry of the engine, as for named rates, grants a permit for each call at the service's rate; the lower of both rates holds, in one bucket. Starts that appear while an entry runs, and engines of a data centre that is taken back, count as cold for 3 s unless they say otherwise. Placement prefers warm engines.

Ruled out: asking for health at intervals (status checks at every engine all the time); a bucket of its own (two bursts); wall clocks and `bornMs` for the suspicion (clocks jump, and engines started before the traffic are not cold).

--- a/fakes/engineRateFleet.ts
+++ b/fakes/engineRateFleet.ts
@@ -6,6 +6,8 @@
 import { Result } from "true-myth";
 import type { Clock } from "../src/common/clock.js";
 import { createRandom } from "../src/common/random.js";
+import { createColdEngines } from "../src/engines/coldEngines.js";
+import type { ColdEngines } from "../src/engines/coldEngines.js";
 import type { EngineStart } from "../src/engines/engineNotices.js";
 import { createEngineRates } from "../src/engines/engineRates.js";
 import type { EngineRates } from "../src/engines/engineRates.js";
@@ -13,9 +15,10 @@
 import type { EngineRateLimiter } from "../src/limits/engineRateLimiter.js";
 import { createPeerSync } from "../src/peerSync/peerSync.js";
 import type { PeerSync } from "../src/peerSync/peerSync.js";
+import type { Service } from "../src/routes/desiredState.js";
 import type { RpcClient } from "../src/rpc/rpcClient.js";
 import type { RpcMethods } from "../src/rpc/rpcServer.js";
-import { silentDecisionLog } from "./forwardingHarness.js";
+import { engineRecord, silentDecisionLog } from "./forwardingHarness.js";
 import type { VirtualClock } from "./virtualClock.js";
 import { createProcessGate } from "./virtualClock.js";
 import type { ProcessGate } from "./virtualClock.js";
@@ -25,6 +28,7 @@
 interface SimulatedEntry {
     readonly url: string;
     readonly rates: EngineRates;
+    readonly coldEngines: ColdEngines;
     readonly limiter: EngineRateLimiter;
     readonly peerSync: PeerSync;
     readonly methods: RpcMethods;
@@ -39,6 +43,8 @@
     readonly cut: Set<string>;
     /** Sets what the engine names in its responses; `undefined` for no limit. */
     readonly nameRate: (rate: string | undefined) => void;
+    /** The engine becomes cold and names the remaining time in its responses. */
+    readonly becomeCold: (forMs: number) => void;
     /** Lets one request arrive at an entry; resolves to whether it was sent to the engine. */
     readonly request: (index: number) => Promise<boolean>;
     readonly start: (index: number) => void;
@@ -52,13 +58,27 @@
 }
 
 const networkDelayMs = 2;
+const coldService: Service = {
+    name: "desk",
+    maxConnections: 10,
+    coldRequestsPerSecond: 0,
+    coldStartMs: 20_000,
+    engine: undefined,
+};
+export const coldTolerance = { overshoot: 1.5, slack: 5 };
 
-export function createEngineRateFleet(clock: VirtualClock, entries: number, seed: number): EngineRateFleet {
+export function createEngineRateFleet(
+    clock: VirtualClock,
+    entries: number,
+    seed: number,
+    coldRequestsPerSecond = 0,
+): EngineRateFleet {
     const sentAtMs: number[] = [];
     const cut = new Set<string>();
     const running = new Map<number, SimulatedEntry>();
     const random = createRandom(seed);
     let rate: string | undefined;
+    let coldUntilMs = 0;
     let starts = 0;
 
     const urlOf = (index: number): string => `http://entry-${index}`;
@@ -103,6 +123,9 @@
         const url = urlOf(index);
         const rpc = rpcOf(index, gate.clock);
         const rates = createEngineRates(gate.clock, silentDecisionLog);
+        const coldEngines = createColdEngines(gate.clock, silentDecisionLog);
+        coldEngines.setServices([{ ...coldService, coldRequestsPerSecond }]);
+        coldEngines.load([engineRecord(limitedEngine.id)]);
         starts += 1;
         const peerSync: PeerSync = createPeerSync({ url, start: String(starts), seeds: [0, 1, 2].map(urlOf) }, {
             clock: gate.clock,
@@ -118,8 +141,12 @@
                 leaving: [],
                 crashEvidence: [],
                 engineRates: [...rates.notices()],
+                coldEngines: [...coldEngines.notices()],
             }),
-            onState: state => rates.apply(state.engineRates),
+            onState: state => {
+                rates.apply(state.engineRates);
+                coldEngines.apply(state.coldEngines);
+            },
             onUsageReport: () => undefined,
             onPeerRemoved: () => undefined,
         });
@@ -129,14 +156,17 @@
             rpc,
             log: silentDecisionLog,
             rates,
+            coldEngines,
+            coldRate: coldTolerance,
             url,
             stableEntries: peerSync.stableEntries,
             liveFraction: peerSync.liveFraction,
         });
         const stopping = new AbortController();
         rates.onChange(() => peerSync.syncNow());
+        coldEngines.onChange(() => peerSync.syncNow());
         const methods = { ...peerSync.methods, ...limiter.methods };
-        running.set(index, { url, rates, limiter, peerSync, methods, gate, stopping });
+        running.set(index, { url, rates, coldEngines, limiter, peerSync, methods, gate, stopping });
         void peerSync.run(stopping.signal);
     }
 
@@ -155,6 +185,9 @@
         nameRate: next => {
             rate = next;
         },
+        becomeCold: forMs => {
+            coldUntilMs = clock.monotonicMs() + forMs;
+        },
         request: async index => {
             const entry = running.get(index);
             if (entry === undefined) {
@@ -171,6 +204,7 @@
             const requestSentAtMs = clock.monotonicMs();
             sentAtMs.push(requestSentAtMs);
             const named = rate;
+            const coldRemainingMs = coldUntilMs - requestSentAtMs;
             await entry.gate.clock.sleep(networkDelayMs);
             if (named === undefined) {
                 entry.rates.recordUnnamed(limitedEngine, requestSentAtMs);
@@ -178,6 +212,9 @@
             else {
                 entry.rates.recordNamed(limitedEngine, named);
             }
+            if (coldRemainingMs > 0) {
+                entry.coldEngines.recordNamed(limitedEngine, String(coldRemainingMs));
+            }
             return true;
         },
         start,
--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -6,6 +6,8 @@
 import { Result } from "true-myth";
 import type { Clock } from "../src/common/clock.js";
 import type { Random } from "../src/common/random.js";
+import { createColdEngines } from "../src/engines/coldEngines.js";
+import type { ColdEngines } from "../src/engines/coldEngines.js";
 import { createEngineDirectory } from "../src/engines/engineDirectory.js";
 import { createEngineHealth } from "../src/engines/engineHealth.js";
 import { createEngineLoads } from "../src/engines/engineLoads.js";
@@ -155,6 +157,7 @@
     readonly clock: VirtualClock;
     readonly notices: EngineNotices;
     readonly evacuations: Evacuations;
+    readonly coldEngines: ColdEngines;
     readonly load: (engines: readonly EngineRecord[]) => void;
 }
 
@@ -223,6 +226,7 @@
     readonly rates?: EngineRates;
     /** None by default. */
     readonly evacuations?: Evacuations;
+    readonly coldEngines?: ColdEngines;
     /** By default the entry is the only one and its store is empty. */
     readonly streamOrigins?: StreamOrigins;
     readonly createScheduler?: (dependencies: DecodeSchedulerDependencies) => DecodeScheduler;
@@ -246,6 +250,7 @@
         notices = createEngineNotices(clock, silentDecisionLog),
         rates = createEngineRates(clock, silentDecisionLog),
         evacuations = createEvacuations(clock, silentDecisionLog),
+        coldEngines = createColdEngines(clock, silentDecisionLog),
     } = options;
     const directory = createEngineDirectory(clock, silentDecisionLog, notices, evacuations);
     const health = createEngineHealth(clock);
@@ -256,6 +261,8 @@
         rpc: unreachablePeers,
         log: silentDecisionLog,
         rates,
+        coldEngines,
+        coldRate: { overshoot: 1.5, slack: 5 },
         url: entryUrl,
         stableEntries: () => [entryUrl],
         liveFraction: () => 1,
@@ -266,6 +273,7 @@
     const view: PlacementView = {
         dataCentre: "a",
         workAt: loads.total,
+        isCold: engine => coldEngines.rateOf(engine) !== undefined,
         enginesFor: (service, stage) => directory.usable(service).filter(engine => engine.stage === stage),
         random,
     };
@@ -329,11 +337,14 @@
     const notices = createEngineNotices(clock, silentDecisionLog);
     const rates = createEngineRates(clock, silentDecisionLog);
     const evacuations = createEvacuations(clock, silentDecisionLog);
+    const coldEngines = createColdEngines(clock, silentDecisionLog);
+    coldEngines.setServices(state.services);
     const context = createTestForwardContext({
         clock,
         notices,
         rates,
         evacuations,
+        coldEngines,
         engines: scriptedEngines(script, calls),
         state,
         budget,
@@ -350,7 +361,11 @@
         notices,
         rates,
         evacuations,
-        load: records => context.directory.load(records, "current"),
+        coldEngines,
+        load: records => {
+            coldEngines.load(records);
+            context.directory.load(records, "current");
+        },
     };
 }
 
--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -86,6 +86,8 @@
     readonly annexEngines?: number;
     /** Data centres of engines by id; `a`, that of the entries, by default. */
     readonly dataCentres?: Readonly<Record<string, string>>;
+    /** Rate of cold instances of the first plain service; none by default. */
+    readonly coldRequestsPerSecond?: number;
     /** Maps an engine's address to the one that entries connect to, such as that of a proxy. */
     readonly proxyEngineAddress?: (address: string) => Promise<string>;
     /** Maps the store's address to the one that an entry connects to; called once per entry. */
@@ -291,7 +293,7 @@
                 ],
                 services: [
                     { name: "models", max_connections: 400, engine: engineSpec },
-                    { name: "desk", max_connections: 100 },
+                    { name: "desk", max_connections: 100, cold_per_s: options.coldRequestsPerSecond ?? 0 },
                     { name: "annex", max_connections: 100 },
                 ],
                 tenants: [{ name: "walkers", api_keys: keys }],
--- a/fakes/rawEngines.ts
+++ b/fakes/rawEngines.ts
@@ -9,6 +9,7 @@
 import { createEngineClient } from "../platform/engineClient.js";
 import { listenForCallers } from "../platform/ingress.js";
 import { systemClock } from "../src/common/clock.js";
+import { createColdEngines } from "../src/engines/coldEngines.js";
 import { createEngineNotices } from "../src/engines/engineNotices.js";
 import type { EnginePort } from "../src/engines/enginePort.js";
 import { createEngineRates } from "../src/engines/engineRates.js";
@@ -117,6 +118,7 @@
         notices,
         rates: createEngineRates(systemClock, silentDecisionLog),
         evacuations: createEvacuations(systemClock, silentDecisionLog),
+        coldEngines: createColdEngines(systemClock, silentDecisionLog),
     });
     const context = createTestForwardContext({ clock, notices, engines, state: desiredStateOf([route]) });
     const service = route.services[0]?.service ?? "";
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -10,6 +10,7 @@
 import type { Clock } from "../common/clock.js";
 import type { JsonValue } from "../common/json.js";
 import { createRandom } from "../common/random.js";
+import type { ColdEngines } from "../engines/coldEngines.js";
 import { createEngineDirectory } from "../engines/engineDirectory.js";
 import { createEngineHealth } from "../engines/engineHealth.js";
 import { createEngineLoads } from "../engines/engineLoads.js";
@@ -74,6 +75,8 @@
     readonly rates: EngineRates;
     /** The adapter asks it before it writes a request to an engine. */
     readonly evacuations: Evacuations;
+    /** What engines say of the time for which they stay cold; the adapter records it. */
+    readonly coldEngines: ColdEngines;
 }
 
 /** A started entry. */
@@ -141,7 +144,7 @@
     const random = createRandom(Math.trunc(clock.wallMs()) ^ Number.parseInt(startId.slice(0, 8), 16));
     const stopping = new AbortController();
     const rpc = createRpcClient(maxPeerResponseBytes);
-    const { notices, rates, evacuations } = ports;
+    const { notices, rates, evacuations, coldEngines } = ports;
     const directory = createEngineDirectory(clock, log, notices, evacuations);
     const engineRates = createEngineRateLimiter({
         clock,
@@ -149,12 +152,19 @@
         rpc,
         log,
         rates,
+        coldEngines,
+        coldRate: settings.coldRate,
         url,
         stableEntries: () => peerSync.stableEntries(),
         liveFraction: () => peerSync.liveFraction(),
     });
     const engines = limitControlCalls(ports.engines, engineRates, directory, log);
     rates.onChange(() => peerSync.syncNow());
+    coldEngines.onChange(() => peerSync.syncNow());
+    evacuations.onChange(takenBack =>
+        directory.known().filter(({ dataCentre }) => takenBack.includes(dataCentre))
+            .forEach(engine => coldEngines.suspect(engine))
+    );
     const health = createEngineHealth(clock);
     const startChecks = createStartChecks(engines, clock, log);
     const loads = createEngineLoads();
@@ -180,8 +190,10 @@
         log,
         key: ports.desiredState.key,
         decode: ports.desiredState.decode,
-        onChange: ({ services }) =>
-            services.forEach(({ name, maxConnections }) => engines.setMaxConnections(name, maxConnections)),
+        onChange: ({ services }) => {
+            services.forEach(({ name, maxConnections }) => engines.setMaxConnections(name, maxConnections));
+            coldEngines.setServices(services);
+        },
     });
     const leadership = createOrderLeadership(ports.tables, clock, log, {
         holder: settings.host,
@@ -194,6 +206,7 @@
     const view: PlacementView = {
         dataCentre: settings.dataCentre,
         workAt: loads.total,
+        isCold: engine => coldEngines.rateOf(engine) !== undefined,
         enginesFor: (service, stage) =>
             directory.usable(service).filter(engine => engine.stage === stage && !stages.isReconfiguring(engine.id)),
         random,
@@ -226,6 +239,7 @@
                 log.decision("a record of the registry names no engine", { key, cause: decoded.error, position });
             }
         }
+        coldEngines.load(records);
         directory.load(records, origin);
     }
 
@@ -279,6 +293,7 @@
         state.leaving.forEach(notices.recordLeaving);
         quarantine.applyEvidence(state.crashEvidence);
         rates.apply(state.engineRates);
+        coldEngines.apply(state.coldEngines);
         void desiredState.applyPeerState(state);
     }
 
@@ -299,6 +314,7 @@
             leaving: [...notices.leaving()],
             crashEvidence: [...quarantine.evidence()],
             engineRates: [...rates.notices()],
+            coldEngines: [...coldEngines.notices()],
         }),
         onState: applyPeerState,
         onUsageReport: ({ start, clientAccount, admittedCost }) =>
@@ -358,6 +374,7 @@
         "data centres to whose engines nothing is sent",
         () => evacuations.dataCentres().length,
     );
+    metrics.gauge("coldEngines", "engines that get few requests because they are cold", coldEngines.count);
     metrics.gauge("desiredStateVersion", "version in force", desiredState.version);
     metrics.gauge(
         "storeSilenceMs",
--- a/src/limits/engineRateLimiter.test.ts
+++ b/src/limits/engineRateLimiter.test.ts
@@ -4,7 +4,7 @@
  */
 
 import { describe, expect, it } from "vitest";
-import { createEngineRateFleet } from "../../fakes/engineRateFleet.js";
+import { coldTolerance, createEngineRateFleet } from "../../fakes/engineRateFleet.js";
 import type { EngineRateFleet } from "../../fakes/engineRateFleet.js";
 import { createVirtualClock } from "../../fakes/virtualClock.js";
 import { createRandom, pickOne } from "../common/random.js";
@@ -207,6 +207,70 @@
     });
 });
 
+interface ColdFleetCase {
+    readonly name: string;
+    readonly entries: number;
+    readonly ratePerSecond: number;
+    readonly events?: readonly Event[];
+    readonly minUse: number;
+}
+
+const coldForMs = 12_000;
+const coldFleetCases: readonly ColdFleetCase[] = [
+    { name: "one entry", entries: 1, ratePerSecond: 4, minUse: 0.9 },
+    { name: "ten entries", entries: 10, ratePerSecond: 4, minUse: 0.9 },
+    { name: "a high rate", entries: 10, ratePerSecond: 20, minUse: 0.8 },
+    { name: "a low rate", entries: 4, ratePerSecond: 0.5, minUse: 0.7 },
+    {
+        name: "the counting entry is killed",
+        entries: 4,
+        ratePerSecond: 6,
+        events: [at(4_000, fleet => fleet.kill(fleet.counter()))],
+        minUse: 0.6,
+    },
+    {
+        name: "half of the entries are cut off from the others",
+        entries: 4,
+        ratePerSecond: 8,
+        events: [at(3_000, fleet => ["0 2", "0 3", "1 2", "1 3"].forEach(link => fleet.cut.add(link)))],
+        minUse: 0.6,
+    },
+];
+
+describe("the rate of a cold engine, over all entries", () => {
+    it.each(coldFleetCases)("holds in every second, and ends with the cold: $name", async coldCase => {
+        const { entries, ratePerSecond, events = [], minUse } = coldCase;
+        const clock = createVirtualClock();
+        const fleet = createEngineRateFleet(clock, entries, 1, ratePerSecond);
+        const sendUntil = async (untilMs: number, perStep: number): Promise<void> => {
+            let remaining = events;
+            for (let elapsedMs = 0; elapsedMs < untilMs; elapsedMs += stepMs) {
+                remaining.filter(({ atMs }) => atMs <= elapsedMs).forEach(({ run }) => run(fleet));
+                remaining = remaining.filter(({ atMs }) => atMs > elapsedMs);
+                Array.from(
+                    { length: perStep },
+                    (unused, index) => void fleet.request((elapsedMs / stepMs + index) % entries),
+                );
+                await clock.advance(stepMs);
+            }
+        };
+        await clock.advance(warmUpMs);
+        const fromMs = clock.monotonicMs() + graceMs;
+        fleet.becomeCold(coldForMs);
+        await sendUntil(coldForMs, 2);
+        const sent = fleet.sentAtMs.filter(atMs => atMs >= fromMs && atMs < fromMs + coldForMs - graceMs);
+        const inSecond = sent.map(start => sent.filter(atMs => atMs >= start && atMs < start + 1_000).length);
+        expect(Math.max(0, ...inSecond)).toBeLessThanOrEqual(
+            ratePerSecond * coldTolerance.overshoot + coldTolerance.slack,
+        );
+        expect(sent.length).toBeGreaterThanOrEqual(Math.floor(minUse * ratePerSecond * (coldForMs - graceMs) / 1_000));
+        const before = fleet.sentAtMs.length;
+        await clock.advance(1_000);
+        await sendUntil(1_000, 1);
+        expect(fleet.sentAtMs.length - before).toBeGreaterThan(0.6 * 1_000 / stepMs);
+    });
+});
+
 describe("retry delays of callers that are refused because engines are exhausted", () => {
     it("spreads callers at the rate at which requests are accepted, within a longest delay", () => {
         const clock = createVirtualClock();
--- a/src/limits/engineRateLimiter.ts
+++ b/src/limits/engineRateLimiter.ts
@@ -1,5 +1,6 @@
 /**
- * Limits the requests to engines that name a rate for all entries together (see `engineRates`).
+ * Limits the requests to engines that name a rate for all entries together (see `engineRates`), and to cold engines (see
+ * `coldEngines`); where both hold, the lower rate does.
  *
  * One entry, the counter of an engine, has the only token bucket for that engine; every request to the engine takes a
  * token there first. Dividing the rate among entries instead would add up their bursts, and leave parts unused where no
@@ -17,6 +18,7 @@
 import { checkValue } from "../common/json.js";
 import type { Random } from "../common/random.js";
 import { chooseByRendezvous } from "../common/rendezvous.js";
+import type { ColdEngines } from "../engines/coldEngines.js";
 import { startKey } from "../engines/engineNotices.js";
 import type { EngineStart } from "../engines/engineNotices.js";
 import type { EngineRates } from "../engines/engineRates.js";
@@ -35,7 +37,7 @@
     readonly acquire: (engine: EngineStart) => Promise<boolean>;
     /** Base URL of the entry that counts the requests to an engine, as this entry sees it. */
     readonly counterOf: (engine: EngineStart) => string;
-    /** Whether the engine names a rate. */
+    /** Whether the engine names a rate, or is cold. */
     readonly isLimited: (engine: EngineStart) => boolean;
     /** Whether there are engines and each of them is known to accept no request now. */
     readonly areExhausted: (engines: readonly EngineStart[]) => boolean;
@@ -45,12 +47,20 @@
     readonly methods: RpcMethods;
 }
 
+/** In any second, a cold engine may get its rate times `overshoot`, and `slack` requests besides. */
+export interface ColdRateTolerance {
+    readonly overshoot: number;
+    readonly slack: number;
+}
+
 export interface EngineRateLimiterDependencies {
     readonly clock: Clock;
     readonly random: Random;
     readonly rpc: RpcClient;
     readonly log: Log;
     readonly rates: EngineRates;
+    readonly coldEngines: Pick<ColdEngines, "rateOf" | "remainingMs" | "suspect">;
+    readonly coldRate: ColdRateTolerance;
     /** Base URL of this entry. */
     readonly url: string;
     /** Base URLs of the entries that may be counters, see `PeerSync`. */
@@ -63,6 +73,11 @@
 const minRatePerSecond = 0.1;
 /** Tokens that a bucket holds: the requests of this time, but at least one. */
 const burstS = 0.5;
+/**
+ * Fraction of the tolerance of a cold engine's rate that its bucket holds; the rest is for requests that arrive closer
+ * together than they were sent, and for two entries that count at the same time.
+ */
+const coldBurstFraction = 0.25;
 const callTimeoutMs = 200;
 /** Less than `callTimeoutMs`, so that the caller still gets the response of the entry that it asked. */
 const forwardTimeoutMs = 120;
@@ -77,7 +92,7 @@
 const granted: PermitResponse = { isGranted: true, waitMs: 0 };
 
 export function createEngineRateLimiter(dependencies: EngineRateLimiterDependencies): EngineRateLimiter {
-    const { clock, random, rpc, log, rates, url, stableEntries, liveFraction } = dependencies;
+    const { clock, random, rpc, log, rates, coldEngines, url, stableEntries, liveFraction } = dependencies;
     const buckets = new Map<string, TokenBucket>();
     const exhaustedUntilMs = new Map<string, number>();
     /** The choice for each engine, and the entries from which it was made: hashing hundreds of them takes time. */
@@ -101,19 +116,34 @@
         return counter;
     }
 
+    function isLimited(engine: EngineStart): boolean {
+        return rates.rateOf(engine) !== undefined || coldEngines.rateOf(engine) !== undefined;
+    }
+
     function effectiveRate(engine: EngineStart): number {
-        return Math.max(minRatePerSecond, rates.rateOf(engine) ?? Number.POSITIVE_INFINITY);
+        const namedRate = rates.rateOf(engine) ?? Number.POSITIVE_INFINITY;
+        return Math.max(minRatePerSecond, Math.min(namedRate, coldEngines.rateOf(engine) ?? Number.POSITIVE_INFINITY));
+    }
+
+    /** Limits of the one bucket of an engine. */
+    function limitsOf(engine: EngineStart): BucketLimits {
+        const ratePerSecond = effectiveRate(engine) * liveFraction();
+        const coldRate = coldEngines.rateOf(engine);
+        const { overshoot, slack } = dependencies.coldRate;
+        const coldBurst = coldRate === undefined
+            ? Number.POSITIVE_INFINITY
+            : ((overshoot - 1) * coldRate + slack) * coldBurstFraction * liveFraction();
+        return { ratePerSecond, burstRequests: Math.max(1, Math.min(ratePerSecond * burstS, coldBurst)) };
     }
 
     /** Takes a token from the bucket of this entry. */
     function grant(engine: EngineStart): PermitResponse {
-        if (rates.rateOf(engine) === undefined) {
+        if (!isLimited(engine)) {
             return granted;
         }
         const key = startKey(engine);
         const nowMs = clock.monotonicMs();
-        const ratePerSecond = effectiveRate(engine) * liveFraction();
-        const limits: BucketLimits = { ratePerSecond, burstRequests: Math.max(1, ratePerSecond * burstS) };
+        const limits = limitsOf(engine);
         const bucket = buckets.get(key) ?? createEmptyBucket(limits, nowMs);
         buckets.delete(key);
         buckets.set(key, bucket);
@@ -124,7 +154,8 @@
 
     /** Asks another entry for a permit; resolves to `undefined` if it doesn't respond. */
     async function ask(entry: string, engine: EngineStart, isForwarded: boolean): Promise<PermitResponse | undefined> {
-        const params = { ...rates.noticeOf(engine), isForwarded };
+        const coldRemainingMs = coldEngines.remainingMs(engine);
+        const params = { ...rates.noticeOf(engine), isForwarded, coldRemainingMs };
         const timeoutMs = isForwarded ? forwardTimeoutMs : callTimeoutMs;
         const response = await rpc.call(entry, engineRateMethods.acquire, params, { timeoutMs });
         const permit = response.isOk ? checkValue(permitResponseSchema, response.value) : undefined;
@@ -154,7 +185,7 @@
     }
 
     function isExhausted(engine: EngineStart): boolean {
-        return rates.rateOf(engine) !== undefined
+        return isLimited(engine)
             && (exhaustedUntilMs.get(startKey(engine)) ?? 0) > clock.monotonicMs();
     }
 
@@ -166,7 +197,7 @@
     }
 
     async function acquire(engine: EngineStart): Promise<boolean> {
-        if (rates.rateOf(engine) === undefined) {
+        if (!isLimited(engine)) {
             return true;
         }
         const key = startKey(engine);
@@ -191,7 +222,7 @@
     return {
         acquire,
         counterOf,
-        isLimited: engine => rates.rateOf(engine) !== undefined,
+        isLimited,
         areExhausted: engines => engines.length > 0 && engines.every(isExhausted),
         retryAfterMs: (service, engines) => {
             const nowMs = clock.monotonicMs();
@@ -206,8 +237,11 @@
         methods: {
             [engineRateMethods.acquire]: rpcMethod(
                 acquirePermitSchema,
-                async ({ engine, bornMs, ratePerSecond, agoMs, isForwarded }) => {
+                async ({ engine, bornMs, ratePerSecond, agoMs, isForwarded, coldRemainingMs }) => {
                     rates.apply([{ engine, bornMs, ratePerSecond, agoMs }]);
+                    if (coldRemainingMs > 0) {
+                        coldEngines.suspect({ id: engine, bornMs }, coldRemainingMs);
+                    }
                     return handleAcquire({ id: engine, bornMs }, isForwarded);
                 },
             ),
--- a/src/limits/messages.ts
+++ b/src/limits/messages.ts
@@ -27,6 +27,8 @@
 export const acquirePermitSchema = rateNoticeSchema.extend({
     /** The entry that was asked first passes the call on to the one that it regards as the counter. */
     isForwarded: z.boolean(),
+    /** Time for which the caller regards the engine as cold; entries of earlier versions send none. */
+    coldRemainingMs: z.number().min(0).default(0),
 });
 
 /** `waitMs`: time until the next permit, if none is granted. */
--- a/src/peerSync/messages.ts
+++ b/src/peerSync/messages.ts
@@ -6,6 +6,7 @@
 import { z } from "zod";
 import { isDeeplyNested } from "../common/json.js";
 import type { JsonValue } from "../common/json.js";
+import { coldNoticeSchema } from "../engines/coldEngines.js";
 import { rateNoticeSchema } from "../engines/engineRates.js";
 import { crashEvidenceSchema } from "../quarantine/crashEvidence.js";
 import { unknownPosition } from "./storePosition.js";
@@ -48,6 +49,8 @@
     uptimeMs: z.number().min(0).optional(),
     /** Rates that engines name for themselves, or have ceased to name. */
     engineRates: z.array(rateNoticeSchema).default([]),
+    /** Engines that said in a response that they are cold. */
+    coldEngines: z.array(coldNoticeSchema).default([]),
     /** Remaining time in ms of each engine's change to another stage, by engine. */
     reconfiguring: z.record(z.string(), z.number()),
     /** Base URLs of the peers that it has seen. */
--- a/src/peerSync/peerSync.test.ts
+++ b/src/peerSync/peerSync.test.ts
@@ -27,6 +27,7 @@
     leaving: [],
     crashEvidence: [],
     engineRates: [],
+    coldEngines: [],
 };
 
 /** A change feed whose content and failures the test sets. */
--- a/src/peerSync/peerSync.ts
+++ b/src/peerSync/peerSync.ts
@@ -51,6 +51,7 @@
     | "leaving"
     | "crashEvidence"
     | "engineRates"
+    | "coldEngines"
 >;
 
 export interface PeerSyncDependencies {
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -12,6 +12,8 @@
     readonly dataCentre: string;
     /** Work that all entries have in flight at an engine. */
     readonly workAt: (engineId: string) => EngineWork;
+    /** Whether an engine is cold and bears only few requests a second. */
+    readonly isCold: (engine: EngineRecord) => boolean;
     /** Engines of a service that accept work of a stage now: ready, and not changing their stage. */
     readonly enginesFor: (service: string, stage: Stage) => readonly EngineRecord[];
     /** From 0 to 1; breaks ties, so that entries with the same view do not all choose the same engine. */
@@ -27,6 +29,9 @@
  * centres.
  */
 const crossDataCentreMemoryPenalty = 0.06;
+/** A cold engine is used before others only if those are this much fuller, as a fraction of KV memory or in requests. */
+const coldMemoryPenalty = 0.3;
+const coldRequestPenalty = 3;
 /** Less than one request, so that an instance with one request fewer is preferred even in another data centre. */
 const crossDataCentreRequestPenalty = 0.9;
 
@@ -95,6 +100,7 @@
     return sortBy(engines, engine => {
         const usedFraction = view.workAt(engine.id).kvTokens / Math.max(1, kvTokens);
         return usedFraction + (engine.dataCentre === view.dataCentre ? 0 : crossDataCentreMemoryPenalty)
+            + (view.isCold(engine) ? coldMemoryPenalty : 0)
             + view.random() / 1_000;
     });
 }
@@ -106,6 +112,7 @@
         engine =>
             view.workAt(engine.id).requests
             + (engine.dataCentre === view.dataCentre ? 0 : crossDataCentreRequestPenalty)
+            + (view.isCold(engine) ? coldRequestPenalty : 0)
             + view.random() / 2,
     );
 }
--- a/src/scheduling/scheduling.test.ts
+++ b/src/scheduling/scheduling.test.ts
@@ -225,6 +225,7 @@
     const viewOf = (loads: Readonly<Record<string, Partial<typeof work>>>) => ({
         dataCentre: "a",
         workAt: (id: string) => ({ ...work, ...loads[id] }),
+        isCold: () => false,
         enginesFor: (service: string, stage: Stage) => [prefill, ...decode].filter(engine => engine.stage === stage),
         random: () => 0,
     });
--- a/test/callLimits.test.ts
+++ b/test/callLimits.test.ts
@@ -22,6 +22,7 @@
 import { createEngineClient } from "../platform/engineClient.js";
 import { createStoreClient } from "../platform/storeClient.js";
 import { systemClock } from "../src/common/clock.js";
+import { createColdEngines } from "../src/engines/coldEngines.js";
 import { createEngineNotices } from "../src/engines/engineNotices.js";
 import { createEngineRates } from "../src/engines/engineRates.js";
 import { createEvacuations } from "../src/engines/evacuations.js";
@@ -132,7 +133,15 @@
     const notices = createEngineNotices(systemClock, silentDecisionLog);
     const rates = createEngineRates(systemClock, silentDecisionLog);
     const evacuations = createEvacuations(systemClock, silentDecisionLog);
-    const engines = createEngineClient({ clock: systemClock, log: silentDecisionLog, notices, rates, evacuations });
+    const coldEngines = createColdEngines(systemClock, silentDecisionLog);
+    const engines = createEngineClient({
+        clock: systemClock,
+        log: silentDecisionLog,
+        notices,
+        rates,
+        evacuations,
+        coldEngines,
+    });
     const state = desiredStateOf([route]);
     // Without reservations, the first call to the engine is the request itself.
     const services = state.services.map(({ engine, ...service }) => ({
--- a/test/cutResponses.test.ts
+++ b/test/cutResponses.test.ts
@@ -17,6 +17,7 @@
 import { createEngineClient as createAgentEngineClient } from "../src/endpoint/engineClient.js";
 import type { EngineClient as AgentEngineClient } from "../src/endpoint/engineClient.js";
 import { createServiceCalls } from "../src/endpoint/serviceCalls.js";
+import { createColdEngines } from "../src/engines/coldEngines.js";
 import { createEngineNotices } from "../src/engines/engineNotices.js";
 import type { EnginePort, EngineRecord, EngineRequest } from "../src/engines/enginePort.js";
 import { createEngineRates } from "../src/engines/engineRates.js";
@@ -81,6 +82,7 @@
                 notices: createEngineNotices(systemClock, silentDecisionLog),
                 rates: createEngineRates(systemClock, silentDecisionLog),
                 evacuations: createEvacuations(systemClock, silentDecisionLog),
+                coldEngines: createColdEngines(systemClock, silentDecisionLog),
             });
             return { call: () => call(client, engineAt(address)), close: client.close };
         },
--- a/test/evacuation.test.ts
+++ b/test/evacuation.test.ts
@@ -1,18 +1,20 @@
 /**
  * Evacuations at real processes on a fake platform: entries that are cut off from the store hear of them from others, and
- * a restarted entry knows them before it is ready.
+ * a restarted entry knows them before it is ready. Engines that come back get few requests at first.
  */
 
 import { setTimeout as delay } from "node:timers/promises";
 import { afterEach, describe, expect, it } from "vitest";
+import { bodyOfDuration } from "../fakes/platformEngine.js";
 import { callSite, isReady, startPlatformSite, until } from "../fakes/platformSite.js";
-import type { EntryProcess, PlatformSite } from "../fakes/platformSite.js";
+import type { EntryProcess, PlatformSite, PlatformSiteOptions, SiteResponse } from "../fakes/platformSite.js";
 import { startTcpProxy } from "../fakes/tcpProxy.js";
 import type { ProxyFault, TcpProxy } from "../fakes/tcpProxy.js";
 
 /** Within this time, each entry that reaches the store or another entry stops sending (platform). */
 const evacuateMs = 5_000;
 const calls = 10;
+const coldRequestsPerSecond = 2;
 
 const cleanups: (() => Promise<void>)[] = [];
 
@@ -21,12 +23,15 @@
 });
 
 /** Two entries in data centre `a`, the second of which reaches the store through the proxy; an engine in each of a, b, c. */
-async function startSite(): Promise<{ readonly site: PlatformSite; readonly proxies: readonly TcpProxy[]; }> {
+async function startSite(
+    options: Partial<PlatformSiteOptions> = {},
+): Promise<{ readonly site: PlatformSite; readonly proxies: readonly TcpProxy[]; }> {
     const proxies: TcpProxy[] = [];
     const site = await startPlatformSite({
         entries: 2,
         plainEngines: 3,
         dataCentres: { "d-2": "b", "d-3": "c" },
+        ...options,
         proxyStoreAddress: async address => {
             const proxy = await startTcpProxy(address);
             proxies.push(proxy);
@@ -38,9 +43,12 @@
     return { site, proxies };
 }
 
+const look = (entry: EntryProcess, body?: string): Promise<SiteResponse> =>
+    callSite(entry, "/look/1", undefined, undefined, undefined, body);
+
 /** The engines that serve some calls at once to an entry; `refused` stands for those that none serves. */
 async function enginesFor(entry: EntryProcess): Promise<readonly string[]> {
-    const responses = await Promise.all(Array.from({ length: calls }, () => callSite(entry, "/look/1")));
+    const responses = await Promise.all(Array.from({ length: calls }, () => look(entry)));
     return [...new Set(responses.map(({ engine, status }) => status === 503 ? "refused" : String(engine)))].sort();
 }
 
@@ -86,4 +94,30 @@
         },
         40_000,
     );
+
+    // Engines may have become cold while they got nothing, and their records may be seconds old.
+    it("ends with few requests a second at first, over all entries, to the engines that come back", async () => {
+        const { site } = await startSite({ plainEngines: 2, coldRequestsPerSecond });
+        site.store.put("op", "evacuate/a", "{}");
+        // By then, no engine is suspected because it has just started.
+        await delay(4_000);
+        const returning = site.engines.find(({ id }) => id === "d-1");
+        const before = returning?.arrivedAtMs.length ?? 0;
+        site.store.remove("op", "evacuate/a");
+        const takenBackAtMs = Date.now();
+        const responses: Promise<unknown>[] = [];
+        while (Date.now() - takenBackAtMs < 5_000) {
+            // So many at once that a cold engine is used as well.
+            responses.push(...site.entries.map(entry => look(entry, bodyOfDuration(200))));
+            await delay(20);
+        }
+        await Promise.all(responses);
+        const arrivals = returning?.arrivedAtMs.slice(before) ?? [];
+        const inSecondAfter = (startMs: number): number =>
+            arrivals.filter(atMs => atMs >= startMs && atMs < startMs + 1_000).length;
+        const early = arrivals.filter(atMs => atMs < takenBackAtMs + 2_000);
+        expect(early.length).toBeGreaterThan(0);
+        expect(Math.max(...early.map(inSecondAfter))).toBeLessThanOrEqual(coldRequestsPerSecond * 1.5 + 5);
+        expect(inSecondAfter(takenBackAtMs + 4_000)).toBeGreaterThan(coldRequestsPerSecond * 1.5 + 5);
+    });
 });
--- a/test/lateCopies.test.ts
+++ b/test/lateCopies.test.ts
@@ -19,6 +19,7 @@
 import { createEngineClient } from "../platform/engineClient.js";
 import { limitCall } from "../src/common/callLimit.js";
 import { systemClock } from "../src/common/clock.js";
+import { createColdEngines } from "../src/engines/coldEngines.js";
 import { createEngineNotices } from "../src/engines/engineNotices.js";
 import type { EnginePort, EngineRecord } from "../src/engines/enginePort.js";
 import { createEngineRates } from "../src/engines/engineRates.js";
@@ -84,7 +85,15 @@
     const notices = createEngineNotices(systemClock, silentDecisionLog);
     const rates = createEngineRates(systemClock, silentDecisionLog);
     const evacuations = createEvacuations(systemClock, silentDecisionLog);
-    const engines = createEngineClient({ clock: systemClock, log: silentDecisionLog, notices, rates, evacuations });
+    const coldEngines = createColdEngines(systemClock, silentDecisionLog);
+    const engines = createEngineClient({
+        clock: systemClock,
+        log: silentDecisionLog,
+        notices,
+        rates,
+        evacuations,
+        coldEngines,
+    });
     // Leaves one connection to an engine, so that the next call comes on the one that is in use.
     engines.setMaxConnections("models", 1);
     cleanups.push(() => engines.close());
--- a/test/silentConnections.test.ts
+++ b/test/silentConnections.test.ts
@@ -15,6 +15,7 @@
 import { createEngineClient } from "../platform/engineClient.js";
 import { limitCall } from "../src/common/callLimit.js";
 import { systemClock } from "../src/common/clock.js";
+import { createColdEngines } from "../src/engines/coldEngines.js";
 import { createEngineNotices } from "../src/engines/engineNotices.js";
 import { createEngineRates } from "../src/engines/engineRates.js";
 import { createEvacuations } from "../src/engines/evacuations.js";
@@ -92,6 +93,7 @@
                 notices: createEngineNotices(systemClock, silentDecisionLog),
                 rates: createEngineRates(systemClock, silentDecisionLog),
                 evacuations: createEvacuations(systemClock, silentDecisionLog),
+                coldEngines: createColdEngines(systemClock, silentDecisionLog),
             });
             cleanups.push(() => client.close());
             const engine = engineRecord("e-1", undefined, { address });
