Keep requests with home regions at the engines of those regions

Cause: routes and client accounts may have home regions; they were decoded, and nothing used them.

Change: engines get the region of their data centre from the settings, and `mayRunAt` filters the engines listed for a request: decode and plain engines, hedges, retries and resumed streams; prefill engines are filtered likewise, so that no KV cache leaves the homes. Requests with different homes wait in different decode queues, and are refused at once if no engine is left in their homes. Without homes nothing changes.

Ruled out: handing requests to entries of another region, which no entry does.

--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -233,7 +233,8 @@
         for (const { key, value } of rows) {
             const decoded = ports.registry.decode(key, value);
             if (decoded.isOk) {
-                records.push(decoded.value);
+                const region = settings.regions[decoded.value.dataCentre];
+                records.push({ ...decoded.value, region });
             }
             else {
                 log.decision("a record of the registry names no engine", { key, cause: decoded.error, position });
--- a/src/engines/enginePort.ts
+++ b/src/engines/enginePort.ts
@@ -23,6 +23,8 @@
     /** IP address and port. */
     readonly address: string;
     readonly dataCentre: string;
+    /** Region of its data centre, by the settings; `undefined` if they name none. */
+    readonly region?: string | undefined;
     readonly slots: number;
     readonly state: "ready" | "draining";
     /** `undefined` for an instance of a plain service. */
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -24,7 +24,7 @@
 import { answered, refuse } from "./forwardRequest.js";
 import type { ForwardOutcome } from "./forwardRequest.js";
 import { endBrokenRun, isQuarantined, refuseQuarantined } from "./quarantineChecks.js";
-import { suspectsOf } from "./routedRequest.js";
+import { isInHomeRegion, suspectsOf } from "./routedRequest.js";
 import type { GenerationRequest } from "./routedRequest.js";
 import { mayOutlastEntry, refuseIfTooLate, shuttingDownCause } from "./shutdownChecks.js";
 import { relayStream } from "./streamRelay.js";
@@ -284,7 +284,8 @@
     decodeEngine: EngineRecord,
 ): Promise<PrefilledCache | undefined> {
     const { request, service, size, callBudget } = generation;
-    const compatible = prefillEnginesFor(context.view, service, decodeEngine);
+    const compatible = prefillEnginesFor(context.view, service, decodeEngine)
+        .filter(engine => isInHomeRegion(generation, engine));
     const engines = context.health.withoutEjected(compatible)
         .filter(engine => !context.engineRates.areExhausted([engine]));
     const ranked = rankForPrefill(context.view, engines);
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -23,7 +23,7 @@
 import { answered, refuse } from "./forwardRequest.js";
 import type { ForwardOutcome } from "./forwardRequest.js";
 import { endBrokenRun, isQuarantined } from "./quarantineChecks.js";
-import { hasVersionFor, suspectsOf } from "./routedRequest.js";
+import { mayRunAt, suspectsOf } from "./routedRequest.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import { mayOutlastEntry, refuseIfTooLate } from "./shutdownChecks.js";
 
@@ -212,7 +212,7 @@
     routed: RoutedRequest,
     triedEngines: ReadonlySet<string>,
 ): Generator<EngineRecord> {
-    const usable = context.directory.usable(routed.service).filter(engine => hasVersionFor(routed, engine));
+    const usable = context.directory.usable(routed.service).filter(engine => mayRunAt(routed, engine));
     for (const engines of [context.health.withoutEjected(usable), usable]) {
         yield* rankForPlain(context.view, engines).filter(engine => !triedEngines.has(engine.id));
     }
@@ -432,7 +432,7 @@
     if (last?.result.isOk) {
         return answered(last.result.value);
     }
-    const usable = context.directory.usable(routed.service).filter(engine => hasVersionFor(routed, engine));
+    const usable = context.directory.usable(routed.service).filter(engine => mayRunAt(routed, engine));
     const areExhausted = context.engineRates.areExhausted(usable);
     const noEngineCause = areExhausted
         ? "all engines have got as many requests as the rates that they name"
--- a/src/forwarding/routedRequest.ts
+++ b/src/forwarding/routedRequest.ts
@@ -33,10 +33,26 @@
     return route.homeRegions.filter(region => accountRegions.includes(region));
 }
 
+/** Whether a request, and the KV cache of its prompt, may go to an engine: to one in a home region, if it has any. */
+export function isInHomeRegion(
+    { homeRegions }: Pick<RoutedRequest, "homeRegions">,
+    { region }: Pick<EngineRecord, "region">,
+): boolean {
+    return homeRegions === undefined || (region !== undefined && homeRegions.includes(region));
+}
+
+/** Whether an engine may run the request: it is in a home region and has the software version that the request needs. */
+export function mayRunAt(
+    request: Pick<RoutedRequest, "homeRegions" | "softwareVersion">,
+    engine: Pick<EngineRecord, "region" | "softwareVersion">,
+): boolean {
+    return isInHomeRegion(request, engine) && hasVersionFor(request, engine);
+}
+
 /** Whether an engine has the software version that the request needs. */
 export function hasVersionFor(
     { softwareVersion }: Pick<RoutedRequest, "softwareVersion">,
-    engine: EngineRecord,
+    engine: Pick<EngineRecord, "softwareVersion">,
 ): boolean {
     return softwareVersion === undefined || engine.softwareVersion === softwareVersion;
 }
--- a/src/scheduling/decodeScheduler.ts
+++ b/src/scheduling/decodeScheduler.ts
@@ -13,7 +13,7 @@
 import type { EngineLoads } from "../engines/engineLoads.js";
 import type { EnginePort, EngineRecord, Reservation } from "../engines/enginePort.js";
 import type { GenerationSize } from "../forwarding/forwardRequest.js";
-import { hasVersionFor } from "../forwarding/routedRequest.js";
+import { isInHomeRegion, mayRunAt } from "../forwarding/routedRequest.js";
 import type { GenerationRequest } from "../forwarding/routedRequest.js";
 import { shutdownRetryMs, shuttingDownCause } from "../forwarding/shutdownChecks.js";
 import type { EngineRateLimiter } from "../limits/engineRateLimiter.js";
@@ -125,7 +125,7 @@
 
     function decodeEngines(choice: EngineChoice): readonly EngineRecord[] {
         const engines = view.enginesFor(choice.service, "decode");
-        return health.withoutEjected(engines.filter(engine => hasVersionFor(choice, engine)));
+        return health.withoutEjected(engines.filter(engine => mayRunAt(choice, engine)));
     }
 
     /** Whether an engine recently refused a reservation or did not respond to the request for it. */
@@ -137,7 +137,7 @@
     function canPrefill(generation: GenerationRequest): boolean {
         const { service, route, engineSpec } = generation;
         const prefillWaitsMs = view.enginesFor(service, "prefill")
-            .filter(engine => hasVersionFor(generation, engine))
+            .filter(engine => mayRunAt(generation, engine))
             .map(engine => prefillWaitMs(view, engine));
         return prefillWaitsMs.length === 0 || Math.min(...prefillWaitsMs) <= settings.maxPrefillWaitMs
             || allowsLocalPrefill(route, engineSpec);
@@ -236,14 +236,16 @@
      * software version is available come last.
      */
     function rankEngines(
-        { service, route, engineSpec }: GenerationRequest,
+        generation: GenerationRequest,
         engines: readonly EngineRecord[],
     ): readonly EngineRecord[] {
+        const { service, route, engineSpec } = generation;
         const ranked = rankForDecode(view, engines, engineSpec.kvTokens);
         if (allowsLocalPrefill(route, engineSpec)) {
             return ranked;
         }
-        const hasPrefill = (engine: EngineRecord): boolean => prefillEnginesFor(view, service, engine).length > 0;
+        const hasPrefill = (engine: EngineRecord): boolean =>
+            prefillEnginesFor(view, service, engine).some(prefill => isInHomeRegion(generation, prefill));
         return [...ranked.filter(hasPrefill), ...ranked.filter(engine => !hasPrefill(engine))];
     }
 
@@ -318,9 +320,10 @@
         }
     }
 
-    /** Refuses the queued requests that need a software version of which no engine is left. */
+    /** Refuses the queued requests that need a software version, or a region, of which no engine is left. */
     function refuseIfVersionLeft(queue: GenerationQueue): void {
-        if (queue.choice.softwareVersion === undefined || decodeEngines(queue.choice).length > 0) {
+        const { softwareVersion, homeRegions } = queue.choice;
+        if ((softwareVersion === undefined && homeRegions === undefined) || decodeEngines(queue.choice).length > 0) {
             return;
         }
         for (const item of queue.pending.takeExpired(Number.POSITIVE_INFINITY)) {
@@ -374,7 +377,7 @@
 
     return {
         expectedResponseMs: (service, size) => durations.expectedMs(service, expectedOutputTokens(size)),
-        retryAfterMs: service => retryAfterMs({ service, softwareVersion: undefined }),
+        retryAfterMs: service => retryAfterMs({ service, softwareVersion: undefined, homeRegions: undefined }),
         queuedRequests: () => queues.all().reduce((sum, queue) => sum + queue.pending.size(), 0),
         allocate: async generation => {
             const { service, size, engineSpec, request } = generation;
--- a/src/scheduling/engineQueues.ts
+++ b/src/scheduling/engineQueues.ts
@@ -6,11 +6,13 @@
 import { createDecodeQueue } from "./decodeQueue.js";
 import type { DecodeQueue, QueuedRequest } from "./decodeQueue.js";
 
-/** Which engines a request may use: all of a service, or those of one software version. */
+/** Which engines a request may use: all of a service, or those of one software version or of some regions. */
 export interface EngineChoice {
     readonly service: string;
     /** `undefined` for all versions. */
     readonly softwareVersion: string | undefined;
+    /** `undefined` for all regions. */
+    readonly homeRegions: readonly string[] | undefined;
 }
 
 export interface EngineQueue<Item extends QueuedRequest> {
@@ -26,19 +28,19 @@
     /** The queue of a choice; created if there is none. */
     readonly queueOf: (choice: EngineChoice) => EngineQueue<Item>;
     readonly all: () => readonly EngineQueue<Item>[];
-    /** Forgets an empty queue of one version, since versions come and go. */
+    /** Forgets an empty queue of one version or of some regions, since these come and go. */
     readonly removeIfOfVersion: (queue: EngineQueue<Item>) => void;
 }
 
-function keyOf({ service, softwareVersion }: EngineChoice): string {
-    return JSON.stringify([service, softwareVersion]);
+function keyOf({ service, softwareVersion, homeRegions }: EngineChoice): string {
+    return JSON.stringify([service, softwareVersion, homeRegions]);
 }
 
 export function createEngineQueues<Item extends QueuedRequest>(): EngineQueues<Item> {
     const queues = new Map<string, EngineQueue<Item>>();
     return {
-        queueOf: ({ service, softwareVersion }) => {
-            const choice: EngineChoice = { service, softwareVersion };
+        queueOf: ({ service, softwareVersion, homeRegions }) => {
+            const choice: EngineChoice = { service, softwareVersion, homeRegions };
             const existing = queues.get(keyOf(choice));
             if (existing !== undefined) {
                 return existing;
@@ -55,7 +57,7 @@
         },
         all: () => [...queues.values()],
         removeIfOfVersion: ({ choice }) => {
-            if (choice.softwareVersion !== undefined) {
+            if (choice.softwareVersion !== undefined || choice.homeRegions !== undefined) {
                 queues.delete(keyOf(choice));
             }
         },
