--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -6,6 +6,8 @@
 import { Result } from "true-myth";
 import type { Clock } from "../src/common/clock.js";
 import type { Random } from "../src/common/random.js";
+import { createColdEngines } from "../src/engines/coldEngines.js";
+import type { ColdEngines } from "../src/engines/coldEngines.js";
 import { createEngineDirectory } from "../src/engines/engineDirectory.js";
 import { createEngineHealth } from "../src/engines/engineHealth.js";
 import { createEngineLoads } from "../src/engines/engineLoads.js";
@@ -167,6 +169,7 @@
     readonly clock: VirtualClock;
     readonly notices: EngineNotices;
     readonly evacuations: Evacuations;
+    readonly coldEngines: ColdEngines;
     readonly load: (engines: readonly EngineRecord[]) => void;
 }
 
@@ -243,6 +246,7 @@
     /** None by default. */
     readonly evacuations?: Evacuations;
     readonly reportedLoads?: ReportedLoads;
+    readonly coldEngines?: ColdEngines;
     /** By default the entry is the only one and its store is empty. */
     readonly streamOrigins?: StreamOrigins;
     readonly createScheduler?: (dependencies: DecodeSchedulerDependencies) => DecodeScheduler;
@@ -267,6 +271,7 @@
         rates = createEngineRates(clock, silentDecisionLog),
         evacuations = createEvacuations(clock, silentDecisionLog),
         reportedLoads = createReportedLoads(clock),
+        coldEngines = createColdEngines(clock, silentDecisionLog),
     } = options;
     const directory = createEngineDirectory(clock, silentDecisionLog, notices, evacuations);
     const health = createEngineHealth(clock);
@@ -278,6 +283,8 @@
         rpc: unreachablePeers,
         log: silentDecisionLog,
         rates,
+        coldEngines,
+        coldRate: { overshoot: 1.5, slack: 5 },
         url: entryUrl,
         stableEntries: () => [entryUrl],
         liveFraction: () => 1,
@@ -289,6 +296,7 @@
         dataCentre: "a",
         workAt: loads.total,
         entries: () => 4,
+        isCold: engine => coldEngines.rateOf(engine) !== undefined,
         enginesFor: (service, stage) => directory.usable(service).filter(engine => engine.stage === stage),
         random,
     };
@@ -362,12 +370,15 @@
     const rates = createEngineRates(clock, silentDecisionLog);
     const evacuations = createEvacuations(clock, silentDecisionLog);
     const reportedLoads = createReportedLoads(clock);
+    const coldEngines = createColdEngines(clock, silentDecisionLog);
+    coldEngines.setServices(state.services);
     const context = createTestForwardContext({
         clock,
         reportedLoads,
         notices,
         rates,
         evacuations,
+        coldEngines,
         engines: scriptedEngines(script, calls),
         state,
         budget,
@@ -385,7 +396,11 @@
         rates,
         evacuations,
         reportedLoads,
-        load: records => context.directory.load(records, "current"),
+        coldEngines,
+        load: records => {
+            coldEngines.load(records);
+            context.directory.load(records, "current");
+        },
     };
 }
 
--- a/fakes/peerSyncFleet.ts
+++ b/fakes/peerSyncFleet.ts
@@ -79,6 +79,7 @@
             crashEvidence: [],
             engineRates: [],
             ejections: [],
+            coldEngines: [],
         };
     };
 }
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -10,6 +10,7 @@
 import type { Clock } from "../common/clock.js";
 import type { JsonValue } from "../common/json.js";
 import { createRandom } from "../common/random.js";
+import type { ColdEngines } from "../engines/coldEngines.js";
 import { createEngineDirectory } from "../engines/engineDirectory.js";
 import { createEngineHealth } from "../engines/engineHealth.js";
 import { createEngineLoads } from "../engines/engineLoads.js";
@@ -84,6 +85,8 @@
     readonly evacuations: Evacuations;
     /** Loads that engines report; without it, none does. */
     readonly reportedLoads?: ReportedLoads;
+    /** What engines say of the time for which they stay cold; the adapter records it. */
+    readonly coldEngines: ColdEngines;
 }
 
 /** A started entry. */
@@ -151,7 +154,7 @@
     const random = createRandom(Math.trunc(clock.wallMs()) ^ Number.parseInt(startId.slice(0, 8), 16));
     const stopping = new AbortController();
     const rpc = createRpcClient(maxPeerResponseBytes);
-    const { notices, rates, evacuations } = ports;
+    const { notices, rates, evacuations, coldEngines } = ports;
     const directory = createEngineDirectory(clock, log, notices, evacuations);
     const engineRates = createEngineRateLimiter({
         clock,
@@ -159,12 +162,19 @@
         rpc,
         log,
         rates,
+        coldEngines,
+        coldRate: settings.coldRate,
         url,
         stableEntries: () => peerSync.stableEntries(),
         liveFraction: () => peerSync.liveFraction(),
     });
     const engines = limitControlCalls(ports.engines, engineRates, directory, log);
     rates.onChange(() => peerSync.syncNow());
+    coldEngines.onChange(() => peerSync.syncNow());
+    evacuations.onChange(takenBack =>
+        directory.known().filter(({ dataCentre }) => takenBack.includes(dataCentre))
+            .forEach(engine => coldEngines.suspect(engine))
+    );
     const health = createEngineHealth(clock);
     const ejections = createSharedEjections({ clock, log, metrics, health });
     ejections.onChange(() => peerSync.syncNow());
@@ -201,8 +211,10 @@
         log,
         key: ports.desiredState.key,
         decode: ports.desiredState.decode,
-        onChange: ({ services }) =>
-            services.forEach(({ name, maxConnections }) => engines.setMaxConnections(name, maxConnections)),
+        onChange: ({ services }) => {
+            services.forEach(({ name, maxConnections }) => engines.setMaxConnections(name, maxConnections));
+            coldEngines.setServices(services);
+        },
     });
     const leadership = createOrderLeadership(ports.tables, clock, log, {
         holder: settings.host,
@@ -216,6 +228,7 @@
         dataCentre: settings.dataCentre,
         workAt: loads.total,
         entries: () => peerSync.members(),
+        isCold: engine => coldEngines.rateOf(engine) !== undefined,
         enginesFor: (service, stage) =>
             directory.usable(service).filter(engine => engine.stage === stage && !stages.isReconfiguring(engine.id)),
         random,
@@ -242,12 +255,14 @@
         for (const { key, value } of rows) {
             const decoded = ports.registry.decode(key, value);
             if (decoded.isOk) {
-                records.push(decoded.value);
+                const region = settings.regions[decoded.value.dataCentre];
+                records.push({ ...decoded.value, region });
             }
             else {
                 log.decision("a record of the registry names no engine", { key, cause: decoded.error, position });
             }
         }
+        coldEngines.load(records);
         directory.load(records, origin);
     }
 
@@ -304,6 +319,7 @@
         quarantine.applyEvidence(state.crashEvidence);
         rates.apply(state.engineRates);
         ejections.apply(state.ejections);
+        coldEngines.apply(state.coldEngines);
         void desiredState.applyPeerState(state);
     }
 
@@ -330,6 +346,7 @@
             crashEvidence: [...quarantine.evidence()],
             engineRates: [...rates.notices()],
             ejections: [...ejections.notices()],
+            coldEngines: [...coldEngines.notices()],
         }),
         onState: applyPeerState,
         onUsageReport: ({ start, clientAccount, admittedCost }) =>
@@ -391,6 +408,7 @@
         () => evacuations.dataCentres().length,
     );
     metrics.gauge("callsWaiting", "plain calls that wait for a slot", plainQueue.waitingCalls);
+    metrics.gauge("coldEngines", "engines that get few requests because they are cold", coldEngines.count);
     metrics.gauge("desiredStateVersion", "version in force", desiredState.version);
     metrics.gauge(
         "storeSilenceMs",
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -24,7 +24,7 @@
 import { admitPlain } from "./plainAdmission.js";
 import { hasSlotForHedge, isRepeatable, plainEnginesInOrder } from "./plainEngines.js";
 import { endBrokenRun, isQuarantined } from "./quarantineChecks.js";
-import { hasVersionFor, suspectsOf } from "./routedRequest.js";
+import { mayRunAt, suspectsOf } from "./routedRequest.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import { mayOutlastEntry, refuseIfTooLate } from "./shutdownChecks.js";
 
@@ -428,7 +428,7 @@
     if (last?.result.isOk) {
         return answered(last.result.value);
     }
-    const usable = context.directory.usable(routed.service).filter(engine => hasVersionFor(routed, engine));
+    const usable = context.directory.usable(routed.service).filter(engine => mayRunAt(routed, engine));
     const areExhausted = context.engineRates.areExhausted(usable);
     const noEngineCause = areExhausted
         ? "all engines have got as many requests as the rates that they name"
--- a/src/forwarding/plainEngines.ts
+++ b/src/forwarding/plainEngines.ts
@@ -9,7 +9,7 @@
 import { rankByCompletion, rankForPlain } from "../scheduling/placement.js";
 import { hasRoom } from "../scheduling/plainQueue.js";
 import type { ForwardContext } from "./context.js";
-import { hasVersionFor } from "./routedRequest.js";
+import { mayRunAt } from "./routedRequest.js";
 import type { RoutedRequest } from "./routedRequest.js";
 
 export function isRepeatable({ route }: Pick<RoutedRequest, "route">): boolean {
@@ -59,7 +59,7 @@
 }
 
 function usableEngines({ directory }: ForwardContext, routed: RoutedRequest): readonly EngineRecord[] {
-    return directory.usable(routed.service).filter(engine => hasVersionFor(routed, engine));
+    return directory.usable(routed.service).filter(engine => mayRunAt(routed, engine));
 }
 
 /** The instances by their load, or by when they would end the call if they say how long work takes; full ones last. */
--- a/src/peerSync/heldState.ts
+++ b/src/peerSync/heldState.ts
@@ -31,6 +31,7 @@
     crashEvidence: [],
     engineRates: [],
     ejections: [],
+    coldEngines: [],
     entries: [],
 };
 
--- a/src/peerSync/messages.ts
+++ b/src/peerSync/messages.ts
@@ -6,6 +6,7 @@
 import { z } from "zod";
 import { isDeeplyNested } from "../common/json.js";
 import type { JsonValue } from "../common/json.js";
+import { coldNoticeSchema } from "../engines/coldEngines.js";
 import { rateNoticeSchema } from "../engines/engineRates.js";
 import { ejectionNoticeSchema } from "../engines/sharedEjections.js";
 import { crashEvidenceSchema } from "../quarantine/crashEvidence.js";
@@ -51,6 +52,8 @@
     engineRates: z.array(rateNoticeSchema).default([]),
     /** Newest verdicts on instances of plain services that were ejected; entries of earlier versions send none. */
     ejections: z.array(ejectionNoticeSchema).default([]),
+    /** Engines that said in a response that they are cold. */
+    coldEngines: z.array(coldNoticeSchema).default([]),
     /** Remaining time in ms of each engine's change to another stage, by engine. */
     reconfiguring: z.record(z.string(), z.number()),
     /** Base URLs of the peers that it has seen. */
--- a/src/peerSync/peerSync.test.ts
+++ b/src/peerSync/peerSync.test.ts
@@ -28,6 +28,7 @@
     crashEvidence: [],
     engineRates: [],
     ejections: [],
+    coldEngines: [],
 };
 
 /** A change feed whose content and failures the test sets. */
--- a/src/peerSync/peerSync.ts
+++ b/src/peerSync/peerSync.ts
@@ -60,6 +60,7 @@
     | "crashEvidence"
     | "engineRates"
     | "ejections"
+    | "coldEngines"
 >;
 
 export interface PeerSyncDependencies {
@@ -71,7 +72,7 @@
     readonly localState: () => LocalState;
     /**
      * Called with the state of a peer after each message that is not late. Of `leaving`, `crashEvidence`, `engineRates`,
-     * `ejections`, `reconfiguring` and `entries` it has what is new since the previous one, or more.
+     * `ejections`, `coldEngines`, `reconfiguring` and `entries` it has what is new since the previous one, or more.
      */
     readonly onState: (state: EntryState) => void;
     readonly onUsageReport: (report: UsageReport) => void;
--- a/src/peerSync/stateChanges.test.ts
+++ b/src/peerSync/stateChanges.test.ts
@@ -28,6 +28,7 @@
     crashEvidence: [],
     engineRates: [],
     ejections: [],
+    coldEngines: [],
 };
 
 interface Entry {
--- a/src/peerSync/stateFields.ts
+++ b/src/peerSync/stateFields.ts
@@ -96,6 +96,10 @@
         key: `${bornMs} ${engine}`,
         comparable: `${startTimeOf(agoMs, nowMs)} ${failure} ${failures}`,
     })),
+    coldEngines: announcements(({ engine, bornMs, remainingMs, agoMs }, nowMs) => ({
+        key: `${bornMs} ${engine}`,
+        comparable: `${startTimeOf(agoMs, nowMs)} ${remainingMs}`,
+    })),
     entries: announcements(url => ({ key: url, comparable: "" })),
 };
 
--- a/src/scheduling/decodeScheduler.ts
+++ b/src/scheduling/decodeScheduler.ts
@@ -14,7 +14,7 @@
 import type { EngineLoads } from "../engines/engineLoads.js";
 import type { EnginePort, EngineRecord } from "../engines/enginePort.js";
 import type { GenerationSize } from "../forwarding/forwardRequest.js";
-import { hasVersionFor } from "../forwarding/routedRequest.js";
+import { isInHomeRegion, mayRunAt } from "../forwarding/routedRequest.js";
 import type { GenerationRequest } from "../forwarding/routedRequest.js";
 import type { EngineRateLimiter } from "../limits/engineRateLimiter.js";
 import { shuttingDown } from "../overload/notRunRefusal.js";
@@ -110,14 +110,14 @@
 
     function decodeEngines(choice: EngineChoice): readonly EngineRecord[] {
         const engines = view.enginesFor(choice.service, "decode");
-        return health.withoutEjected(engines.filter(engine => hasVersionFor(choice, engine)));
+        return health.withoutEjected(engines.filter(engine => mayRunAt(choice, engine)));
     }
 
     /** Whether the prompt can be prefilled soon enough, by a prefill engine or by the decode engine. */
     function canPrefill(generation: GenerationRequest): boolean {
         const { service, route, engineSpec } = generation;
         const prefillWaitsMs = view.enginesFor(service, "prefill")
-            .filter(engine => hasVersionFor(generation, engine))
+            .filter(engine => mayRunAt(generation, engine))
             .map(engine => prefillWaitMs(view, engine));
         return prefillWaitsMs.length === 0 || Math.min(...prefillWaitsMs) <= settings.maxPrefillWaitMs
             || allowsLocalPrefill(route, engineSpec);
@@ -151,14 +151,16 @@
      * software version is available come last.
      */
     function rankEngines(
-        { service, route, engineSpec }: GenerationRequest,
+        generation: GenerationRequest,
         engines: readonly EngineRecord[],
     ): readonly EngineRecord[] {
+        const { service, route, engineSpec } = generation;
         const ranked = rankForDecode(view, engines, engineSpec.kvTokens);
         if (allowsLocalPrefill(route, engineSpec)) {
             return ranked;
         }
-        const hasPrefill = (engine: EngineRecord): boolean => prefillEnginesFor(view, service, engine).length > 0;
+        const hasPrefill = (engine: EngineRecord): boolean =>
+            prefillEnginesFor(view, service, engine).some(prefill => isInHomeRegion(generation, prefill));
         return [...ranked.filter(hasPrefill), ...ranked.filter(engine => !hasPrefill(engine))];
     }
 
@@ -270,9 +272,10 @@
         }
     }
 
-    /** Refuses the queued requests that need a software version of which no engine is left. */
+    /** Refuses the queued requests that need a software version, or a region, of which no engine is left. */
     function refuseIfVersionLeft(queue: GenerationQueue): void {
-        if (queue.choice.softwareVersion === undefined || decodeEngines(queue.choice).length > 0) {
+        const { softwareVersion, homeRegions } = queue.choice;
+        if ((softwareVersion === undefined && homeRegions === undefined) || decodeEngines(queue.choice).length > 0) {
             return;
         }
         for (const item of queue.pending.takeExpired(Number.POSITIVE_INFINITY)) {
@@ -325,7 +328,7 @@
 
     return {
         expectedResponseMs: (service, size) => durations.expectedMs(service, expectedOutputTokens(size)),
-        retryAfterMs: service => retryAfterQueueMs({ service, softwareVersion: undefined }),
+        retryAfterMs: service => retryAfterQueueMs({ service, softwareVersion: undefined, homeRegions: undefined }),
         queuedRequests: () => queues.all().reduce((sum, queue) => sum + queue.pending.size(), 0),
         allocate: async generation => {
             const { service, size, engineSpec, priority } = generation;
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -13,6 +13,8 @@
     readonly dataCentre: string;
     /** Work that all entries have in flight at an engine. */
     readonly workAt: (engineId: string) => EngineWork;
+    /** Whether an engine is cold and bears only few requests a second. */
+    readonly isCold: (engine: EngineRecord) => boolean;
     /** Engines of a service that accept work of a stage now: ready, and not changing their stage. */
     readonly enginesFor: (service: string, stage: Stage) => readonly EngineRecord[];
     /** Number of entries that place work at these engines, including this one. */
@@ -35,6 +37,9 @@
 const crossDataCentreMemoryPenalty = 0.02;
 /** An engine in another data centre is preferred to a near one with no memory left. */
 const maxCrossDataCentreMemoryPenalty = 0.5;
+/** A cold engine is used before others only if those are this much fuller, as a fraction of KV memory or in requests. */
+const coldMemoryPenalty = 0.3;
+const coldRequestPenalty = 3;
 /** Less than one request, so that an instance with one request fewer is preferred even in another data centre. */
 const crossDataCentreRequestPenalty = 0.9;
 
@@ -113,6 +118,7 @@
     return sortBy(engines, engine => {
         const usedFraction = view.workAt(engine.id).kvTokens / Math.max(1, kvTokens);
         return usedFraction + (engine.dataCentre === view.dataCentre ? 0 : farPenalty)
+            + (view.isCold(engine) ? coldMemoryPenalty : 0)
             + view.random() / 1_000;
     });
 }
@@ -124,6 +130,7 @@
         engine =>
             view.workAt(engine.id).requests
             + (engine.dataCentre === view.dataCentre ? 0 : crossDataCentreRequestPenalty)
+            + (view.isCold(engine) ? coldRequestPenalty : 0)
             + view.random() / 2,
     );
 }
--- a/src/scheduling/scheduling.test.ts
+++ b/src/scheduling/scheduling.test.ts
@@ -335,6 +335,7 @@
         dataCentre: "a",
         entries: () => entries,
         workAt: (id: string) => ({ ...work, ...loads[id] }),
+        isCold: () => false,
         enginesFor: (service: string, stage: Stage) => [prefill, ...decode].filter(engine => engine.stage === stage),
         random: () => 0,
     });
