--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -5,7 +5,7 @@
 
 import { spawn } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -30,6 +30,8 @@
     readonly signal: (signal: NodeJS.Signals) => void;
     /** Largest resident memory of the current process so far. */
     readonly peakMemoryBytes: () => number;
+    /** Open descriptors of the current process. */
+    readonly openDescriptors: () => number;
     /** Resolves with the exit code, or with the signal that ended the process. */
     readonly exited: Promise<number | NodeJS.Signals | null>;
     readonly restart: () => Promise<void>;
@@ -90,6 +92,10 @@
     readonly proxyStoreAddress?: (address: string) => Promise<string>;
     /** Starts with an empty store: neither a desired state nor the engines are written. */
     readonly empty?: boolean;
+    /** Further lines of the entries' settings files. */
+    readonly settingsLines?: readonly string[];
+    /** Limit on the heap of an entry, in megabytes; as in `deploy/system.toml` by default. */
+    readonly heapMb?: number;
 }
 
 export const siteKey = "key-of-the-walkers";
@@ -105,7 +111,7 @@
 const waitTimeoutMs = 20_000;
 const bytesPerKilobyte = 1_024;
 /** As in `deploy/system.toml`. */
-const heapLimit = "--max-old-space-size=110";
+const defaultHeapMb = 110;
 
 /**
  * Ports for the entries' listeners. They lie below the range from which the operating system takes ports of outgoing
@@ -152,8 +158,11 @@
     return fetch(entry.readyUrl).then(response => response.status === 200, () => false);
 }
 
-function startProcess(settingsFile: string): { readonly child: ChildProcess; readonly log: () => string; } {
-    const child = spawn(process.execPath, [heapLimit, "dist/platform/main.js"], {
+function startProcess(
+    settingsFile: string,
+    heapMb: number,
+): { readonly child: ChildProcess; readonly log: () => string; } {
+    const child = spawn(process.execPath, [`--max-old-space-size=${heapMb}`, "dist/platform/main.js"], {
         env: { GOOSEBERRYWELL_BOOT: settingsFile, PATH: process.env["PATH"] },
         stdio: ["ignore", "pipe", "pipe"],
     });
@@ -169,6 +178,7 @@
     storeAddress: string,
     ports: readonly number[],
     seedAddress: string,
+    { settingsLines = [], heapMb = defaultHeapMb }: Pick<PlatformSiteOptions, "settingsLines" | "heapMb">,
 ): Promise<EntryProcess> {
     const [front, readiness, control, metrics] = ports;
     const file = join(directory, `entry-${index}.conf`);
@@ -190,9 +200,10 @@
             "bounds.budget_window_s=10",
             "bounds.drain_ms=2000",
             "bounds.config_apply_ms=2000",
+            ...settingsLines,
         ].join("\n"),
     );
-    const state = { current: startProcess(file), earlierLog: "" };
+    const state = { current: startProcess(file, heapMb), earlierLog: "" };
     const exitOf = (child: ChildProcess): EntryProcess["exited"] =>
         new Promise(resolve => child.once("exit", (code, signal) => resolve(code ?? signal)));
     const entry = {
@@ -208,11 +219,12 @@
             const status = readFileSync(`/proc/${state.current.child.pid}/status`, "utf8");
             return Number(/^VmHWM:\s*(\d+) kB$/mu.exec(status)?.[1]) * bytesPerKilobyte;
         },
+        openDescriptors: () => readdirSync(`/proc/${state.current.child.pid}/fd`).length,
         exited: exitOf(state.current.child),
         restart: async () => {
             await entry.exited;
             state.earlierLog = entry.wholeLog();
-            state.current = startProcess(file);
+            state.current = startProcess(file, heapMb);
             entry.exited = exitOf(state.current.child);
         },
     };
@@ -345,6 +357,7 @@
                     storeAddress,
                     ports.slice(index * 4, index * 4 + 4),
                     seedAddress,
+                    options,
                 );
             },
         ),
