--- a/src/callers/accessControl.ts
+++ b/src/callers/accessControl.ts
@@ -12,7 +12,7 @@
 import type { KeyOwner } from "../keys/keyring.js";
 import type { Admission, AdmissionDecision } from "../limits/rateLimiter.js";
 import type { RequestAttributes } from "../requests/context.js";
-import { disconnectSignal, readBody } from "../rpc/httpServer.js";
+import { disconnectSignal, overBudgetRetryMs, readBody } from "../rpc/httpServer.js";
 import type { CallersDependencies } from "./dependencies.js";
 import { sendError } from "./errors.js";
 import type { CallerError } from "./errors.js";
@@ -154,6 +154,14 @@
     maxBodyBytes: number,
 ): Promise<Result<Buffer, CallerError>> {
     const body = await readBody(request, maxBodyBytes);
+    if (body.isErr && body.error.kind === "overBudget") {
+        return Result.err({
+            code: "unavailable",
+            message: "callers' connections hold too much",
+            notRun: true,
+            retryAfterMs: overBudgetRetryMs,
+        });
+    }
     if (body.isErr) {
         return refuse("body_too_large", `the body is larger than ${maxBodyBytes} bytes or was cut off`);
     }
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -50,6 +50,8 @@
 import { createStageController } from "../stages/stageController.js";
 import type { DecisionLog } from "../telemetry/decisionLog.js";
 import type { PrometheusMetrics } from "../telemetry/prometheusMetrics.js";
+import { createConnectionLimits } from "./connectionLimits.js";
+import type { ConnectionLimits } from "./connectionLimits.js";
 import type { ForwardingSettings } from "./forwardingSettings.js";
 
 /** What an adapter provides to the entry. */
@@ -76,6 +78,7 @@
     /** Limits on callers' connections, from the desired state in force. */
     readonly limits: () => CallerLimits;
     readonly desiredStateVersion: () => number | undefined;
+    readonly connectionLimits: ConnectionLimits;
     /** Whether both the desired state and the engine registry are known. */
     readonly isReady: () => boolean;
     /**
@@ -291,6 +294,7 @@
         url,
         stableEntries: () => peerSync.stableEntries(),
     });
+    const connectionLimits = createConnectionLimits({ clock, log, metrics }, settings.hostLimits);
     const handler = createRpcHandler({
         ...peerSync.methods,
         ...desiredState.methods,
@@ -301,6 +305,7 @@
         settings.exchange.ip,
         settings.exchange.port,
         (method, path) => method === "POST" && path === rpcPath ? handler : undefined,
+        connectionLimits.others,
     );
 
     /** Requests table copies from other entries until a desired state is known. */
@@ -370,6 +375,7 @@
         forward: request => forward(context, request),
         limits: () => desiredState.routes()?.state.limits ?? initialLimits,
         desiredStateVersion: () => desiredState.routes()?.state.version,
+        connectionLimits,
         isReady: () => desiredState.routes() !== undefined && registryReplica.position().revision >= 0,
         setShutdownDeadline: deadlineMs => {
             shutdown = { startedAtMs: clock.monotonicMs(), deadlineMs };
--- a/src/daemon/forwardingSettings.ts
+++ b/src/daemon/forwardingSettings.ts
@@ -13,6 +13,8 @@
 export interface HostLimits {
     /** Memory of the process, in bytes; it is killed beyond that. */
     readonly memoryBytes: number | undefined;
+    /** Descriptors that the process may have open. */
+    readonly maxDescriptors: number | undefined;
     /** Fraction of a core. */
     readonly cpuShare: number | undefined;
     readonly linkMbps: number | undefined;
--- a/src/endpoint/agent.ts
+++ b/src/endpoint/agent.ts
@@ -9,7 +9,7 @@
 import { describeInvalidInput, parseJson } from "../common/json.js";
 import { repeat } from "../common/repeat.js";
 import type { Endpoint } from "../configuration/objects.js";
-import { listen, readBody, sendJson } from "../rpc/httpServer.js";
+import { bodyErrorStatuses, listen, readBody, sendJson } from "../rpc/httpServer.js";
 import type { Handler, HttpServer } from "../rpc/httpServer.js";
 import { createRpcClient } from "../rpc/rpcClient.js";
 import { createRpcHandler, rpcMethod, rpcPath } from "../rpc/rpcServer.js";
@@ -134,7 +134,8 @@
     const decodeHandler: Handler = async (request, response) => {
         const body = await readBody(request, maxReserveBodyBytes);
         if (body.isErr) {
-            sendJson(response, 413, { error: { message: `request body: ${body.error.kind}`, notRun: true } });
+            const { kind } = body.error;
+            sendJson(response, bodyErrorStatuses[kind], { error: { message: `request body: ${kind}`, notRun: true } });
             return;
         }
         const reserve = parseJson(reserveDecodeSchema, body.value.toString("utf8"));
--- a/src/forwarding/forwardRequest.ts
+++ b/src/forwarding/forwardRequest.ts
@@ -39,7 +39,7 @@
  * no engine has run the request or will run it.
  */
 export interface Refusal {
-    readonly status: 400 | 401 | 404 | 413 | 429 | 431 | 502 | 503 | 504;
+    readonly status: 400 | 401 | 404 | 408 | 413 | 429 | 431 | 502 | 503 | 504;
     readonly cause: string;
     readonly retryAfterMs?: number;
 }
--- a/src/rpc/connections.ts
+++ b/src/rpc/connections.ts
@@ -216,7 +216,7 @@
     request.once("end", add);
 }
 
-function hasBody({ headers }: IncomingMessage): boolean {
+export function hasBody({ headers }: IncomingMessage): boolean {
     return headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0;
 }
 
--- a/src/rpc/httpServer.ts
+++ b/src/rpc/httpServer.ts
@@ -6,7 +6,11 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { Result } from "true-myth";
-import { trackConnections } from "./connections.js";
+import { createBodyBlocks } from "./bodyBlocks.js";
+import { createConnectionBudget } from "./connectionBudget.js";
+import { guardConnections, guardOf } from "./connectionGuard.js";
+import type { ConnectionGuardOptions } from "./connectionGuard.js";
+import { hasBody, trackConnections } from "./connections.js";
 import type { Connections, Traffic } from "./connections.js";
 
 export type Handler = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
@@ -16,7 +20,16 @@
 
 export type BodyError =
     | { readonly kind: "tooLarge"; readonly limitBytes: number; }
-    | { readonly kind: "aborted"; };
+    | { readonly kind: "aborted"; }
+    /** The connections hold too much; the request has not run. */
+    | { readonly kind: "overBudget"; }
+    /** It came more slowly than the lowest rate. */
+    | { readonly kind: "tooSlow"; };
+
+/** Status codes of the refusals; a request whose body has not been read has not run. */
+export const bodyErrorStatuses = { tooLarge: 413, aborted: 400, overBudget: 503, tooSlow: 408 } as const;
+/** When a caller may try again that was refused because the connections hold too much. */
+export const overBudgetRetryMs = 1_000;
 
 export interface HttpServer {
     /** Base URL with an IP address, such as `http://127.0.0.1:4100`. */
@@ -42,9 +55,18 @@
 export const closedStatus = 408;
 const farewell = `HTTP/1.1 ${closedStatus} Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
 
+/** For the listeners of a process whose settings name no memory. */
+const defaultGuard: ConnectionGuardOptions = { budget: createConnectionBudget(undefined) };
+
 /** Listens on `address` and `port`; port 0 lets the operating system choose. Rejects if it cannot listen. */
-export async function listen(address: string, port: number, router: Router): Promise<HttpServer> {
+export async function listen(
+    address: string,
+    port: number,
+    router: Router,
+    guard: ConnectionGuardOptions = defaultGuard,
+): Promise<HttpServer> {
     const server = createServer();
+    guardConnections(server, guard);
     const connections = trackConnections(server);
     const running = new Set<Promise<void>>();
     server.on("request", (request, response) => {
@@ -133,29 +155,64 @@
     return new URLSearchParams(queryStart < 0 ? "" : url.slice(queryStart + 1));
 }
 
-/** Reads a request body of at most `limitBytes`. */
-export async function readBody(request: IncomingMessage, limitBytes: number): Promise<Result<Buffer, BodyError>> {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
-    try {
-        for await (const chunk of request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
-            sizeBytes += chunk.length;
-            if (sizeBytes > limitBytes) {
-                break;
+/** Reads a request body of at most `limitBytes`; a connection whose body fails is closed after its responses. */
+export function readBody(request: IncomingMessage, limitBytes: number): Promise<Result<Buffer, BodyError>> {
+    const connection = guardOf(request.socket);
+    const blocks = createBodyBlocks();
+    return new Promise(resolve => {
+        const finish = (outcome: Result<Buffer, BodyError>): void => {
+            request.off("data", onData).off("end", onEnd).off("close", onAbort);
+            resolve(outcome);
+        };
+        const fail = (kind: BodyError["kind"]): void => {
+            blocks.drop();
+            finish(Result.err(kind === "tooLarge" ? { kind, limitBytes } : { kind }));
+        };
+        const onAbort = (): void => fail("aborted");
+        const refuseTooLarge = (): void => {
+            if (connection === undefined) {
+                // Discards the rest, so that the connection can be reused.
+                request.resume();
             }
-            chunks.push(chunk);
+            connection?.yieldFor("tooLarge");
+            fail("tooLarge");
+        };
+        const earlierCause = connection?.yielded();
+        if (earlierCause === "overBudget" || earlierCause !== undefined && !request.complete) {
+            fail(earlierCause);
+            return;
         }
-    }
-    catch {
-        return Result.err({ kind: "aborted" });
-    }
-    if (sizeBytes > limitBytes) {
-        // Discards the rest, so that the connection can be reused. A listener of the iterator keeps the stream paused
-        // until the next turn of the event loop.
-        setImmediate(() => request.resume());
-        return Result.err({ kind: "tooLarge", limitBytes });
-    }
-    return Result.ok(Buffer.concat(chunks));
+        if (request.destroyed) {
+            fail("aborted");
+            return;
+        }
+        request.on("error", () => undefined);
+        if (Number(request.headers["content-length"] ?? 0) > limitBytes) {
+            refuseTooLarge();
+            return;
+        }
+        const holding = hasBody(request) ? connection?.openBody(request, fail) : undefined;
+        function onData(chunk: Buffer): void {
+            holding?.receive(chunk.length);
+            if (blocks.sizeBytes() + chunk.length > limitBytes) {
+                refuseTooLarge();
+            }
+            else if (holding?.charge(blocks.costWith(chunk.length)) !== false) {
+                blocks.append(chunk);
+            }
+        }
+        function onEnd(): void {
+            const sizeBytes = blocks.sizeBytes();
+            if (holding?.charge(blocks.costWith(0) + sizeBytes) === false) {
+                return;
+            }
+            holding?.complete();
+            const body = blocks.take();
+            holding?.charge(sizeBytes);
+            finish(Result.ok(body));
+        }
+        request.on("data", onData).on("end", onEnd).on("close", onAbort);
+    });
 }
 
 /** Sends `value` as a JSON response. */
--- a/src/rpc/rpcServer.ts
+++ b/src/rpc/rpcServer.ts
@@ -7,7 +7,7 @@
 import type { JSONRPCRequest } from "json-rpc-2.0";
 import type { z } from "zod";
 import { checkValue, describeInvalidInput } from "../common/json.js";
-import { disconnectSignal, readBody, sendJson } from "./httpServer.js";
+import { bodyErrorStatuses, disconnectSignal, overBudgetRetryMs, readBody, sendJson } from "./httpServer.js";
 import type { Handler } from "./httpServer.js";
 
 /** What a method receives besides the parameters of a call. */
@@ -27,6 +27,7 @@
 export const rpcPath = "/rpc";
 /** Limit on the body of a call and on that of its response. */
 export const maxRpcBodyBytes = 16 * 1024 * 1024;
+const msPerSecond = 1_000;
 const invalidParamsCode = -32602;
 const parseErrorCode = -32700;
 
@@ -56,7 +57,11 @@
         const signal = disconnectSignal(response);
         const body = await readBody(request, maxRpcBodyBytes);
         if (body.isErr) {
-            sendJson(response, 413, rpcFailure(`request body: ${body.error.kind}`));
+            const { kind } = body.error;
+            const retryAfter: Readonly<Record<string, string>> = kind === "overBudget"
+                ? { "retry-after": String(overBudgetRetryMs / msPerSecond) }
+                : {};
+            sendJson(response, bodyErrorStatuses[kind], rpcFailure(`request body: ${kind}`), retryAfter);
             return;
         }
         const call = parseCall(body.value.toString("utf8"));
--- a/src/telemetry/prometheusMetrics.ts
+++ b/src/telemetry/prometheusMetrics.ts
@@ -13,6 +13,7 @@
     ownPrefills: "prompts that a decode engine read itself because the prefill engines were busy",
     prefillsDiscarded: "prefills whose result was not used",
     callersGone: "requests whose callers went away",
+    connectionsYielded: "connections whose requests were refused for what connections hold, by cause",
     quarantined: "requests refused because engines ended under a part of their prompts",
     exhausted: "requests refused because all engines have got as many as the rates that they name",
     storeCalls: "calls to the platform's store by outcome",
