--- a/src/rpc/connectionGuard.ts
+++ b/src/rpc/connectionGuard.ts
@@ -142,9 +142,14 @@
                 const piece = unfed.subarray(0, length);
                 unfed = length === unfed.length ? undefined : unfed.subarray(length);
                 const wasInBody = isInBody();
+                const wasWritable = socket.writable;
                 headBytes += length;
                 bytesSinceStart += length;
                 deliver?.(piece);
+                if (wasWritable && !socket.writable) {
+                    // The rest of invalid input would be reported as a further error.
+                    unfed = undefined;
+                }
                 if (wasInBody || isInBody()) {
                     headBytes = 0;
                 }
