--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -61,6 +61,8 @@
 import { createStageController } from "../stages/stageController.js";
 import type { DecisionLog } from "../telemetry/decisionLog.js";
 import type { PrometheusMetrics } from "../telemetry/prometheusMetrics.js";
+import { createConnectionLimits } from "./connectionLimits.js";
+import type { ConnectionLimits } from "./connectionLimits.js";
 import type { ForwardingSettings } from "./forwardingSettings.js";
 
 /** What an adapter provides to the entry. */
@@ -95,6 +97,7 @@
     /** Limits on callers' connections, from the desired state in force. */
     readonly limits: () => CallerLimits;
     readonly desiredStateVersion: () => number | undefined;
+    readonly connectionLimits: ConnectionLimits;
     /** Whether both the desired state and the engine registry are known. */
     readonly isReady: () => boolean;
     /**
@@ -362,6 +365,7 @@
         url,
         stableEntries: () => peerSync.stableEntries(),
     });
+    const connectionLimits = createConnectionLimits({ clock, log, metrics }, settings.hostLimits);
     const handler = createRpcHandler({
         ...peerSync.methods,
         ...desiredState.methods,
@@ -372,6 +376,7 @@
         settings.exchange.ip,
         settings.exchange.port,
         (method, path) => method === "POST" && path === rpcPath ? handler : undefined,
+        connectionLimits.others,
     );
 
     /** The routes in force, once the evacuations are known as well: another entry may send a desired state without them. */
@@ -456,6 +461,7 @@
         forward: request => forward(context, request),
         limits: () => desiredState.routes()?.state.limits ?? initialLimits,
         desiredStateVersion: () => desiredState.routes()?.state.version,
+        connectionLimits,
         isReady: () => routes() !== undefined && registryReplica.position().revision >= 0,
         setShutdownDeadline: deadlineMs => {
             shutdown = { startedAtMs: clock.monotonicMs(), deadlineMs };
