Let calls that can no longer be on time wait for a free slot

Cause: a call was refused a quarter of its objective after its arrival.

Change: a call waits for half of its caller's time. One that can no longer be on time is sent only when a slot is free and no call waits that can be on time. What is expected to wait longer, behind those that wait here, is refused at once as before.

Ruled out: sending late calls to the instances' own queues, where they stand before calls that can be on time.

--- a/src/scheduling/plainQueue.ts
+++ b/src/scheduling/plainQueue.ts
@@ -1,9 +1,10 @@
 /**
  * Admission of calls to plain services whose instances report their loads: a call is sent at once if it would be on time,
  * or if a slot is free. Otherwise it waits at the entry, in the order of a comparison that the caller passes, for a part of
- * its objective at most. Then it is refused as not run, and at once if the wait is expected to be longer than that.
+ * its caller's time at most. Then it is refused as not run, and at once if the wait is expected to be longer than that.
  *
- * A call that would end late anyway would only make those behind it late as well; its caller is told when to return.
+ * A call that can no longer be on time would make those behind it late as well, so it is sent only when a slot is free
+ * and no call waits that can be on time.
  */
 
 import type { Clock } from "../common/clock.js";
@@ -57,8 +58,8 @@
 /** Fraction of the objective that a call sent now may take at an instance, and that it may take in all. */
 const sendFraction = 0.75;
 const totalFraction = 0.9;
-/** Fraction of the objective for which a call waits at the entry. */
-const waitFraction = 0.25;
+/** Fraction of its caller's time for which a call waits at the entry; after that, another entry may have room sooner. */
+const waitFraction = 0.5;
 /** Interval at which waiting calls are tried again, since what other entries' calls free is not announced. */
 const retryIntervalMs = 10;
 const maxWaitingCalls = 500;
@@ -111,14 +112,25 @@
         const waitsMs = loads.map(load =>
             load === undefined || hasRoom(load, usualMs, { objectiveMs, elapsedMs })
                 ? 0
-                : Math.max(1, expectedMs(load, usualMs) - longestMs(objectiveMs, elapsedMs))
+                : Math.max(1, expectedMs(load, usualMs) - Math.max(usualMs, longestMs(objectiveMs, elapsedMs)))
         );
         return Math.min(...waitsMs);
     }
 
-    /** Longest wait of a call at the entry; one that is late already waits no longer for a free slot. */
-    function latestMs({ receivedAtMs, deadlineMs, objectiveMs }: WaitingCall): number {
-        return Math.min(deadlineMs, receivedAtMs + waitFraction * objectiveMs);
+    /** Expected wait of a call behind those that wait here already, if this entry alone filled the slots. */
+    function waitBehindMs(call: WaitingCall, waiting: readonly Waiter[]): number {
+        const slots = call.instances().reduce((sum, engine) => sum + (instanceLoads.loadOf(engine)?.slots ?? 0), 0);
+        return roomInMs(call) + waiting.length * (instanceLoads.usualMs(call.service) ?? 0) / Math.max(1, slots);
+    }
+
+    function latestMs({ receivedAtMs, deadlineMs }: WaitingCall): number {
+        return receivedAtMs + waitFraction * (deadlineMs - receivedAtMs);
+    }
+
+    /** Whether the call would end late even if it were sent to a free slot now. */
+    function isLate({ service, receivedAtMs, objectiveMs }: WaitingCall): boolean {
+        const elapsedMs = clock.monotonicMs() - receivedAtMs;
+        return longestMs(objectiveMs, elapsedMs) < (instanceLoads.usualMs(service) ?? 0);
     }
 
     function refuse(
@@ -138,9 +150,9 @@
         const ended = all.filter(({ call }) => call.signal.aborted || nowMs >= latestMs(call));
         const left = all.filter(waiter => !ended.includes(waiter));
         // One at a time: it counts as in flight only after it was sent.
-        const next = left[0];
+        const next = left.find(({ call }) => !isLate(call)) ?? left[0];
         const isAdmitted = next !== undefined && roomInMs(next.call) === 0;
-        const waiting = isAdmitted ? left.slice(1) : left;
+        const waiting = isAdmitted ? left.filter(waiter => waiter !== next) : left;
         if (waiting.length === 0) {
             waiters.delete(service);
         }
@@ -169,10 +181,10 @@
     return {
         admit: call => {
             const waiting = waiters.get(call.service) ?? [];
-            const waitMs = roomInMs(call);
-            if (waiting.length === 0 && waitMs === 0) {
+            if (waiting.every(waiter => isLate(waiter.call)) && roomInMs(call) === 0) {
                 return admitted;
             }
+            const waitMs = waitBehindMs(call, waiting);
             if (waiting.length >= maxWaitingCalls || waitMs > latestMs(call) - clock.monotonicMs()) {
                 return refuse(call, "full", waitMs);
             }
