--- a/src/scheduling/decodeScheduler.ts
+++ b/src/scheduling/decodeScheduler.ts
@@ -164,7 +164,7 @@
         return [...ranked.filter(hasPrefill), ...ranked.filter(engine => !hasPrefill(engine))];
     }
 
-    /** Whether the request left the queue: with an allocation, or because its caller disconnected. */
+    /** Whether the request left the queue: with an allocation, or because its caller disconnected or it yielded. */
     async function tryAllocate(item: QueuedGeneration): Promise<boolean> {
         const { engineSpec, request } = item.generation;
         const queue = queueOf(item.generation);
