--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -60,6 +60,7 @@
 import { createOrderLeadership } from "../stages/orderLeadership.js";
 import { createStageController } from "../stages/stageController.js";
 import type { DecisionLog } from "../telemetry/decisionLog.js";
+import { createLoopDelays } from "../telemetry/loopDelays.js";
 import type { PrometheusMetrics } from "../telemetry/prometheusMetrics.js";
 import { createConnectionLimits } from "./connectionLimits.js";
 import type { ConnectionLimits } from "./connectionLimits.js";
@@ -366,6 +367,7 @@
         stableEntries: () => peerSync.stableEntries(),
     });
     const connectionLimits = createConnectionLimits({ clock, log, metrics }, settings.hostLimits);
+    const loopDelays = createLoopDelays(clock, log);
     const handler = createRpcHandler({
         ...peerSync.methods,
         ...desiredState.methods,
@@ -396,7 +398,7 @@
         while (!stopping.signal.aborted) {
             retryBudget.setEntryCount(peerSync.members());
             quota.setReportingFraction(peerSync.liveFraction());
-            await clock.sleep(peerRefreshMs, stopping.signal);
+            await loopDelays.sleep(peerRefreshMs, stopping.signal);
         }
     }
 
@@ -415,6 +417,11 @@
     metrics.gauge("callsWaiting", "plain calls that wait for a slot", plainQueue.waitingCalls);
     metrics.gauge("coldEngines", "engines that get few requests because they are cold", coldEngines.count);
     metrics.gauge("desiredStateVersion", "version in force", desiredState.version);
+    metrics.gauge(
+        "heldUpMs",
+        "longest time for which the process was held up since the metrics were read last",
+        loopDelays.takeLongestMs,
+    );
     metrics.gauge(
         "storeSilenceMs",
         "time since the store confirmed the desired state",
