--- a/src/rpc/httpServer.ts
+++ b/src/rpc/httpServer.ts
@@ -53,7 +53,7 @@
 const receiveTimeoutMs = 15_000;
 /** Says on a connection that is closed as idle that no further request on it has been run, nor will be. */
 export const closedStatus = 408;
-const farewell = `HTTP/1.1 ${closedStatus} Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
+export const farewell = `HTTP/1.1 ${closedStatus} Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
 
 /** For the listeners of a process whose settings name no memory. */
 const defaultGuard: ConnectionGuardOptions = { budget: createConnectionBudget(undefined) };
