Keep serving when the log cannot be written

Callers of an entry lost the requests that it had read, because the entry ended when the reader of its log was behind or had gone.

Cause: standard output was a stream of fs.createWriteStream, which fails after five immediate tries when a pipe is full, and nothing handled its event 'error'.

A pipe that was full at the start: exit code 1 after 0.2 s, also one opened as blocking. test/processErrors.test.ts failed: the entry ended with the first line after its reader had gone, and its running streams were reset.

Change: a stream of our own writes to the descriptor, tries again after 50 ms while the reader is behind, and drops the bytes after another error.

Whether the users' entries ended this way is not known: they kept no logs.

--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -28,6 +28,8 @@
     /** Log output of all processes of this entry so far. */
     readonly wholeLog: () => string;
     readonly signal: (signal: NodeJS.Signals) => void;
+    /** Stops to read the log output of the current process. */
+    readonly closeLog: () => void;
     /** Largest resident memory of the current process so far. */
     readonly peakMemoryBytes: () => number;
     /** Open descriptors of the current process. */
@@ -162,18 +164,35 @@
     return fetch(entry.readyUrl).then(response => response.status === 200, () => false);
 }
 
+interface EntryChild {
+    readonly child: ChildProcess;
+    readonly log: () => string;
+    readonly closeLog: () => void;
+}
+
 function startProcess(
     settingsFile: string,
     heapMb: number,
-): { readonly child: ChildProcess; readonly log: () => string; } {
-    const child = spawn(process.execPath, [`--max-old-space-size=${heapMb}`, "dist/platform/main.js"], {
-        env: { GOOSEBERRYWELL_BOOT: settingsFile, PATH: process.env["PATH"] },
-        stdio: ["ignore", "pipe", "pipe"],
-    });
+): EntryChild {
+    const child = spawn(
+        process.execPath,
+        [`--max-old-space-size=${heapMb}`, "dist/platform/main.js"],
+        {
+            env: { GOOSEBERRYWELL_BOOT: settingsFile, PATH: process.env["PATH"] },
+            stdio: ["ignore", "pipe", "pipe"],
+        },
+    );
     let text = "";
     child.stdout.on("data", (chunk: Buffer) => (text += chunk.toString()));
     child.stderr.on("data", (chunk: Buffer) => (text += chunk.toString()));
-    return { child, log: () => text };
+    return {
+        child,
+        log: () => text,
+        closeLog: () => {
+            child.stdout.destroy();
+            child.stderr.destroy();
+        },
+    };
 }
 
 async function startEntryProcess(
@@ -219,6 +238,7 @@
         log: () => state.current.log(),
         wholeLog: () => state.earlierLog + state.current.log(),
         signal: (signal: NodeJS.Signals) => void state.current.child.kill(signal),
+        closeLog: () => state.current.closeLog(),
         peakMemoryBytes: () => {
             const status = readFileSync(`/proc/${state.current.child.pid}/status`, "utf8");
             return Number(/^VmHWM:\s*(\d+) kB$/mu.exec(status)?.[1]) * bytesPerKilobyte;
--- a/src/telemetry/decisionLog.test.ts
+++ b/src/telemetry/decisionLog.test.ts
@@ -5,7 +5,7 @@
 import { Writable } from "node:stream";
 import { describe, expect, it } from "vitest";
 import { createVirtualClock } from "../../fakes/virtualClock.js";
-import { createDecisionLog } from "./decisionLog.js";
+import { createDecisionLog, openStandardOutput } from "./decisionLog.js";
 
 const settings = { linesPerSecond: 5, maxPendingBytes: 10_000, batchIntervalMs: 50 };
 
@@ -95,3 +95,32 @@
         expect(linesOf(writes)).toMatchObject([{ message: "the last line" }]);
     });
 });
+
+describe("standard output", () => {
+    // Any of these errors ended the entry, with every request that it had read.
+    it.each([
+        { name: "its reader is behind", failures: ["EAGAIN", "EAGAIN", "EAGAIN"], lost: 0 },
+        { name: "its reader is behind for long", failures: Array.from({ length: 40 }, () => "EAGAIN"), lost: 0 },
+        { name: "its reader has gone", failures: ["EPIPE"], lost: 1 },
+        { name: "there is no space left", failures: ["ENOSPC", "ENOSPC"], lost: 2 },
+    ])("$name: it goes on, and loses no bytes but those that cannot be written", async ({ failures, lost }) => {
+        const clock = createVirtualClock();
+        const pending = [...failures];
+        let written = "";
+        const output = openStandardOutput(clock, (bytes, done) => {
+            const code = pending.shift();
+            // Writes a few bytes at a time, as a pipe does that is nearly full.
+            const count = code === undefined ? Math.min(7, bytes.length) : 0;
+            written += bytes.subarray(0, count).toString();
+            const error = code === undefined ? null : Object.assign(new Error(code), { code });
+            setImmediate(() => done(error, count));
+        });
+        for (let line = 0; line < 4; line++) {
+            output.write(`line ${line} of the log\n`);
+            await clock.advance(2_500);
+        }
+        await clock.advance(2_500);
+        const lines = [0, 1, 2, 3].map(line => `line ${line} of the log\n`);
+        expect(written).toBe(lines.slice(lost).join(""));
+    });
+});
--- a/src/telemetry/decisionLog.ts
+++ b/src/telemetry/decisionLog.ts
@@ -6,8 +6,8 @@
  * limit, all lines are dropped.
  */
 
-import { createWriteStream } from "node:fs";
-import type { Writable } from "node:stream";
+import { write as writeToDescriptor } from "node:fs";
+import { Writable } from "node:stream";
 import { createLogger, format, transports } from "winston";
 import type { Clock } from "../common/clock.js";
 import type { Log } from "./telemetry.js";
@@ -38,10 +38,39 @@
 
 const msPerSecond = 1_000;
 const standardOutput = 1;
+/** Until the output is tried again while its reader is behind. */
+const outputRetryMs = 50;
 
-/** Opens a stream to standard output that does not block on a slow reader, as `process.stdout` would. */
-export function openStandardOutput(): Writable {
-    return createWriteStream("", { fd: standardOutput, autoClose: false });
+/** Writes some of the bytes to standard output; `done` gets the number of those written. */
+export type WriteOutput = (bytes: Buffer, done: (error: NodeJS.ErrnoException | null, written: number) => void) => void;
+
+/**
+ * Opens a stream to standard output that does not block on a slow reader, as `process.stdout` would, and that never
+ * fails: an entry goes on without its log. While the reader of a descriptor that does not block is behind, the bytes are
+ * written again later; after another error, such as that the reader has gone, they are dropped.
+ */
+export function openStandardOutput(
+    clock: Pick<Clock, "sleep">,
+    write: WriteOutput = (bytes, done) => writeToDescriptor(standardOutput, bytes, done),
+): Writable {
+    const writeAll = (bytes: Buffer, done: () => void): void =>
+        write(bytes, (error, written) => {
+            const isBehind = error?.code === "EAGAIN";
+            const rest = isBehind ? bytes : bytes.subarray(written);
+            if (error !== null && !isBehind || rest.length === 0) {
+                done();
+            }
+            else if (isBehind || written === 0) {
+                void clock.sleep(outputRetryMs).then(() => writeAll(rest, done));
+            }
+            else {
+                writeAll(rest, done);
+            }
+        });
+    return new Writable({
+        write: (chunk: Buffer, encoding, done) => writeAll(chunk, done),
+        writev: (chunks, done) => writeAll(Buffer.concat(chunks.map(({ chunk }) => chunk as Buffer)), done),
+    });
 }
 
 export function createDecisionLog(
