Keep serving when a listener fails to accept a connection

A listener that failed to accept twice (no descriptor, no memory, an error of the network that accept passes on) would have ended the entry with all requests that it had read: only `once("error")` was set, for errors of the start, which took the first one and said nothing.

Evidence: a stand-in for the new module that holds the code as it was failed src/rpc/openListener.test.ts with the second error. No accept error was produced with a real process; found by reading.

Change: one module opens the listeners for callers, readiness, metrics and the exchange. Errors after the start are logged; those of the start reject as before.

--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -377,6 +377,11 @@
         settings.exchange.port,
         (method, path) => method === "POST" && path === rpcPath ? handler : undefined,
         connectionLimits.others,
+        error =>
+            log.warn("a listener failed to accept a connection", {
+                port: settings.exchange.port,
+                cause: error.message,
+            }),
     );
 
     /** The routes in force, once the evacuations are known as well: another entry may send a desired state without them. */
--- a/src/rpc/httpServer.ts
+++ b/src/rpc/httpServer.ts
@@ -12,6 +12,7 @@
 import type { ConnectionGuardOptions } from "./connectionGuard.js";
 import { hasBody, trackConnections } from "./connections.js";
 import type { Connections, Traffic } from "./connections.js";
+import { openListener } from "./openListener.js";
 
 export type Handler = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
 
@@ -58,12 +59,16 @@
 /** For the listeners of a process whose settings name no memory. */
 const defaultGuard: ConnectionGuardOptions = { budget: createConnectionBudget(undefined) };
 
-/** Listens on `address` and `port`; port 0 lets the operating system choose. Rejects if it cannot listen. */
+/**
+ * Listens on `address` and `port`; port 0 lets the operating system choose. Rejects if it cannot listen; `onError` gets the
+ * errors after that.
+ */
 export async function listen(
     address: string,
     port: number,
     router: Router,
     guard: ConnectionGuardOptions = defaultGuard,
+    onError: (error: Error) => void = () => undefined,
 ): Promise<HttpServer> {
     const server = createServer();
     guardConnections(server, guard);
@@ -80,10 +85,7 @@
     });
     server.keepAliveTimeout = keepAliveTimeoutMs;
     server.requestTimeout = 0;
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(port, address, () => resolve());
-    });
+    await openListener(server, { port, host: address }, onError);
     const bound = server.address() as AddressInfo;
     return {
         url: `http://${bound.address}:${bound.port}`,
