--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -65,6 +65,7 @@
     info: () => undefined,
     warn: () => undefined,
     decision: () => undefined,
+    error: () => undefined,
     flush: async () => undefined,
 };
 
--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -102,6 +102,8 @@
     readonly settingsLines?: readonly string[];
     /** Limit on the heap of an entry, in megabytes; as in `deploy/system.toml` by default. */
     readonly heapMb?: number;
+    /** Further arguments of Node.js, for the entries. */
+    readonly nodeArguments?: readonly string[];
 }
 
 export const siteKey = "key-of-the-walkers";
@@ -173,10 +175,11 @@
 function startProcess(
     settingsFile: string,
     heapMb: number,
+    nodeArguments: readonly string[],
 ): EntryChild {
     const child = spawn(
         process.execPath,
-        [`--max-old-space-size=${heapMb}`, "dist/platform/main.js"],
+        [`--max-old-space-size=${heapMb}`, ...nodeArguments, "dist/platform/main.js"],
         {
             env: { GOOSEBERRYWELL_BOOT: settingsFile, PATH: process.env["PATH"] },
             stdio: ["ignore", "pipe", "pipe"],
@@ -201,7 +204,10 @@
     storeAddress: string,
     ports: readonly number[],
     seedAddress: string,
-    { settingsLines = [], heapMb = defaultHeapMb }: Pick<PlatformSiteOptions, "settingsLines" | "heapMb">,
+    { settingsLines = [], heapMb = defaultHeapMb, nodeArguments = [] }: Pick<
+        PlatformSiteOptions,
+        "settingsLines" | "heapMb" | "nodeArguments"
+    >,
 ): Promise<EntryProcess> {
     const [front, readiness, control, metrics] = ports;
     const file = join(directory, `entry-${index}.conf`);
@@ -226,7 +232,7 @@
             ...settingsLines,
         ].join("\n"),
     );
-    const state = { current: startProcess(file, heapMb), earlierLog: "" };
+    const state = { current: startProcess(file, heapMb, nodeArguments), earlierLog: "" };
     const exitOf = (child: ChildProcess): EntryProcess["exited"] =>
         new Promise(resolve => child.once("exit", (code, signal) => resolve(code ?? signal)));
     const entry = {
@@ -248,7 +254,7 @@
         restart: async () => {
             await entry.exited;
             state.earlierLog = entry.wholeLog();
-            state.current = startProcess(file, heapMb);
+            state.current = startProcess(file, heapMb, nodeArguments);
             entry.exited = exitOf(state.current.child);
         },
     };
--- a/src/telemetry/decisionLog.ts
+++ b/src/telemetry/decisionLog.ts
@@ -15,6 +15,7 @@
 export type LogFields = Readonly<Record<string, unknown>>;
 
 export interface DecisionLog extends Log {
+    readonly error: (message: string, fields: LogFields) => void;
     /** Logs a decision about a single request; dropped above the rate limit. */
     readonly decision: (message: string, fields: LogFields) => void;
     /** Resolves when all lines logged so far are written; called before the process exits. */
@@ -98,7 +99,7 @@
         output.uncork();
     }
 
-    function write(level: "info" | "warn", message: string, fields: LogFields = {}): void {
+    function write(level: "info" | "warn" | "error", message: string, fields: LogFields = {}): void {
         if (output.writableLength > settings.maxPendingBytes) {
             droppedLines += 1;
             return;
@@ -114,6 +115,7 @@
     return {
         info: (message, fields) => write("info", message, fields),
         warn: (message, fields) => write("warn", message, fields),
+        error: (message, fields) => write("error", message, fields),
         decision: (message, fields) => {
             const nowMs = clock.monotonicMs();
             if (nowMs - windowStartMs >= msPerSecond) {
