--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -28,6 +28,8 @@
     /** Log output of all processes of this entry so far. */
     readonly wholeLog: () => string;
     readonly signal: (signal: NodeJS.Signals) => void;
+    /** Stops to read the log output of the current process. */
+    readonly closeLog: () => void;
     /** Largest resident memory of the current process so far. */
     readonly peakMemoryBytes: () => number;
     /** Open descriptors of the current process. */
@@ -100,6 +102,8 @@
     readonly settingsLines?: readonly string[];
     /** Limit on the heap of an entry, in megabytes; as in `deploy/system.toml` by default. */
     readonly heapMb?: number;
+    /** Further arguments of Node.js, for the entries. */
+    readonly nodeArguments?: readonly string[];
 }
 
 export const siteKey = "key-of-the-walkers";
@@ -162,18 +166,36 @@
     return fetch(entry.readyUrl).then(response => response.status === 200, () => false);
 }
 
+interface EntryChild {
+    readonly child: ChildProcess;
+    readonly log: () => string;
+    readonly closeLog: () => void;
+}
+
 function startProcess(
     settingsFile: string,
     heapMb: number,
-): { readonly child: ChildProcess; readonly log: () => string; } {
-    const child = spawn(process.execPath, [`--max-old-space-size=${heapMb}`, "dist/platform/main.js"], {
-        env: { GOOSEBERRYWELL_BOOT: settingsFile, PATH: process.env["PATH"] },
-        stdio: ["ignore", "pipe", "pipe"],
-    });
+    nodeArguments: readonly string[],
+): EntryChild {
+    const child = spawn(
+        process.execPath,
+        [`--max-old-space-size=${heapMb}`, ...nodeArguments, "dist/platform/main.js"],
+        {
+            env: { GOOSEBERRYWELL_BOOT: settingsFile, PATH: process.env["PATH"] },
+            stdio: ["ignore", "pipe", "pipe"],
+        },
+    );
     let text = "";
     child.stdout.on("data", (chunk: Buffer) => (text += chunk.toString()));
     child.stderr.on("data", (chunk: Buffer) => (text += chunk.toString()));
-    return { child, log: () => text };
+    return {
+        child,
+        log: () => text,
+        closeLog: () => {
+            child.stdout.destroy();
+            child.stderr.destroy();
+        },
+    };
 }
 
 async function startEntryProcess(
@@ -182,7 +204,10 @@
     storeAddress: string,
     ports: readonly number[],
     seedAddress: string,
-    { settingsLines = [], heapMb = defaultHeapMb }: Pick<PlatformSiteOptions, "settingsLines" | "heapMb">,
+    { settingsLines = [], heapMb = defaultHeapMb, nodeArguments = [] }: Pick<
+        PlatformSiteOptions,
+        "settingsLines" | "heapMb" | "nodeArguments"
+    >,
 ): Promise<EntryProcess> {
     const [front, readiness, control, metrics] = ports;
     const file = join(directory, `entry-${index}.conf`);
@@ -207,7 +232,7 @@
             ...settingsLines,
         ].join("\n"),
     );
-    const state = { current: startProcess(file, heapMb), earlierLog: "" };
+    const state = { current: startProcess(file, heapMb, nodeArguments), earlierLog: "" };
     const exitOf = (child: ChildProcess): EntryProcess["exited"] =>
         new Promise(resolve => child.once("exit", (code, signal) => resolve(code ?? signal)));
     const entry = {
@@ -219,6 +244,7 @@
         log: () => state.current.log(),
         wholeLog: () => state.earlierLog + state.current.log(),
         signal: (signal: NodeJS.Signals) => void state.current.child.kill(signal),
+        closeLog: () => state.current.closeLog(),
         peakMemoryBytes: () => {
             const status = readFileSync(`/proc/${state.current.child.pid}/status`, "utf8");
             return Number(/^VmHWM:\s*(\d+) kB$/mu.exec(status)?.[1]) * bytesPerKilobyte;
@@ -228,7 +254,7 @@
         restart: async () => {
             await entry.exited;
             state.earlierLog = entry.wholeLog();
-            state.current = startProcess(file, heapMb);
+            state.current = startProcess(file, heapMb, nodeArguments);
             entry.exited = exitOf(state.current.child);
         },
     };
--- a/src/telemetry/decisionLog.ts
+++ b/src/telemetry/decisionLog.ts
@@ -6,8 +6,8 @@
  * limit, all lines are dropped.
  */
 
-import { createWriteStream } from "node:fs";
-import type { Writable } from "node:stream";
+import { write as writeToDescriptor } from "node:fs";
+import { Writable } from "node:stream";
 import { createLogger, format, transports } from "winston";
 import type { Clock } from "../common/clock.js";
 import type { Log } from "./telemetry.js";
@@ -15,6 +15,7 @@
 export type LogFields = Readonly<Record<string, unknown>>;
 
 export interface DecisionLog extends Log {
+    readonly error: (message: string, fields: LogFields) => void;
     /** Logs a decision about a single request; dropped above the rate limit. */
     readonly decision: (message: string, fields: LogFields) => void;
     /** Resolves when all lines logged so far are written; called before the process exits. */
@@ -38,10 +39,39 @@
 
 const msPerSecond = 1_000;
 const standardOutput = 1;
+/** Until the output is tried again while its reader is behind. */
+const outputRetryMs = 50;
 
-/** Opens a stream to standard output that does not block on a slow reader, as `process.stdout` would. */
-export function openStandardOutput(): Writable {
-    return createWriteStream("", { fd: standardOutput, autoClose: false });
+/** Writes some of the bytes to standard output; `done` gets the number of those written. */
+export type WriteOutput = (bytes: Buffer, done: (error: NodeJS.ErrnoException | null, written: number) => void) => void;
+
+/**
+ * Opens a stream to standard output that does not block on a slow reader, as `process.stdout` would, and that never
+ * fails: an entry goes on without its log. While the reader of a descriptor that does not block is behind, the bytes are
+ * written again later; after another error, such as that the reader has gone, they are dropped.
+ */
+export function openStandardOutput(
+    clock: Pick<Clock, "sleep">,
+    write: WriteOutput = (bytes, done) => writeToDescriptor(standardOutput, bytes, done),
+): Writable {
+    const writeAll = (bytes: Buffer, done: () => void): void =>
+        write(bytes, (error, written) => {
+            const isBehind = error?.code === "EAGAIN";
+            const rest = isBehind ? bytes : bytes.subarray(written);
+            if (error !== null && !isBehind || rest.length === 0) {
+                done();
+            }
+            else if (isBehind || written === 0) {
+                void clock.sleep(outputRetryMs).then(() => writeAll(rest, done));
+            }
+            else {
+                writeAll(rest, done);
+            }
+        });
+    return new Writable({
+        write: (chunk: Buffer, encoding, done) => writeAll(chunk, done),
+        writev: (chunks, done) => writeAll(Buffer.concat(chunks.map(({ chunk }) => chunk as Buffer)), done),
+    });
 }
 
 export function createDecisionLog(
@@ -69,7 +99,7 @@
         output.uncork();
     }
 
-    function write(level: "info" | "warn", message: string, fields: LogFields = {}): void {
+    function write(level: "info" | "warn" | "error", message: string, fields: LogFields = {}): void {
         if (output.writableLength > settings.maxPendingBytes) {
             droppedLines += 1;
             return;
@@ -85,6 +115,7 @@
     return {
         info: (message, fields) => write("info", message, fields),
         warn: (message, fields) => write("warn", message, fields),
+        error: (message, fields) => write("error", message, fields),
         decision: (message, fields) => {
             const nowMs = clock.monotonicMs();
             if (nowMs - windowStartMs >= msPerSecond) {
