Don't take a stream for run that ended with its connection and its engine

Cause: a stream without a length or chunks ends with its connection, as it does when its engine ends after a whole event.

Change: such an end is reported as closed. Unless the run has written for long enough, the engine is asked whether it runs on before the parts count as sound, and the parts are suspected if it has ended.

--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -85,7 +85,7 @@
         const failure = await relayEvents(generation, stream, relayed, state);
         stream.end();
         if (failure === undefined) {
-            void stream.run.end("completed");
+            void stream.run.end(stream.response.framing === "connection" ? "closed" : "completed");
             relayed.push(endOfStream);
             return;
         }
--- a/src/quarantine/engineRuns.test.ts
+++ b/src/quarantine/engineRuns.test.ts
@@ -60,14 +60,30 @@
     { name: "it doesn't respond", how: "broken", reports: [errorOf("timeout")], isSuspected: false },
     { name: "the request was abandoned", how: "abandoned", reports: [refused], isSuspected: false },
     { name: "the request was complete", how: "completed", reports: [refused], isSuspected: false },
+    { name: "it wrote a little and closed the connection", how: "closed", reports: [refused], isSuspected: true },
+    { name: "it wrote for long, then closed", how: "closed", outputMs: 3_000, reports: [refused], isSuspected: false },
+    { name: "it closed the connection and runs on", how: "closed", reports: [reportOf(1)], isSuspected: false },
 ];
 
 describe("an engine breaks off a request", () => {
     it.each(endCases)("$name: suspected $isSuspected", async ({ how, outputMs, outputs, reports, isSuspected }) => {
         const entry = createQuarantineEntry(createVirtualClock(), reports);
-        expect(await entry.run("e1", "p", how, outputMs, outputs)).toBe(isSuspected);
+        // The caller of a response that closed has had its end, so nothing depends on what is found out.
+        expect(await entry.run("e1", "p", how, outputMs, outputs)).toBe(isSuspected && how === "broken");
         expect(entry.quarantine.evidence().map(({ part }) => part)).toEqual(isSuspected ? ["p"] : []);
     });
+
+    // A deadly part counted as sound each time when the response had ended in order with its engine.
+    it.each([
+        { check: "runs on", reports: [reportOf(1)], isRefuted: true },
+        { check: "has ended", reports: [refused], isRefuted: false },
+        { check: "can't be asked", reports: [errorOf("timeout")], isRefuted: false },
+    ])("a response that ended with its connection refutes evidence: engine $check", async ({ reports, isRefuted }) => {
+        const entry = createQuarantineEntry(createVirtualClock(), reports);
+        ["e1", "e2"].forEach(id => entry.quarantine.recordEngineEnd({ id, bornMs: 1 }, ["p"], 0));
+        await entry.run("e3", "p", "closed");
+        expect(entry.isRefused("p")).toBe(!isRefuted);
+    });
 });
 
 describe("an engine that does not respond to the question whether it has ended", () => {
--- a/src/quarantine/engineRuns.ts
+++ b/src/quarantine/engineRuns.ts
@@ -2,7 +2,8 @@
  * Runs of requests at engines, from which the quarantine learns: which engines ended under them, and which requests ran.
  *
  * An engine that broke off a response has ended if nothing listens at its address any more, or if another start of an
- * engine does. If it can't be asked, it has ended once another start is registered at its address.
+ * engine does. If it can't be asked, it has ended once another start is registered at its address. The same decides
+ * whether a response that ended with its connection is complete.
  */
 
 import type { Clock } from "../common/clock.js";
@@ -12,8 +13,11 @@
 import { isFingerprint } from "./requestFingerprint.js";
 import type { RequestQuarantine } from "./requestQuarantine.js";
 
-/** How a run ended. `abandoned` proves nothing: it was cancelled, or its engine did not accept it. */
-export type RunEnd = "completed" | "broken" | "abandoned";
+/**
+ * How a run ended. `closed` is a response that ended with its connection: its engine has written all of it or has ended.
+ * `abandoned` proves nothing: the run was cancelled, or its engine did not accept it.
+ */
+export type RunEnd = "completed" | "closed" | "broken" | "abandoned";
 
 /** A request, or the prefill of one, that was sent to an engine. */
 export interface EngineRun {
@@ -98,13 +102,9 @@
         return false;
     }
 
-    /** Returns whether the engine has ended and there are parts to suspect. */
-    async function recordBreak(engine: EngineRecord, parts: readonly string[]): Promise<boolean> {
+    /** Finds out whether an engine has ended, and if so, records that it did under these parts. */
+    async function recordIfEnded(engine: EngineRecord, suspected: readonly string[]): Promise<EngineCheck> {
         const brokenAtMs = clock.monotonicMs();
-        const suspected = quarantine.suspectable(parts);
-        if (suspected.length === 0) {
-            return false;
-        }
         const result = await checkOnce(engine);
         if (result === "unknown") {
             void awaitReplacement(engine).then(isEnded =>
@@ -114,7 +114,21 @@
         if (result === "ended") {
             quarantine.recordEngineEnd(engine, suspected, brokenAtMs);
         }
-        return result === "ended";
+        return result;
+    }
+
+    /** Returns whether the engine has ended and there are parts to suspect. */
+    async function recordBreak(engine: EngineRecord, parts: readonly string[]): Promise<boolean> {
+        const suspected = quarantine.suspectable(parts);
+        return suspected.length > 0 && await recordIfEnded(engine, suspected) === "ended";
+    }
+
+    /** The engine is not asked if other requests have just run with all parts of the prompt. */
+    async function recordClose(engine: EngineRecord, parts: readonly string[]): Promise<void> {
+        const suspected = quarantine.suspectable(parts);
+        if (suspected.every(isFingerprint) || await recordIfEnded(engine, suspected) === "running") {
+            quarantine.recordSound(parts);
+        }
     }
 
     return {
@@ -128,10 +142,14 @@
                 },
                 end: async how => {
                     const writtenForMs = outputAtMs === undefined ? 0 : clock.monotonicMs() - outputAtMs;
-                    if (how === "completed") {
+                    if (how === "completed" || (how === "closed" && isPastStart(writtenForMs, outputs))) {
                         quarantine.recordSound(parts);
                         return false;
                     }
+                    if (how === "closed") {
+                        await recordClose(engine, parts);
+                        return false;
+                    }
                     if (how === "broken" && isPastStart(writtenForMs, outputs)) {
                         // Its prompt is sound; the request as a whole has not run to its end.
                         quarantine.recordSound(parts.filter(part => !isFingerprint(part)));
