Count the grace period of a stop from when SIGTERM was sent

Callers of an entry that stops got no answer to calls that had run, if the entry handled SIGTERM over 0.6 s after it was sent: the process was killed first.

Cause: the deadline for requests, the end of the drain and the early 502 counted from when the signal was handled. The platform's grace period counts from when it was sent. A long turn of the event loop, or a host with little processor time, lies between.

The line "stopping" has handledAfterMs.

Ruled out: little processor time alone, without a long turn (10 ms on and 10 to 40 ms off, 20 ms of each 100 ms): eight stops, 2,494 requests on the old code, none lost.

--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -100,11 +100,8 @@
     readonly connectionLimits: ConnectionLimits;
     /** Whether both the desired state and the engine registry are known. */
     readonly isReady: () => boolean;
-    /**
-     * Begins the shutdown: sets the monotonic time at which draining ends at the latest. Requests that might not end by then
-     * are refused.
-     */
-    readonly setShutdownDeadline: (deadlineMs: number) => void;
+    /** Begins the shutdown. Requests that might not end by its deadline are refused. */
+    readonly beginShutdown: (begun: Shutdown) => void;
     /** Stops the background tasks, notifies the other entries, and removes this entry's row from the store. */
     readonly leave: () => Promise<void>;
     /** Closes the peer listener and all connections at once. */
@@ -463,8 +460,8 @@
         desiredStateVersion: () => desiredState.routes()?.state.version,
         connectionLimits,
         isReady: () => routes() !== undefined && registryReplica.position().revision >= 0,
-        setShutdownDeadline: deadlineMs => {
-            shutdown = { startedAtMs: clock.monotonicMs(), deadlineMs };
+        beginShutdown: begun => {
+            shutdown = begun;
         },
         leave: async () => {
             stopping.abort();
--- a/src/daemon/shutDown.test.ts
+++ b/src/daemon/shutDown.test.ts
@@ -13,6 +13,8 @@
 
 interface Case {
     readonly name: string;
+    /** Time after the signal at which it is handled, at once by default. */
+    readonly handledAfterMs?: number;
     /** Time after the signal at which the last request begins, at once by default. */
     readonly runningFromMs?: number;
     /** Time after the signal at which it ends; its connection is open until then. */
@@ -56,6 +58,26 @@
     { name: "a request does not end", runningUntilMs: 60_000, leave: done, close: done, from: 7_000, to: 7_900 },
     { name: "another entry is dead", runningUntilMs: 60_000, leave: () => never, close: done, from: 7_000, to: 7_900 },
     // The process went on until it was killed.
+    {
+        name: "the signal is handled late, and a request does not end",
+        handledAfterMs: 700,
+        runningUntilMs: 60_000,
+        leave: () => never,
+        close: done,
+        from: 7_000,
+        to: 7_900,
+    },
+    // Would be ended before the last sixth of the grace period if the signal was sent just before it was handled.
+    {
+        name: "the signal is handled very late, and a request does not end",
+        handledAfterMs: 1_200,
+        runningUntilMs: 60_000,
+        leave: done,
+        close: done,
+        from: 7_800,
+        to: 7_950,
+    },
+    // The process went on until it was killed.
     { name: "notifying the others fails", runningUntilMs: 0, leave: fail, close: done, from: 2_500, to: 3_500 },
     { name: "a connection hangs", runningUntilMs: 60_000, leave: done, close: () => never, from: 7_000, to: 7_900 },
     {
@@ -71,8 +93,12 @@
 describe("shutdown of an entry", () => {
     it.each(cases)(
         "$name: ends between $from and $to ms after the signal",
-        async ({ runningFromMs = 0, runningUntilMs, acceptingUntilMs = 0, leave, close, from, to }) => {
+        async (
+            { handledAfterMs = 0, runningFromMs = 0, runningUntilMs, acceptingUntilMs = 0, leave, close, from, to },
+        ) => {
             const clock = createVirtualClock();
+            const signalledAtMs = clock.monotonicMs();
+            await clock.advance(handledAfterMs);
             const countUntilEnd = (fromMs: number): number =>
                 clock.monotonicMs() >= fromMs && clock.monotonicMs() < runningUntilMs ? 1 : 0;
             const steps: string[] = [];
@@ -81,9 +107,11 @@
             const ended = shutDown({
                 clock,
                 log: silentDecisionLog,
+                signalledAtMs,
                 graceMs,
                 entry: {
-                    setShutdownDeadline: deadlineMs => void steps.push(`setShutdownDeadline ${deadlineMs}`),
+                    beginShutdown: ({ startedAtMs, deadlineMs }) =>
+                        void steps.push(`beginShutdown ${startedAtMs} ${deadlineMs}`),
                     leave: () => {
                         leftAtMs = clock.monotonicMs();
                         return leave();
@@ -101,13 +129,13 @@
             }).then(() => {
                 endedAtMs = clock.monotonicMs();
             });
-            for (let elapsedMs = 0; elapsedMs < graceMs; elapsedMs += 100) {
+            for (let elapsedMs = handledAfterMs; elapsedMs < graceMs; elapsedMs += 100) {
                 await clock.advance(100);
             }
             expect(endedAtMs ?? Number.POSITIVE_INFINITY).toBeGreaterThanOrEqual(from);
             expect(endedAtMs ?? Number.POSITIVE_INFINITY).toBeLessThanOrEqual(to);
             expect(leftAtMs).toBeGreaterThanOrEqual(Math.min(runningUntilMs, graceMs - 1_000));
-            expect(steps.slice(0, 2)).toEqual(["announceClose", `setShutdownDeadline ${graceMs - 500}`]);
+            expect(steps.slice(0, 2)).toEqual(["announceClose", `beginShutdown 0 ${graceMs - 500}`]);
             await ended;
         },
     );
--- a/src/daemon/shutDown.ts
+++ b/src/daemon/shutDown.ts
@@ -4,6 +4,8 @@
  *
  * The drain ends once no connection can bring a request any more, not as soon as no request is running: one may be
  * arriving. Everything that requests need is kept until then.
+ *
+ * The grace period counts from when the signal was sent, which on a slow host may be some time before it is handled.
  */
 
 import type { Clock } from "../common/clock.js";
@@ -32,14 +34,18 @@
 export interface ShutDownDependencies {
     readonly clock: Clock;
     readonly log: DecisionLog;
+    /** Monotonic time at which the signal was sent at the earliest. */
+    readonly signalledAtMs: number;
     /** Time from the signal until the process is killed. */
     readonly graceMs: number;
-    readonly entry: Pick<ForwardingEntry, "setShutdownDeadline" | "leave" | "close">;
+    readonly entry: Pick<ForwardingEntry, "beginShutdown" | "leave" | "close">;
     readonly ingress: DrainableListener;
 }
 
 /** Draining stops this long before the process would be killed. */
 const exitMarginMs = 500;
+/** The platform expects that requests which came in time are ended only in this last part of the grace period. */
+const lastFraction = 1 / 6;
 /** Time limit for notifying the other entries and the store, since one of them may be dead or cut off. */
 const leaveTimeoutMs = 250;
 /**
@@ -50,13 +56,20 @@
 const pollMs = 50;
 
 /** Drains, leaves and closes an entry; resolves before `graceMs` have passed. */
-export async function shutDown({ clock, log, graceMs, entry, ingress }: ShutDownDependencies): Promise<void> {
-    const startedAtMs = clock.monotonicMs();
-    const elapsedMs = (): number => clock.monotonicMs() - startedAtMs;
-    log.info("stopping: no longer ready, serving on", { requestsRunning: ingress.requestsRunning() });
+export async function shutDown(
+    { clock, log, signalledAtMs, graceMs, entry, ingress }: ShutDownDependencies,
+): Promise<void> {
+    const handledAtMs = clock.monotonicMs();
+    const elapsedMs = (): number => clock.monotonicMs() - handledAtMs;
+    log.info("stopping: no longer ready, serving on", {
+        requestsRunning: ingress.requestsRunning(),
+        handledAfterMs: Math.round(handledAtMs - signalledAtMs),
+    });
     ingress.announceClose();
-    const drainTimeoutMs = graceMs - exitMarginMs;
-    entry.setShutdownDeadline(startedAtMs + drainTimeoutMs);
+    const deadlineMs = signalledAtMs + graceMs - exitMarginMs;
+    entry.beginShutdown({ startedAtMs: signalledAtMs, deadlineMs });
+    // The signal may have been sent later than that, so running requests are not ended before the last part has begun.
+    const drainTimeoutMs = Math.max(deadlineMs - handledAtMs, graceMs * (1 - lastFraction));
     let isClosing = false;
     const hasClosed = (): boolean => isClosing && !ingress.isAccepting() && ingress.connectionsOpen() === 0;
     while (elapsedMs() < drainTimeoutMs && !hasClosed()) {
--- a/src/forwarding/shutdownChecks.ts
+++ b/src/forwarding/shutdownChecks.ts
@@ -16,8 +16,9 @@
 
 /** A shutdown that has begun; both times are monotonic. */
 export interface Shutdown {
+    /** When its signal was sent. */
     readonly startedAtMs: number;
-    /** Running requests are broken off then. */
+    /** Running requests may be broken off from then on. */
     readonly deadlineMs: number;
 }
 
