Tests: take-ups are refused for good after one late report

Callers saw streams begin as usual, while each take-up of them got 503 (not run).

A new stream's engine is asked once, within 300 ms, whether it is the start that the registry names.

--- a/fakes/platformEngine.ts
+++ b/fakes/platformEngine.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import type { Writable } from "node:stream";
+import { setTimeout as delay } from "node:timers/promises";
 
 /**
  * Fault applied to requests until the next one is set. `shed` rejects requests as not executed, `reset` resets the
@@ -17,7 +18,8 @@
  * `rest` rejects requests and asks for a pause, `leaving` announces in all responses that the engine is leaving,
  * `endless` sends bytes that are no response until the connection is closed, `endlessHead` and `endlessBody` do so in the
  * head and in the body of a valid response, and `oldRejection` rejects one plain call and
- * then executes the others, but writes that rejection once more instead of their responses.
+ * then executes the others, but writes that rejection once more instead of their responses; and `lateReports`
+ * answers reports after `lateReportMs`.
  */
 export type EngineFault =
     | "none"
@@ -35,7 +37,8 @@
     | "endless"
     | "endlessHead"
     | "endlessBody"
-    | "oldRejection";
+    | "oldRejection"
+    | "lateReports";
 
 export interface FakePlatformEngineOptions {
     readonly id: string;
@@ -105,6 +108,8 @@
 const headerPrefix = "x-gooseberrywell-";
 const cacheLifetimeMs = 500;
 const restS = 0.8;
+/** Longer than an entry waits for its first report. */
+const lateReportMs = 700;
 const endlessBlock = Buffer.alloc(65_536, "z");
 const endlessHeaders = Buffer.alloc(65_536, "x: z\r\n");
 
@@ -327,11 +332,11 @@
             respond(response, caches.delete(id) ? 200 : 404, "");
         }
         else if (call === "report") {
-            respond(
-                response,
-                200,
-                JSON.stringify({ stage: options.stage, busy: false, sequence: 0, born: options.bornMs?.() }),
-            );
+            const report = { stage: options.stage, busy: false, sequence: 0, born: options.bornMs?.() };
+            if (fault === "lateReports") {
+                await delay(lateReportMs);
+            }
+            respond(response, 200, JSON.stringify(report));
         }
         else if (call === "order") {
             respond(response, 409, "");
--- a/test/resumedStreams.test.ts
+++ b/test/resumedStreams.test.ts
@@ -224,6 +224,15 @@
         }
     });
 
+    // One report that came late left a stream without an origin: all take-ups were refused, while new streams began.
+    it("when the reports of its engines are late", async () => {
+        await start();
+        site.engines.forEach(engine => engine.setFault("lateReports"));
+        const begun = await beginAll();
+        await delay(settleMs);
+        expect(await resumeAll(entry(1), begun)).toEqual(begun.map(() => goesOn));
+    });
+
     it.each([
         { name: "does not say with which request it began", began: undefined },
         { name: "says that it began with a request that is not known", began: "r-unknown" },
