Engines' starts are checked until they are confirmed or refuted

Callers saw streams begin as usual, while each take-up of them got 503 (not run), or 502 after it had run.

Cause: a stream's origin is recorded once its engine is confirmed to be the start that the registry names, and each stream sent one report for that, within 300 ms. One that was late, failed, got no permit, or was not sent while the engine rested decided for good.

"a late report decides as one in time" (softwareVersions.test.ts, two cases) fails on the code before with 502 where the take-up goes on now.

Origins are recorded then, also after the stream has ended. Take-ups wait until their time is over.

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -98,7 +98,7 @@
         request: EngineRequest,
     ) => Promise<Result<PrefilledCache, EngineError>>;
     readonly reserve?: (engine: EngineRecord, tokens: number) => Promise<Result<Reservation, EngineError>>;
-    readonly report?: (engine: EngineRecord) => Promise<Result<EngineReport, EngineError>>;
+    readonly report?: (engine: EngineRecord, timeoutMs: number) => Promise<Result<EngineReport, EngineError>>;
     readonly checkStatus?: (engine: EngineRecord) => Promise<Result<boolean, EngineError>>;
     /** By default no connection was opened after the engine was confirmed to be the start that its record names. */
     readonly connectedAtMs?: (engine: EngineRecord) => number;
@@ -149,7 +149,7 @@
         },
         releaseCache: ({ address }) => void calls.push(`releaseCache ${address}`),
         releaseReservation: engine => void calls.push(`releaseReservation ${engine.id}`),
-        report: async engine => script.report?.(engine) ?? errorOf("unreachable"),
+        report: async (engine, timeoutMs) => script.report?.(engine, timeoutMs) ?? errorOf("unreachable"),
         checkStatus: async (engine, path) => {
             calls.push(`check ${engine.id} ${path}`);
             return script.checkStatus?.(engine) ?? Result.ok(true);
@@ -350,7 +350,7 @@
             stableEntries: () => [entryUrl],
         }),
         engineRuns: createEngineRuns({ clock, quarantine, report: engines.report, isReplaced: () => false }),
-        startChecks: createStartChecks(engines, clock, log),
+        startChecks: createStartChecks({ ...engines, isClosed: notices.isClosed }, clock, log),
         statusChecks: createStatusChecks({ clock, random, log, metrics, health, engines }),
         responseTimes: createResponseTimes(),
         shutdown: () => undefined,
--- a/src/common/callLimit.ts
+++ b/src/common/callLimit.ts
@@ -84,3 +84,13 @@
         limit.end();
     }
 }
+
+/** Resolves to whether a condition is found to hold before the limit ends the wait for it. */
+export function holdsInTime(options: CallLimitOptions, condition: Promise<boolean>): Promise<boolean> {
+    return runLimited(options, ({ signal }) => {
+        const ended = new Promise<boolean>(resolve => {
+            signal.addEventListener("abort", () => resolve(false), { once: true });
+        });
+        return signal.aborted ? Promise.resolve(false) : Promise.race([condition, ended]);
+    });
+}
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -182,7 +182,7 @@
     const ejections = createSharedEjections({ clock, log, metrics, health });
     ejections.onChange(() => peerSync.syncNow());
     const statusChecks = createStatusChecks({ clock, random, log, metrics, health, engines });
-    const startChecks = createStartChecks(engines, clock, log);
+    const startChecks = createStartChecks({ ...engines, isClosed: notices.isClosed }, clock, log);
     const loads = createEngineLoads(clock, prefillTokensPerMs);
     const instanceLoads = createInstanceLoads(clock, ports.reportedLoads ?? createReportedLoads(clock), loads);
     const plainQueue = createPlainQueue({
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -7,7 +7,7 @@
  */
 
 import { Result } from "true-myth";
-import { limitCall, runLimited } from "../common/callLimit.js";
+import { holdsInTime, limitCall, runLimited } from "../common/callLimit.js";
 import { provesNotRun } from "../engines/enginePort.js";
 import type { EngineError, EngineRecord, EngineResponse, PrefilledCache } from "../engines/enginePort.js";
 import { shuttingDown } from "../overload/notRunRefusal.js";
@@ -260,6 +260,11 @@
         return Result.ok({ response: sent.value, run, isVersionKnown: Promise.resolve(false) });
     }
     const isVersionKnown = context.startChecks.isConfirmed(allocation.engine);
+    const waitLimit = {
+        clock: context.clock,
+        timeoutMs: timeLeftMs(context, generation),
+        cancelledBy: [request.callerDisconnected],
+    };
     if (lastEventId === undefined) {
         // A new stream is passed on at once, but it may go on elsewhere only once its version is known: a record that turns
         // out to be wrong could not be taken back from entries that this one does not reach any more.
@@ -268,7 +273,7 @@
             isKnown && context.streamOrigins.record(request.requestId, { service, softwareVersion })
         );
     }
-    else if (!await isVersionKnown) {
+    else if (!await holdsInTime(waitLimit, isVersionKnown)) {
         discardBody(sent.value.body);
         void run.end("abandoned");
         return Result.err({ kind: "interrupted", cause: "the engine may have started again with another version" });
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -11,7 +11,7 @@
 
 import { finished, Readable } from "node:stream";
 import { Result } from "true-myth";
-import { limitCall } from "../common/callLimit.js";
+import { holdsInTime, limitCall } from "../common/callLimit.js";
 import { isConnectionRefused, provesNotRun } from "../engines/enginePort.js";
 import type { BodyFraming, EngineError, EngineRecord, EngineResponse } from "../engines/enginePort.js";
 import type { EngineRun } from "../quarantine/engineRuns.js";
@@ -34,6 +34,8 @@
 const maxRefusedConnections = 16;
 /** Retry delay for callers when no instance has run the call, for example because all instances are full. */
 const unavailableRetryMs = 250;
+/** Time for which the response to a new stream waits until its version is known. */
+const newStreamWaitMs = 300;
 const successStatus = 200;
 const serverError = 500;
 /** Many times a usual response of a plain service; limits the memory that one response takes. */
@@ -404,19 +406,25 @@
 }
 
 /**
- * Records which version began a stream, before its caller gets the first event; whether the response may be passed on, as
- * one that goes on at the version that began it.
+ * Whether a response may be passed on, as one that goes on at the version that began its stream. The version of a new
+ * stream is recorded once it is known: usually before its caller gets the first event, but the caller does not wait long.
  */
-async function settleVersion(
-    { streamOrigins, startChecks }: ForwardContext,
-    { request, service, softwareVersion }: RoutedRequest,
-    engine: EngineRecord,
-): Promise<boolean> {
-    const isVersionKnown = await startChecks.isConfirmed(engine);
-    if (softwareVersion === undefined && isVersionKnown) {
-        streamOrigins.record(request.requestId, { service, softwareVersion: engine.softwareVersion });
+async function settleVersion(context: ForwardContext, routed: RoutedRequest, engine: EngineRecord): Promise<boolean> {
+    const { clock, streamOrigins, startChecks } = context;
+    const { request, service, softwareVersion } = routed;
+    const isVersionKnown = startChecks.isConfirmed(engine);
+    const cancelledBy = [request.callerDisconnected];
+    if (softwareVersion !== undefined) {
+        return holdsInTime({ clock, timeoutMs: timeLeftMs(context, routed), cancelledBy }, isVersionKnown);
     }
-    return softwareVersion === undefined || isVersionKnown;
+    const isRecorded = isVersionKnown.then(isKnown => {
+        if (isKnown) {
+            streamOrigins.record(request.requestId, { service, softwareVersion: engine.softwareVersion });
+        }
+        return isKnown;
+    });
+    await holdsInTime({ clock, timeoutMs: newStreamWaitMs, cancelledBy }, isRecorded);
+    return true;
 }
 
 function outcomeOf(
--- a/src/forwarding/softwareVersions.test.ts
+++ b/src/forwarding/softwareVersions.test.ts
@@ -17,7 +17,7 @@
     smallSize,
 } from "../../fakes/forwardingHarness.js";
 import type { EngineScript, ForwardingHarness } from "../../fakes/forwardingHarness.js";
-import type { EngineRecord, Stage } from "../engines/enginePort.js";
+import type { EngineError, EngineRecord, EngineReport, Stage } from "../engines/enginePort.js";
 import type { KnownOrigin } from "../resumption/streamOrigins.js";
 import type { Route } from "../routes/desiredState.js";
 import { forward } from "./forward.js";
@@ -285,6 +285,17 @@
     readonly isKnown: boolean;
 }
 
+const lateReportMs = 700;
+const sameStart: Result<EngineReport, EngineError> = Result.ok({
+    stage: undefined,
+    bornMs: 1,
+    isReconfiguring: false,
+    orderSequence: 0,
+    running: 0,
+    queued: 0,
+    kvUsedTokens: 0,
+    kvTotalTokens: 1,
+});
 const models = { services: ["models"], engines: [decoders[0]].filter(engine => engine !== undefined) };
 const desk = { services: ["desk"], engines: [engineOf("d-1", undefined, "v1")] };
 
@@ -338,6 +349,32 @@
         expect((await harness.context.streamOrigins.find("r-1")).kind).toBe("unknown");
     });
 
+    // A report that came late left a new stream unknown for good, and ended a stream that was taken up with 502.
+    it.each([models, desk])("a late report decides as one in time, at $services", async ({ services, engines }) => {
+        const route = { ...resumable, services: services.map(service => ({ service, weight: 1 })) };
+        const harness: ForwardingHarness = createForwardingHarness(desiredStateOf([route]), {
+            connectedAtMs: () => 0,
+            report: async (engine, timeoutMs) => {
+                await harness.clock.sleep(Math.min(timeoutMs, lateReportMs));
+                return timeoutMs < lateReportMs ? errorOf("timeout") : sameStart;
+            },
+        });
+        harness.load(engines);
+        const [service = ""] = services;
+        harness.context.streamOrigins.record("r-0", { service, softwareVersion: "v1" });
+        const began = forward(harness.context, requestTo("/stream/x", { size: smallSize }));
+        const resumed = forward(
+            harness.context,
+            requestTo("/stream/x", { ...takeUp, requestId: "r-2", size: smallSize }),
+        );
+        await harness.clock.advance(3 * lateReportMs);
+        expect(await Promise.all([began, resumed].map(async each => describeOutcome(await each)))).toEqual([
+            "200 ok",
+            "200 ok",
+        ]);
+        expect((await harness.context.streamOrigins.find("r-1")).kind).toBe("found");
+    });
+
     it.each(restartCases)(
         "$name if it reports the same start: $isSameStart",
         async ({ request, services, engines, isSameStart, outcome, isKnown }) => {
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -8,6 +8,7 @@
  */
 
 import { finished, Readable } from "node:stream";
+import { holdsInTime } from "../common/callLimit.js";
 import type { BodyFraming, EngineRecord, EngineResponse } from "../engines/enginePort.js";
 import type { ForwardContext } from "./context.js";
 import { discardBody } from "./discardBody.js";
@@ -32,6 +33,8 @@
 const readAheadBytes = 4_096;
 const endOfStream = null;
 const maxLoggedParts = 8;
+/** Time for which a stream that broke off waits until its version is known, before it breaks off for its caller too. */
+const maxVersionWaitMs = 300;
 
 /**
  * Returns the response for the caller. Its body has the stream's events and fails where the stream broke off and could
@@ -92,7 +95,12 @@
         const wasCallerWaiting = isCallerWaiting();
         const runEnded = stream.run.end(wasCallerWaiting ? "broken" : "abandoned");
         logBreak(context, generation, stream, failure);
-        if (!route.isResumable || !state.isLastNamed || !await stream.isVersionKnown) {
+        const waitLimit = {
+            clock: context.clock,
+            timeoutMs: Math.min(maxVersionWaitMs, generation.deadlineMs - context.clock.monotonicMs()),
+            cancelledBy: [request.callerDisconnected],
+        };
+        if (!route.isResumable || !state.isLastNamed || !await holdsInTime(waitLimit, stream.isVersionKnown)) {
             relayed.destroy(failure);
             return;
         }
