A take-up is asked to come back while its engine is being confirmed

Callers who took a stream up before its first engine was confirmed got 503 without Retry-After, as for a stream that nobody knows. Cause: only the store's silence counted as a reason to ask again.

Evidence: on the code before, "the version of a new stream is not known to others before the engine has reported its start" (softwareVersions.test.ts) failed with the refusal's Retry-After that it asks for now.

Change: an entry that waits for the confirmation of a stream's engine says so to itself and to entries that ask it; the refusal names Retry-After, 1 s.

--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -269,9 +269,7 @@
         // A new stream is passed on at once, but it may go on elsewhere only once its version is known: a record that turns
         // out to be wrong could not be taken back from entries that this one does not reach any more.
         const { softwareVersion } = allocation.engine;
-        void isVersionKnown.then(isKnown =>
-            isKnown && context.streamOrigins.record(request.requestId, { service, softwareVersion })
-        );
+        void context.streamOrigins.recordOnceKnown(request.requestId, { service, softwareVersion }, isVersionKnown);
     }
     else if (!await holdsInTime(waitLimit, isVersionKnown)) {
         discardBody(sent.value.body);
--- a/src/forwarding/plainCall.ts
+++ b/src/forwarding/plainCall.ts
@@ -417,13 +417,9 @@
     if (softwareVersion !== undefined) {
         return holdsInTime({ clock, timeoutMs: timeLeftMs(context, routed), cancelledBy }, isVersionKnown);
     }
-    const isRecorded = isVersionKnown.then(isKnown => {
-        if (isKnown) {
-            streamOrigins.record(request.requestId, { service, softwareVersion: engine.softwareVersion });
-        }
-        return isKnown;
-    });
-    await holdsInTime({ clock, timeoutMs: newStreamWaitMs, cancelledBy }, isRecorded);
+    const origin = { service, softwareVersion: engine.softwareVersion };
+    const recorded = streamOrigins.recordOnceKnown(request.requestId, origin, isVersionKnown);
+    await holdsInTime({ clock, timeoutMs: newStreamWaitMs, cancelledBy }, recorded.then(() => true));
     return true;
 }
 
--- a/src/forwarding/resumedStream.ts
+++ b/src/forwarding/resumedStream.ts
@@ -10,8 +10,8 @@
 import type { ForwardContext } from "./context.js";
 import type { ForwardRequest, Refusal } from "./forwardRequest.js";
 
-/** Retry delay while the store, which may know the origin, does not answer. */
-const storeUnavailableRetryMs = 1_000;
+/** Retry delay while the origin may become known: the store does not answer, or the first engine is not confirmed yet. */
+const unknownOriginRetryMs = 1_000;
 const unavailable = 503;
 
 /** Whether a request takes up a stream. */
@@ -41,7 +41,7 @@
     if (found.kind === "unknown") {
         return refused(
             `it is not known with which version the stream began: ${found.cause}`,
-            found.isFinal ? undefined : storeUnavailableRetryMs,
+            found.isFinal ? undefined : unknownOriginRetryMs,
         );
     }
     const { origin } = found;
--- a/src/forwarding/softwareVersions.test.ts
+++ b/src/forwarding/softwareVersions.test.ts
@@ -347,6 +347,8 @@
         const result = await forward(harness.context, requestTo("/stream/x", { size: smallSize }));
         expect(await describeOutcome(result)).toBe("200 ok");
         expect((await harness.context.streamOrigins.find("r-1")).kind).toBe("unknown");
+        const again = requestTo("/stream/x", { ...takeUp, requestId: "r-2", resumedRequestId: "r-1", size: smallSize });
+        expect(await forward(harness.context, again)).toMatchObject({ refusal: { status: 503, retryAfterMs: 1_000 } });
     });
 
     // A report that came late left a new stream unknown for good, and ended a stream that was taken up with 502.
--- a/src/resumption/messages.ts
+++ b/src/resumption/messages.ts
@@ -31,8 +31,11 @@
 
 export const findOriginSchema = z.object({ key: z.string() });
 
-/** `origin` is absent if the entry does not know the stream. */
-export const findOriginResponseSchema = z.object({ origin: originSchema.optional() });
+/** `origin` is absent if the entry does not know the stream; `isPending` if it may know it soon. */
+export const findOriginResponseSchema = z.object({
+    origin: originSchema.optional(),
+    isPending: z.boolean().default(false),
+});
 
 /** A row of the store; the time is of the wall clock, since entries have no other clock in common. */
 export const originRowSchema = originSchema.extend({ atWallMs: z.number() });
--- a/src/resumption/streamOrigins.test.ts
+++ b/src/resumption/streamOrigins.test.ts
@@ -228,6 +228,25 @@
         expect(describeFound(await fleet.entry(3).find("r-1"))).toBe(outcome);
     });
 
+    // A take-up was refused for good while the engine of its stream was still being asked for its start.
+    it.each([
+        { isKnown: true, outcome: "found" },
+        { isKnown: false, outcome: "unknown" },
+    ])("may become known while its engine is not confirmed, then: $outcome", async ({ isKnown, outcome }) => {
+        const fleet = createFleet(4);
+        let confirm: (isConfirmed: boolean) => void = () => undefined;
+        const confirmed = new Promise<boolean>(resolve => {
+            confirm = resolve;
+        });
+        void fleet.entry(0).recordOnceKnown("r-1", origin, confirmed);
+        const finds = async (): Promise<readonly string[]> =>
+            (await Promise.all([0, 3].map(index => fleet.entry(index).find("r-1")))).map(describeFound);
+        expect(await finds()).toEqual(["unknown for now", "unknown for now"]);
+        confirm(isKnown);
+        await fleet.clock.advance(settledMs);
+        expect(await finds()).toEqual([outcome, outcome]);
+    });
+
     it("is unknown if streams of the same request id began with different versions", async () => {
         const fleet = createFleet(4);
         fleet.entry(0).record("r-1", origin);
--- a/src/resumption/streamOrigins.ts
+++ b/src/resumption/streamOrigins.ts
@@ -37,6 +37,11 @@
 export interface StreamOrigins {
     /** Records with which version a stream began; its engine must be known to have this version. */
     readonly record: (requestId: string, origin: KnownOrigin) => void;
+    /**
+     * Records with which version a stream began once its engine is known to have this version. Until then, whoever looks
+     * the stream up finds that it may become known.
+     */
+    readonly recordOnceKnown: (requestId: string, origin: KnownOrigin, isKnown: Promise<boolean>) => Promise<void>;
     /** Looks up with which version the stream of a request began. */
     readonly find: (requestId: string) => Promise<FoundOrigin>;
     /** Methods that other entries call. */
@@ -61,6 +66,8 @@
 const holdersPerStream = 2;
 /** Origins that are remembered; the oldest are forgotten first. */
 const maxRemembered = 10_000;
+/** Streams whose versions are not known yet; the oldest are forgotten first. */
+const maxPending = 10_000;
 /** Time for which origins are collected before they are sent to their holders together. */
 const sendDelayMs = 30;
 const callTimeoutMs = 300;
@@ -73,6 +80,9 @@
 
 type Message = RecordOrigins["origins"][number];
 
+/** What one place knows; `pending` if the entry at which the stream began does not know its version yet. */
+type LookedUp = StoredOrigin | { readonly kind: "pending"; };
+
 /** Identifies a stream by the id of the request with which it began; callers choose these ids. */
 export function streamKey(requestId: string): string {
     return sha256Hex(requestId).slice(0, keyLength);
@@ -83,6 +93,7 @@
     const remembered = new Map<string, StreamOrigin>();
     const outbox = new Map<string, Message[]>();
     const underheld = new Map<string, StreamOrigin>();
+    const pending = new Set<string>();
     let isSendScheduled = false;
     let recorders: { readonly entryList: string; readonly urls: readonly string[]; } = { entryList: "", urls: [] };
     const store = createOriginStore(tables, clock, log, () => currentRecorders()[0] === url);
@@ -184,38 +195,46 @@
         }
     }
 
-    async function ask(entry: string, key: string): Promise<StreamOrigin | undefined> {
+    async function ask(entry: string, key: string): Promise<LookedUp> {
         const response = await rpc.call(entry, resumptionMethods.find, { key }, { timeoutMs: callTimeoutMs });
         const found = response.isOk ? checkValue(findOriginResponseSchema, response.value) : undefined;
-        return found?.isOk ? found.value.origin : undefined;
+        if (!found?.isOk) {
+            return { kind: "absent" };
+        }
+        const { origin, isPending } = found.value;
+        return origin === undefined ? { kind: isPending ? "pending" : "absent" } : { kind: "found", origin };
     }
 
     /** Asks the recorders and the store at the same time; the first that knows the stream decides. */
-    async function look(key: string): Promise<StoredOrigin> {
-        let stored: StoredOrigin = { kind: "absent" };
+    async function look(key: string): Promise<LookedUp> {
         const answers = [
             ...currentRecorders().filter(entry => entry !== url).map(entry => ask(entry, key)),
-            store.read(key).then(read => {
-                stored = read;
-                return read.kind === "found" ? read.origin : undefined;
-            }),
+            store.read(key),
         ];
         return new Promise(resolve => {
             answers.forEach(answer =>
-                void answer.then(origin => {
-                    if (origin !== undefined) {
-                        resolve({ kind: "found", origin });
+                void answer.then(found => {
+                    if (found.kind === "found") {
+                        resolve(found);
                     }
                 })
             );
-            void Promise.all(answers).then(() => resolve(stored));
+            void Promise.all(answers).then(all =>
+                resolve(
+                    all.find(({ kind }) => kind === "pending") ?? all.find(({ kind }) => kind === "unavailable")
+                        ?? { kind: "absent" },
+                )
+            );
         });
     }
 
     async function find(requestId: string): Promise<FoundOrigin> {
         const key = streamKey(requestId);
         if (!remembered.has(key)) {
-            const found = await look(key);
+            const found: LookedUp = pending.has(key) ? { kind: "pending" } : await look(key);
+            if (found.kind === "pending") {
+                return { kind: "unknown", isFinal: false, cause: "its engine is not confirmed yet" };
+            }
             if (found.kind === "unavailable") {
                 return { kind: "unknown", isFinal: false, cause: `the store does not answer: ${found.cause}` };
             }
@@ -235,6 +254,16 @@
 
     return {
         record: (requestId, origin) => recordKey(streamKey(requestId), origin),
+        recordOnceKnown: async (requestId, origin, isKnown) => {
+            const key = streamKey(requestId);
+            pending.add(key);
+            removeOldest(pending, maxPending);
+            const mayRecord = await isKnown;
+            pending.delete(key);
+            if (mayRecord) {
+                recordKey(key, origin);
+            }
+        },
         find,
         methods: {
             [resumptionMethods.record]: rpcMethod(recordOriginsSchema, async ({ origins }) => {
@@ -243,7 +272,7 @@
             }),
             [resumptionMethods.find]: rpcMethod(findOriginSchema, async ({ key }) => {
                 const origin = remembered.get(key);
-                return origin === undefined ? {} : { origin };
+                return origin === undefined ? { isPending: pending.has(key) } : { origin };
             }),
         },
         run: async signal => {
