Blame a shared part for a moment only where other parts account for its ends

Cause: no single part accounted for all ends under the shared one, so it was blamed alone, for minutes, and no request with it could run and refute that.

Change: such a part is refused for 2 s after the last end.

--- a/src/forwarding/deadlyPromptParts.test.ts
+++ b/src/forwarding/deadlyPromptParts.test.ts
@@ -139,6 +139,7 @@
         await send(harness, ["shared", deadlyPart]);
         await send(harness, fleet.unluckyRequestId.split(" "));
         expect(fleet.ended.size).toBe(3);
+        harness.load(engines.filter(({ id }) => !fleet.ended.has(id)));
         const outcomes: string[] = [];
         await harness.clock.advance(reactionMs);
         for (let round = 0; round < 20; round++) {
--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -4,7 +4,8 @@
  *
  * Several parts may be in all requests under which engines ended. A part is blamed only together with every other part
  * that accounts for at least the same engines, so that a request with just one of them is still served and, if it runs,
- * refutes the evidence against that one. A whole request is blamed by itself: other requests that were at the same
+ * refutes the evidence against that one. A part most of whose engines other parts account for is blamed for a moment only:
+ * it may be sound, and an engine have ended for another reason under a request with it. A whole request is blamed by itself: other requests that were at the same
  * engines don't explain why engines ended under each copy of it. Evidence merges in any order: the oldest time of an
  * item counts, and an item that is refuted stays so.
  */
@@ -50,6 +51,8 @@
     readonly blamedParts: readonly string[];
     readonly crashes: number;
     readonly sinceLastMs: number;
+    /** Whether parts that are not in the request, and are blamed as well, account for so many that few ends are left. */
+    readonly isUncertain: boolean;
 }
 
 interface Item {
@@ -98,10 +101,25 @@
     function isExplainedByOthers(keys: readonly string[], parts: readonly string[]): boolean {
         return [...itemsByPart.keys()].some(other => {
             const known = parts.includes(other) ? undefined : itemsAgainst(other);
-            return known !== undefined && keys.every(key => known.has(key));
+            return known !== undefined && hasAll(known, keys);
         });
     }
 
+    /**
+     * The number of engines of a part for which no part that is not in `parts` accounts. Those that ended just one don't
+     * count, nor do those whose engines, and more, a third part accounts for: they were there with it.
+     */
+    function countUnexplained(part: string, parts: readonly string[], minCrashes: number): number {
+        const repeated = [...itemsByPart.keys()].filter(other => other !== part)
+            .map(other => ({ other, items: itemsAgainst(other) }))
+            .filter(({ items }) => items.size >= minCrashes);
+        const explaining = repeated.filter(({ other, items }) =>
+            !parts.includes(other)
+            && !repeated.some(third => third.items.size > items.size && hasAll(third.items, [...items.keys()]))
+        );
+        return [...itemsAgainst(part).keys()].filter(key => !explaining.some(({ items }) => items.has(key))).length;
+    }
+
     return {
         add: ({ part, engine, bornMs, agoMs, isRefuted }) => {
             const items = itemsByPart.get(part) ?? new Map<string, Item>();
@@ -133,8 +151,13 @@
                     items.size >= minCrashes
                     && (isFingerprint(part) || !isExplainedByOthers([...items.keys()], parts))
                 );
-            const crashes = Math.max(...blamed.map(({ items }) => items.size));
-            const worst = blamed.filter(({ items }) => items.size === crashes);
+            const certain = blamed.filter(({ part }) =>
+                isFingerprint(part) || countUnexplained(part, parts, minCrashes) >= minCrashes
+            );
+            const isUncertain = certain.length === 0;
+            const known = isUncertain ? blamed : certain;
+            const crashes = Math.max(...known.map(({ items }) => items.size));
+            const worst = known.filter(({ items }) => items.size === crashes);
             if (worst.length === 0) {
                 return undefined;
             }
@@ -143,6 +166,7 @@
                 blamedParts: worst.map(({ part }) => part),
                 crashes,
                 sinceLastMs: clock.monotonicMs() - lastMs,
+                isUncertain,
             };
         },
         isSuspected: part => itemsAgainst(part).size > 0,
@@ -167,3 +191,7 @@
         },
     };
 }
+
+function hasAll(items: ReadonlyMap<string, Item>, keys: readonly string[]): boolean {
+    return keys.every(key => items.has(key));
+}
--- a/src/quarantine/requestQuarantine.test.ts
+++ b/src/quarantine/requestQuarantine.test.ts
@@ -62,6 +62,50 @@
         expect(served.filter(entry.isRefused)).toEqual([]);
     });
 
+    // Nothing could show any more that the shared part is sound: all requests with it were refused for minutes.
+    it.each([
+        { name: "an engine that ended by itself", runs: ["e1 s d", "e2 s d", "e3 s x"], refused: ["s d"] },
+        {
+            name: "the engines of two deadly parts",
+            runs: ["e1 s d1", "e2 s d2", "e3 s d1", "e4 s d2"],
+            refused: ["s d1", "s d2"],
+        },
+        {
+            name: "engines of a deadly part and others",
+            runs: ["e1 s d a", "e2 s d a", "e3 s d b", "e4 s d b", "e5 s x"],
+            refused: ["s d a", "s d b", "s d c"],
+        },
+        {
+            name: "an engine of a second deadly part",
+            runs: ["e1 s d1", "e2 s d1", "e3 s d1", "e4 s d2"],
+            refused: ["s d1"],
+        },
+    ])("is blamed for a moment only for $name", async ({ runs, refused: refusedParts }) => {
+        const clock = createVirtualClock();
+        const entry = createQuarantineEntry(clock);
+        for (const run of runs) {
+            const [engine = "", ...parts] = run.split(" ");
+            await entry.run(engine, parts.join(" "), "broken");
+        }
+        expect(entry.isRefused("s y")).toBe(true);
+        await clock.advance(2_000);
+        expect(entry.isRefused("s y")).toBe(false);
+        await clock.advance(60_000);
+        expect(refusedParts.filter(parts => !entry.isRefused(parts))).toEqual([]);
+    });
+
+    it("is blamed for long once it has ended two engines for which no other part accounts", async () => {
+        const clock = createVirtualClock();
+        const entry = createQuarantineEntry(clock);
+        await entry.run("e1", "s x", "broken");
+        await entry.run("e2", "s x", "broken");
+        await entry.run("e3", "s y", "broken");
+        await clock.advance(2_000);
+        await entry.run("e4", "s z", "broken");
+        await clock.advance(60_000);
+        expect(entry.isRefused("s")).toBe(true);
+    });
+
     it("is named in the reason, with those that were always together with it", async () => {
         const clock = createVirtualClock();
         const entry = createQuarantineEntry(clock);
--- a/src/quarantine/requestQuarantine.ts
+++ b/src/quarantine/requestQuarantine.ts
@@ -4,7 +4,8 @@
  * When an engine ends while a request has just started on it, that request is suspected, by its fingerprint, and so are
  * the shared parts of its prompt, if it has one; parts with which other requests have run lately are not. Once a second
  * engine has ended under the same part, requests with it are refused as not run. The quarantine of a part lasts longer
- * with each further engine, then requests with it are tried again. Entries share their evidence.
+ * with each further engine, then requests with it are tried again. It is short while other parts may be to blame instead.
+ * Entries share their evidence.
  */
 
 import { removeOldest } from "../common/bounded.js";
@@ -55,6 +56,8 @@
 /** Duration of a quarantine after the second engine; it doubles with each further one. */
 const baseQuarantineMs = 120_000;
 const maxQuarantineMs = 1_800_000;
+/** Six seconds after the last end, sound requests must be served again; their first one takes some of that time. */
+const uncertainQuarantineMs = 2_000;
 /** A part is not suspected if another request with it has run within this time before an engine's end. */
 const soundWindowMs = 10_000;
 const maxTrackedParts = 5_000;
@@ -89,8 +92,10 @@
             if (blame === undefined) {
                 return undefined;
             }
-            const { blamedParts, crashes, sinceLastMs } = blame;
-            const durationMs = Math.min(maxQuarantineMs, baseQuarantineMs * 2 ** (crashes - minCrashesToRefuse));
+            const { blamedParts, crashes, sinceLastMs, isUncertain } = blame;
+            const durationMs = isUncertain
+                ? uncertainQuarantineMs
+                : Math.min(maxQuarantineMs, baseQuarantineMs * 2 ** (crashes - minCrashesToRefuse));
             return sinceLastMs < durationMs
                 ? { blamedParts, crashes, remainingMs: durationMs - sinceLastMs }
                 : undefined;
