Planned soak: one entry has little processor time

Planned work on entries that are held up again and again was never injected: one entry, by the seed, now runs for 10 ms and rests for up to 40 ms (SIGSTOP and SIGCONT) for the whole of a planned run.

--- a/fakes/soakRun.ts
+++ b/fakes/soakRun.ts
@@ -95,6 +95,9 @@
 const maxStartMs = 600;
 /** Longest time after which the registry shows that an engine has started again. */
 const maxUnnoticedMs = 1_500;
+/** With little processor time, an entry runs for this time, and then rests for a time up to the other. */
+const processorOnMs = 10;
+const maxProcessorOffMs = 40;
 /** Revisions that a restoration of the store loses at most. */
 const maxLostRevisions = 8;
 const mayRunTwice = (path: string): boolean => path === "/look/x" || path === "/long/x";
@@ -179,9 +182,13 @@
                 (unused, number) => caller(entry, createRandom(options.seed * 1_000 + index * 100 + number)),
             )
         );
+        const slowEntry = options.isPlanned ? site.entries[options.seed % options.entries] : undefined;
+        const limited = slowEntry === undefined
+            ? undefined
+            : limitProcessor(slowEntry, createRandom(options.seed + 2), () => state.stopped);
         const injected = await injectFaults(nextFault, options, logEvent);
         state.stopped = true;
-        await Promise.all(callers);
+        await Promise.all([...callers, limited]);
         if (options.runPaymentTwice) {
             await injectDuplicateRun(site, completed);
         }
@@ -231,6 +238,16 @@
     return random() < slowFraction ? bodyOfDuration(Math.round(random() * maxSlowMs)) : undefined;
 }
 
+/** Gives an entry little processor time until `isOver`. */
+async function limitProcessor(entry: EntryProcess, random: Random, isOver: () => boolean): Promise<void> {
+    while (!isOver()) {
+        entry.signal("SIGSTOP");
+        await delay(random() * maxProcessorOffMs);
+        entry.signal("SIGCONT");
+        await delay(processorOnMs);
+    }
+}
+
 async function injectFaults(
     nextFault: (random: Random) => Fault | undefined,
     options: SoakOptions,
