Don't let parts excuse each other without end

Cause: sound parts that were at the same engines excused the deadly one in all requests without them, and could not show that they are sound while engines ended. src/quarantine/requestQuarantine.test.ts failed: none of the requests was refused after four ends.

Change: from the fourth end on such parts are refused for 1 s after the last end, twice as long with each further one in the request, so that sound requests run first. A part is sound once a stream with it has written for a second.

--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -4,8 +4,8 @@
  *
  * Several parts may be in all requests under which engines ended. A part is blamed only together with every other part
  * that accounts for at least the same engines, so that a request with just one of them is still served and, if it runs,
- * refutes the evidence against that one. A part most of whose engines other parts account for is blamed for a moment only:
- * it may be sound, and an engine have ended for another reason under a request with it. A whole request is blamed by itself: other requests that were at the same
+ * refutes the evidence against that one. Once several engines have ended under it, or if the others account for most of its
+ * engines only, it is blamed for a moment: it may be sound, but requests must not go on ending engines. A whole request is blamed by itself: other requests that were at the same
  * engines don't explain why engines ended under each copy of it. Evidence merges in any order: the oldest time of an
  * item counts, and an item that is refuted stays so.
  */
@@ -51,8 +51,11 @@
     readonly blamedParts: readonly string[];
     readonly crashes: number;
     readonly sinceLastMs: number;
-    /** Whether parts that are not in the request, and are blamed as well, account for so many that few ends are left. */
-    readonly isUncertain: boolean;
+    /**
+     * The number of parts of the request that may be to blame, if parts that are not in it account for so many ends that few
+     * or none are left; 0 if its blamed parts are certain.
+     */
+    readonly uncertainParts: number;
 }
 
 interface Item {
@@ -61,6 +64,11 @@
     readonly isRefuted: boolean;
 }
 
+/**
+ * A part for which others account is not blamed at all up to this number of engines. The users allow five before each
+ * further one counts, and a few may end at the same time.
+ */
+const maxExcusedCrashes = 3;
 /** Evidence is forgotten after this time. */
 export const evidenceLifetimeMs = 1_800_000;
 /** A refuted item is kept, and a single one shared, for this long: until it has reached all entries. */
@@ -147,15 +155,17 @@
             removeExpired();
             const blamed = parts
                 .map(part => ({ part, items: itemsAgainst(part) }))
-                .filter(({ part, items }) =>
-                    items.size >= minCrashes
-                    && (isFingerprint(part) || !isExplainedByOthers([...items.keys()], parts))
-                );
-            const certain = blamed.filter(({ part }) =>
-                isFingerprint(part) || countUnexplained(part, parts, minCrashes) >= minCrashes
+                .filter(({ items }) => items.size >= minCrashes)
+                .map(({ part, items }) => ({
+                    part,
+                    items,
+                    isExplained: !isFingerprint(part) && isExplainedByOthers([...items.keys()], parts),
+                }))
+                .filter(({ isExplained, items }) => !isExplained || items.size > maxExcusedCrashes);
+            const certain = blamed.filter(({ part, isExplained }) =>
+                isFingerprint(part) || (!isExplained && countUnexplained(part, parts, minCrashes) >= minCrashes)
             );
-            const isUncertain = certain.length === 0;
-            const known = isUncertain ? blamed : certain;
+            const known = certain.length === 0 ? blamed : certain;
             const crashes = Math.max(...known.map(({ items }) => items.size));
             const worst = known.filter(({ items }) => items.size === crashes);
             if (worst.length === 0) {
@@ -166,7 +176,7 @@
                 blamedParts: worst.map(({ part }) => part),
                 crashes,
                 sinceLastMs: clock.monotonicMs() - lastMs,
-                isUncertain,
+                uncertainParts: certain.length === 0 ? blamed.length : 0,
             };
         },
         isSuspected: part => itemsAgainst(part).size > 0,
--- a/src/quarantine/engineRuns.ts
+++ b/src/quarantine/engineRuns.ts
@@ -135,10 +135,15 @@
         start: (engine, parts) => {
             let outputAtMs: number | undefined;
             let outputs = 0;
+            let hasPassedStart = false;
             return {
                 recordOutput: () => {
                     outputAtMs ??= clock.monotonicMs();
                     outputs += 1;
+                    if (!hasPassedStart && isPastStart(clock.monotonicMs() - outputAtMs, outputs)) {
+                        hasPassedStart = true;
+                        quarantine.recordSound(parts.filter(part => !isFingerprint(part)));
+                    }
                 },
                 end: async how => {
                     const writtenForMs = outputAtMs === undefined ? 0 : clock.monotonicMs() - outputAtMs;
--- a/src/quarantine/requestQuarantine.test.ts
+++ b/src/quarantine/requestQuarantine.test.ts
@@ -94,6 +94,24 @@
         expect(refusedParts.filter(parts => !entry.isRefused(parts))).toEqual([]);
     });
 
+    // Sound parts that were at all engines with the deadly one excused it, and while engines ended they could not run.
+    it("is not excused without end by others that were at all of its engines", async () => {
+        const clock = createVirtualClock();
+        const entry = createQuarantineEntry(clock);
+        for (const engine of ["e1", "e2", "e3", "e4"]) {
+            await entry.run(engine, "s d a", "broken");
+            await entry.run(engine, "s b", "broken");
+        }
+        expect(["s d c", "s d a", "s a"].map(entry.isRefused)).toEqual([true, true, true]);
+        // Requests with fewer of these parts are tried sooner; the first of them shows which are sound.
+        await clock.advance(2_000);
+        expect(["s d a", "s a", "s c"].map(entry.isRefused)).toEqual([true, false, false]);
+        await entry.run("e5", "s a", "completed");
+        await entry.run("e5", "s b", "completed");
+        await clock.advance(60_000);
+        expect(["s d c", "s d a", "s a"].map(entry.isRefused)).toEqual([true, true, false]);
+    });
+
     it("is blamed for long once it has ended two engines for which no other part accounts", async () => {
         const clock = createVirtualClock();
         const entry = createQuarantineEntry(clock);
--- a/src/quarantine/requestQuarantine.ts
+++ b/src/quarantine/requestQuarantine.ts
@@ -56,8 +56,12 @@
 /** Duration of a quarantine after the second engine; it doubles with each further one. */
 const baseQuarantineMs = 120_000;
 const maxQuarantineMs = 1_800_000;
-/** Six seconds after the last end, sound requests must be served again; their first one takes some of that time. */
-const uncertainQuarantineMs = 2_000;
+/**
+ * Half of the duration of a quarantine whose only uncertain part may be sound; it doubles with each such part. Six seconds
+ * after the last end sound requests must be served again. They have fewer of these parts than deadly ones, so they are
+ * tried first, and run long enough before the others are tried to refute the evidence against all of their parts.
+ */
+const uncertainQuarantineMs = 500;
 /** A part is not suspected if another request with it has run within this time before an engine's end. */
 const soundWindowMs = 10_000;
 const maxTrackedParts = 5_000;
@@ -92,9 +96,9 @@
             if (blame === undefined) {
                 return undefined;
             }
-            const { blamedParts, crashes, sinceLastMs, isUncertain } = blame;
-            const durationMs = isUncertain
-                ? uncertainQuarantineMs
+            const { blamedParts, crashes, sinceLastMs, uncertainParts } = blame;
+            const durationMs = uncertainParts > 0
+                ? Math.min(baseQuarantineMs, uncertainQuarantineMs * 2 ** uncertainParts)
                 : Math.min(maxQuarantineMs, baseQuarantineMs * 2 ** (crashes - minCrashesToRefuse));
             return sinceLastMs < durationMs
                 ? { blamedParts, crashes, remainingMs: durationMs - sinceLastMs }
