--- a/src/rpc/openListener.test.ts
+++ b/src/rpc/openListener.test.ts
@@ -9,14 +9,14 @@
 
 afterEach(() => void server.close());
 
-// The second failed accept, as without a free descriptor or memory, ended the process.
+// The second failed accept, as for want of memory, would have ended the process.
 it("errors after it has opened are reported, and it goes on", async () => {
     server = createServer();
     const errors: string[] = [];
     await openListener(server, { port: 0, host: "127.0.0.1" }, error => errors.push(error.message));
     server.emit("error", new Error("accept ENOBUFS"));
-    server.emit("error", new Error("accept ENFILE"));
-    expect(errors).toEqual(["accept ENOBUFS", "accept ENFILE"]);
+    server.emit("error", new Error("accept ENOMEM"));
+    expect(errors).toEqual(["accept ENOBUFS", "accept ENOMEM"]);
     expect(server.listening).toBe(true);
     const other = createServer();
     const { port } = server.address() as AddressInfo;
--- a/src/rpc/openListener.ts
+++ b/src/rpc/openListener.ts
@@ -1,6 +1,7 @@
 /**
- * Opens the listener of a server. An error after that, such as an accept without a free descriptor, concerns a connection
- * that was not accepted: it is reported, and the listener goes on. Without a handler it would end the process.
+ * Opens the listener of a server. An error after that concerns a connection that was not accepted: it is reported, and the
+ * listener goes on. Without a handler it would end the process. Where descriptors run out there is no such error: the
+ * runtime closes what it cannot accept.
  */
 
 import type { ListenOptions, Server } from "node:net";
