Test: ordinary callers while bodies in small chunks arrive (known red)

What callers saw: while 20 or 60 connections send bodies of 400 KB in chunks of one byte, ordinary calls and questions for readiness get no answer, or get it after seconds. The 20 are within every limit.

--- a/test/crowds.test.ts
+++ b/test/crowds.test.ts
@@ -1,6 +1,6 @@
 /**
  * Crowds of clients that keep to no limit: the entry that they call lives, stays within the memory and descriptors of its
- * machine, and answers an ordinary caller afterwards.
+ * machine, and answers an ordinary caller afterwards. While bodies in small chunks arrive, it serves the others.
  */
 
 import { connect } from "node:net";
@@ -19,6 +19,10 @@
 const sendMs = 5_000;
 const holdMs = 1_000;
 const sampleMs = 50;
+/** While a crowd sends, ordinary calls and questions for readiness are answered within this time. */
+const maxAnswerMs = 1_000;
+const callIntervalMs = 100;
+const calls = 30;
 /** Enough of an entry's log to show why it ended. */
 const maxShownBytes = 4_096;
 
@@ -207,3 +211,36 @@
         expect(peakDescriptors).toBeLessThan(maxDescriptors);
     });
 });
+
+/** Time until the response, whatever it is; not a number if there is none. */
+async function answerMs(call: () => Promise<unknown>): Promise<number> {
+    const startedAtMs = performance.now();
+    return call().then(() => performance.now() - startedAtMs, () => Number.NaN);
+}
+
+describe("while a crowd sends in small chunks", () => {
+    // All that a connection had brought was parsed in one turn of the event loop, and nobody else was served meanwhile.
+    it.each([
+        ["60 bodies of 400 KB in chunks of one byte", 60, 400],
+        ["20 bodies of 400 KB in chunks of one byte, all within the limits", 20, 400],
+    ])("%s, an entry serves ordinary callers and handles a stop", async (name, members, thousandChunks) => {
+        const entry = await startEntry();
+        const port = Number(new URL(entry.callersUrl).port);
+        const sending = bodyOf(chunked, smallChunks, thousandChunks);
+        const crowd = Promise.all(Array.from({ length: members }, (unused, member) => send(port, sending(member))));
+        const answers: Promise<number>[] = [];
+        for (let call = 0; call < calls; call += 1) {
+            answers.push(answerMs(() => callSite(entry, "/look/x")), answerMs(() => fetch(entry.readyUrl)));
+            await pause(callIntervalMs);
+        }
+        const signalledAtMs = performance.now();
+        entry.signal("SIGTERM");
+        await until("the stop is handled", () => entry.log().includes("stopping"));
+        const stopMs = performance.now() - signalledAtMs;
+        const answeredMs = await Promise.all(answers);
+        leave();
+        await crowd;
+        expect(answeredMs.filter(ms => !(ms < maxAnswerMs))).toEqual([]);
+        expect(stopMs).toBeLessThan(maxAnswerMs);
+    });
+});
