Parse what connections have sent in turns of bounded time

What callers saw: while connections send bodies in small chunks, ordinary calls, questions for readiness and SIGTERM wait for seconds; after 60 bodies of 400 KB in chunks of one byte an entry serves nobody for 48 s more, though the crowd has left. 20 bodies of 400 KB, within every limit, do it too.

Cause: the guard passed all that a read had brought (64 KB, over 10,000 chunks of one byte, a callback each) to the parser in one turn of the event loop, and each connection did so in every turn.

Connections that wait are paused and charged. What waits counts as an arriving request in both checks for idle connections, what a departed client had sent is dropped, and a connection that yields with bytes waiting gets its 503.

Ruled out: a wedge; without the change calls are answered again once the backlog is parsed.

Not shown: that this caused the reported cases of LOST.

--- a/src/rpc/connectionGuard.ts
+++ b/src/rpc/connectionGuard.ts
@@ -2,8 +2,8 @@
  * Bounds what the connections of an HTTP server hold in memory.
  *
  * What a connection has sent is passed to the parser in pieces, and no further one while several of its requests are
- * unanswered: the parser creates all requests of a piece at once. What waits, heads and bodies that have not arrived whole
- * and requests sent ahead are charged to a budget. A connection that yields sends nothing more to the parser, and its
+ * unanswered: the parser creates all requests of a piece at once. The connections take turns in this. What waits, heads and
+ * bodies that have not arrived whole and requests sent ahead are charged to a budget. A connection that yields sends nothing more to the parser, and its
  * requests that have not been read whole are refused; none of them has run.
  */
 
@@ -11,6 +11,7 @@
 import type { Socket } from "node:net";
 import { countReadBytes } from "./bufferCollection.js";
 import type { ConnectionBudget, Holding } from "./connectionBudget.js";
+import { processFeedTurns } from "./feedTurns.js";
 
 /** Why a connection ends before its requests have arrived whole. */
 export type YieldCause = "overBudget" | "tooSlow" | "tooLarge";
@@ -19,6 +20,8 @@
 export interface GuardedConnection {
     /** Cause for which its further requests are refused; `undefined` if they are served. */
     readonly yielded: () => YieldCause | undefined;
+    /** Whether bytes that have been read wait for the parser. */
+    readonly hasUnparsed: () => boolean;
     /** Takes nothing more from the connection and closes it after its responses. */
     readonly yieldFor: (cause: YieldCause) => void;
     /** Begins a body; `onYield` is called if the connection yields before `complete`. */
@@ -133,43 +136,88 @@
                 || last !== undefined && isInBody() && last.readableLength >= last.readableHighWaterMark;
         }
 
+        function canFeed(): boolean {
+            return unfed !== undefined && !mustWait() && cause === undefined;
+        }
+
         function feed(): void {
             if (isFeeding || cause !== undefined) {
                 return;
             }
+            if (canFeed()) {
+                processFeedTurns.feed(feedShare);
+            }
+            settle();
+        }
+
+        function feedShare(mayGoOn: () => boolean): boolean {
+            if (isFeeding) {
+                return false;
+            }
             isFeeding = true;
-            while (unfed !== undefined && !mustWait() && cause === undefined) {
-                const isInLongBody = isInBody() && bytesSinceStart > longBodyBytes;
-                const length = Math.min(unfed.length, isInLongBody ? longBodyPieceBytes : pieceBytes);
-                const piece = unfed.subarray(0, length);
-                unfed = length === unfed.length ? undefined : unfed.subarray(length);
-                const wasInBody = isInBody();
-                const wasWritable = socket.writable;
-                headBytes += length;
-                bytesSinceStart += length;
-                deliver?.(piece);
-                if (wasWritable && !socket.writable) {
-                    // The rest of invalid input would be reported as a further error.
-                    unfed = undefined;
-                }
-                if (wasInBody || isInBody()) {
-                    headBytes = 0;
+            try {
+                while (canFeed()) {
+                    feedPiece();
+                    if (!mayGoOn()) {
+                        break;
+                    }
                 }
             }
-            isFeeding = false;
+            finally {
+                isFeeding = false;
+            }
+            settle();
+            return canFeed();
+        }
+
+        function feedPiece(): void {
+            if (unfed === undefined) {
+                return;
+            }
+            const isInLongBody = isInBody() && bytesSinceStart > longBodyBytes;
+            const length = Math.min(unfed.length, isInLongBody ? longBodyPieceBytes : pieceBytes);
+            const piece = unfed.subarray(0, length);
+            unfed = length === unfed.length ? undefined : unfed.subarray(length);
+            const wasInBody = isInBody();
+            const wasWritable = socket.writable;
+            headBytes += length;
+            bytesSinceStart += length;
+            deliver?.(piece);
+            if (wasWritable && !socket.writable) {
+                // The rest of invalid input would be reported as a further error.
+                unfed = undefined;
+            }
+            if (wasInBody || isInBody()) {
+                headBytes = 0;
+            }
+        }
+
+        /** Charges the connection for what waits, and reads no more while something does. */
+        function settle(): void {
             chargeConnection();
-            const waits = unfed !== undefined || mustWait();
-            if (cause === undefined && waits !== isWaiting) {
-                isWaiting = waits;
-                if (waits) {
+            if (cause !== undefined) {
+                return;
+            }
+            if (unfed !== undefined || mustWait()) {
+                isWaiting = true;
+                // The runtime resumes a connection whose request can take more of its body, whatever waits here.
+                if (!socket.isPaused()) {
                     socket.pause();
                 }
-                else if ((socket as RuntimePause)._paused !== true) {
+            }
+            else if (isWaiting) {
+                isWaiting = false;
+                if ((socket as RuntimePause)._paused !== true) {
                     socket.resume();
                 }
             }
         }
 
+        function dropUnparsed(): void {
+            unfed = undefined;
+            processFeedTurns.leave(feedShare);
+        }
+
         /** Requests behind the first one, a head that has arrived in part, and what has been read and waits. */
         function chargeConnection(): void {
             const waitingBytes = unfed === undefined ? 0 : unfed.length + readAheadBytes;
@@ -186,7 +234,8 @@
             }
             cause = yieldCause;
             onYield(yieldCause);
-            unfed = undefined;
+            const hasBegun = headBytes > 0 || unfed !== undefined;
+            dropUnparsed();
             holding.release();
             socket.pause();
             for (const body of bodies.values()) {
@@ -195,7 +244,7 @@
                     body.onYield(yieldCause);
                 }
             }
-            if (running.size === 0 && headBytes > 0 && socket.writable) {
+            if (running.size === 0 && hasBegun && socket.writable) {
                 socket.write(overloadedResponse);
             }
             closeIfDone();
@@ -215,6 +264,7 @@
             feed,
             closeIfDone,
             yielded: () => cause,
+            hasUnparsed: () => unfed !== undefined || socket.readableLength > 0,
             yieldFor,
             start: request => {
                 if (running.size > 1) {
@@ -256,18 +306,19 @@
             countReadBytes(chunk.length);
             if (cause === undefined) {
                 unfed = unfed === undefined ? chunk : Buffer.concat([unfed, chunk]);
-                isWaiting = false;
                 feed();
             }
         });
         socket.on("resume", feed);
         socket.on("drain", feed);
+        // The runtime has ended its side too: nothing that waits could be answered.
+        socket.once("end", dropUnparsed);
         socket.once("close", () => {
             states.delete(socket);
             holding.release();
             bodies.forEach(body => body.holding.release());
             bodies.clear();
-            unfed = undefined;
+            dropUnparsed();
         });
         if (states.size > maxConnections) {
             onYield("tooMany");
--- a/src/rpc/connections.ts
+++ b/src/rpc/connections.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Server as NetServer } from "node:net";
 import type { Socket } from "node:net";
+import { guardOf } from "./connectionGuard.js";
 
 /** Bytes transferred over a server's connections so far, headers included. */
 export interface Traffic {
@@ -143,7 +144,8 @@
     }
 
     function isIdle(socket: Socket, { running, request, bytesBefore }: ConnectionUse): boolean {
-        return socket.writable && running.size === 0 && (request?.complete ?? true) && socket.bytesRead === bytesBefore;
+        return socket.writable && running.size === 0 && (request?.complete ?? true) && socket.bytesRead === bytesBefore
+            && !(guardOf(socket)?.hasUnparsed() ?? false);
     }
 
     /** Sets a limit on the responses that only wait for their peer to read. */
