Read on while a connection closes whose client still sends

What callers saw: a refusal (413, 503, 431) of a body that is still arriving is lost to a reset: 'fetch failed', or a channel closed without an answer, the answers to earlier requests on it included.

Cause: the connection was closed over unread bytes, which the operating system answers with a reset; the client's next write fails before it reads.

Change: the guard ends its own side and discards what comes for up to 1 s and 8 MB, until the client closes; at once above the limit on connections.

--- a/src/rpc/connectionGuard.test.ts
+++ b/src/rpc/connectionGuard.test.ts
@@ -96,6 +96,32 @@
         await allReleased();
     });
 
+    // The connection closed over unread bytes, which resets it: a client that was still sending had not read its response.
+    it("gets its response although it still sends a body that is refused", async () => {
+        await start(1_000_000);
+        const announced = 16 * maxBodyBytes;
+        const text = await new Promise<string>(resolve => {
+            const socket = connect(Number(new URL(server.url).port), "127.0.0.1");
+            socket.on("error", () => undefined);
+            socket.write(head("/a", `content-length: ${announced}`));
+            let sent = 0;
+            const sending = setInterval(() => {
+                sent += 1;
+                socket.write("x".repeat(maxBodyBytes / 10));
+                if (sent === 10) {
+                    socket.on("data", (data: Buffer) => (received += data.toString()));
+                }
+            }, 10);
+            let received = "";
+            socket.on("close", () => {
+                clearInterval(sending);
+                resolve(received);
+            });
+        });
+        expect(text).toMatch(/^HTTP\/1.1 413 /u);
+        await allReleased();
+    });
+
     it("is refused as not run if its unfinished body is the largest over the budget", async () => {
         await start(500_000);
         const large = exchange(`${head("/large", chunked)}${chunks(5_000, 50)}`);
--- a/src/rpc/connectionGuard.ts
+++ b/src/rpc/connectionGuard.ts
@@ -61,6 +61,9 @@
 const bodyPatienceMs = 30_000;
 const minBodyBytesPerSecond = 1_000;
 const sweepMs = 5_000;
+/** A connection that closes while its client still sends is read on for so long, and so far. */
+const lingerMs = 1_000;
+const lingerBytes = 8 * 1_024 * 1_024;
 const msPerSecond = 1_000;
 const overloadedResponse =
     "HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
@@ -125,6 +128,8 @@
         let chargedBytes = 0;
         let last: IncomingMessage | undefined;
         let cause: YieldCause | undefined;
+        /** Bytes that a connection that closes may still send; `undefined` before it closes. */
+        let discardableBytes: number | undefined;
 
         function isInBody(): boolean {
             return last !== undefined && !last.complete;
@@ -141,7 +146,7 @@
         }
 
         function feed(): void {
-            if (isFeeding || cause !== undefined) {
+            if (isFeeding || cause !== undefined || discardableBytes !== undefined) {
                 return;
             }
             if (canFeed()) {
@@ -195,7 +200,7 @@
         /** Charges the connection for what waits, and reads no more while something does. */
         function settle(): void {
             chargeConnection();
-            if (cause !== undefined) {
+            if (cause !== undefined || discardableBytes !== undefined) {
                 return;
             }
             if (unfed !== undefined || mustWait()) {
@@ -250,6 +255,29 @@
             closeIfDone();
         }
 
+        /**
+         * Closes after the responses. The operating system resets a connection that closes over unread bytes, and the
+         * client may lose responses that it has not read yet; so what it still sends is read and discarded.
+         */
+        function closeSoon(): void {
+            const isSending = isInBody() || cause !== undefined || unfed !== undefined || socket.readableLength > 0;
+            if (!isSending || states.size > maxConnections || socket.destroyed) {
+                destroySoon();
+                return;
+            }
+            if (discardableBytes !== undefined) {
+                return;
+            }
+            discardableBytes = lingerBytes;
+            dropUnparsed();
+            holding.release();
+            socket.end();
+            socket.resume();
+            const timer = setTimeout(destroySoon, lingerMs);
+            socket.once("end", destroySoon);
+            socket.once("close", () => clearTimeout(timer));
+        }
+
         function closeIfDone(): void {
             if (cause !== undefined && running.size === 0) {
                 socket.destroySoon();
@@ -301,10 +329,19 @@
         states.set(socket, state);
         guarded.set(socket, state);
 
+        const destroySoon = socket.destroySoon.bind(socket);
+        // The runtime calls this too, after a response that is the last one on its connection.
+        socket.destroySoon = closeSoon;
         socket.removeListener("data", deliver);
         socket.on("data", (chunk: Buffer) => {
             countReadBytes(chunk.length);
-            if (cause === undefined) {
+            if (discardableBytes !== undefined) {
+                discardableBytes -= chunk.length;
+                if (discardableBytes <= 0) {
+                    destroySoon();
+                }
+            }
+            else if (cause === undefined) {
                 unfed = unfed === undefined ? chunk : Buffer.concat([unfed, chunk]);
                 feed();
             }
