--- a/src/rpc/connectionGuard.ts
+++ b/src/rpc/connectionGuard.ts
@@ -2,8 +2,8 @@
  * Bounds what the connections of an HTTP server hold in memory.
  *
  * What a connection has sent is passed to the parser in pieces, and no further one while several of its requests are
- * unanswered: the parser creates all requests of a piece at once. What waits, heads and bodies that have not arrived whole
- * and requests sent ahead are charged to a budget. A connection that yields sends nothing more to the parser, and its
+ * unanswered: the parser creates all requests of a piece at once. The connections take turns in this. What waits, heads and
+ * bodies that have not arrived whole and requests sent ahead are charged to a budget. A connection that yields sends nothing more to the parser, and its
  * requests that have not been read whole are refused; none of them has run.
  */
 
@@ -11,6 +11,7 @@
 import type { Socket } from "node:net";
 import { countReadBytes } from "./bufferCollection.js";
 import type { ConnectionBudget, Holding } from "./connectionBudget.js";
+import { processFeedTurns } from "./feedTurns.js";
 
 /** Why a connection ends before its requests have arrived whole. */
 export type YieldCause = "overBudget" | "tooSlow" | "tooLarge";
@@ -19,6 +20,8 @@
 export interface GuardedConnection {
     /** Cause for which its further requests are refused; `undefined` if they are served. */
     readonly yielded: () => YieldCause | undefined;
+    /** Whether bytes that have been read wait for the parser. */
+    readonly hasUnparsed: () => boolean;
     /** Takes nothing more from the connection and closes it after its responses. */
     readonly yieldFor: (cause: YieldCause) => void;
     /** Begins a body; `onYield` is called if the connection yields before `complete`. */
@@ -58,6 +61,9 @@
 const bodyPatienceMs = 30_000;
 const minBodyBytesPerSecond = 1_000;
 const sweepMs = 5_000;
+/** A connection that closes while its client still sends is read on for so long, and so far. */
+const lingerMs = 1_000;
+const lingerBytes = 8 * 1_024 * 1_024;
 const msPerSecond = 1_000;
 const overloadedResponse =
     "HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
@@ -122,6 +128,8 @@
         let chargedBytes = 0;
         let last: IncomingMessage | undefined;
         let cause: YieldCause | undefined;
+        /** Bytes that a connection that closes may still send; `undefined` before it closes. */
+        let discardableBytes: number | undefined;
 
         function isInBody(): boolean {
             return last !== undefined && !last.complete;
@@ -133,43 +141,88 @@
                 || last !== undefined && isInBody() && last.readableLength >= last.readableHighWaterMark;
         }
 
+        function canFeed(): boolean {
+            return unfed !== undefined && !mustWait() && cause === undefined;
+        }
+
         function feed(): void {
-            if (isFeeding || cause !== undefined) {
+            if (isFeeding || cause !== undefined || discardableBytes !== undefined) {
                 return;
             }
+            if (canFeed()) {
+                processFeedTurns.feed(feedShare);
+            }
+            settle();
+        }
+
+        function feedShare(mayGoOn: () => boolean): boolean {
+            if (isFeeding) {
+                return false;
+            }
             isFeeding = true;
-            while (unfed !== undefined && !mustWait() && cause === undefined) {
-                const isInLongBody = isInBody() && bytesSinceStart > longBodyBytes;
-                const length = Math.min(unfed.length, isInLongBody ? longBodyPieceBytes : pieceBytes);
-                const piece = unfed.subarray(0, length);
-                unfed = length === unfed.length ? undefined : unfed.subarray(length);
-                const wasInBody = isInBody();
-                const wasWritable = socket.writable;
-                headBytes += length;
-                bytesSinceStart += length;
-                deliver?.(piece);
-                if (wasWritable && !socket.writable) {
-                    // The rest of invalid input would be reported as a further error.
-                    unfed = undefined;
-                }
-                if (wasInBody || isInBody()) {
-                    headBytes = 0;
+            try {
+                while (canFeed()) {
+                    feedPiece();
+                    if (!mayGoOn()) {
+                        break;
+                    }
                 }
             }
-            isFeeding = false;
+            finally {
+                isFeeding = false;
+            }
+            settle();
+            return canFeed();
+        }
+
+        function feedPiece(): void {
+            if (unfed === undefined) {
+                return;
+            }
+            const isInLongBody = isInBody() && bytesSinceStart > longBodyBytes;
+            const length = Math.min(unfed.length, isInLongBody ? longBodyPieceBytes : pieceBytes);
+            const piece = unfed.subarray(0, length);
+            unfed = length === unfed.length ? undefined : unfed.subarray(length);
+            const wasInBody = isInBody();
+            const wasWritable = socket.writable;
+            headBytes += length;
+            bytesSinceStart += length;
+            deliver?.(piece);
+            if (wasWritable && !socket.writable) {
+                // The rest of invalid input would be reported as a further error.
+                unfed = undefined;
+            }
+            if (wasInBody || isInBody()) {
+                headBytes = 0;
+            }
+        }
+
+        /** Charges the connection for what waits, and reads no more while something does. */
+        function settle(): void {
             chargeConnection();
-            const waits = unfed !== undefined || mustWait();
-            if (cause === undefined && waits !== isWaiting) {
-                isWaiting = waits;
-                if (waits) {
+            if (cause !== undefined || discardableBytes !== undefined) {
+                return;
+            }
+            if (unfed !== undefined || mustWait()) {
+                isWaiting = true;
+                // The runtime resumes a connection whose request can take more of its body, whatever waits here.
+                if (!socket.isPaused()) {
                     socket.pause();
                 }
-                else if ((socket as RuntimePause)._paused !== true) {
+            }
+            else if (isWaiting) {
+                isWaiting = false;
+                if ((socket as RuntimePause)._paused !== true) {
                     socket.resume();
                 }
             }
         }
 
+        function dropUnparsed(): void {
+            unfed = undefined;
+            processFeedTurns.leave(feedShare);
+        }
+
         /** Requests behind the first one, a head that has arrived in part, and what has been read and waits. */
         function chargeConnection(): void {
             const waitingBytes = unfed === undefined ? 0 : unfed.length + readAheadBytes;
@@ -186,7 +239,8 @@
             }
             cause = yieldCause;
             onYield(yieldCause);
-            unfed = undefined;
+            const hasBegun = headBytes > 0 || unfed !== undefined;
+            dropUnparsed();
             holding.release();
             socket.pause();
             for (const body of bodies.values()) {
@@ -195,12 +249,35 @@
                     body.onYield(yieldCause);
                 }
             }
-            if (running.size === 0 && headBytes > 0 && socket.writable) {
+            if (running.size === 0 && hasBegun && socket.writable) {
                 socket.write(overloadedResponse);
             }
             closeIfDone();
         }
 
+        /**
+         * Closes after the responses. The operating system resets a connection that closes over unread bytes, and the
+         * client may lose responses that it has not read yet; so what it still sends is read and discarded.
+         */
+        function closeSoon(): void {
+            const isSending = isInBody() || cause !== undefined || unfed !== undefined || socket.readableLength > 0;
+            if (!isSending || states.size > maxConnections || socket.destroyed) {
+                destroySoon();
+                return;
+            }
+            if (discardableBytes !== undefined) {
+                return;
+            }
+            discardableBytes = lingerBytes;
+            dropUnparsed();
+            holding.release();
+            socket.end();
+            socket.resume();
+            const timer = setTimeout(destroySoon, lingerMs);
+            socket.once("end", destroySoon);
+            socket.once("close", () => clearTimeout(timer));
+        }
+
         function closeIfDone(): void {
             if (cause !== undefined && running.size === 0) {
                 socket.destroySoon();
@@ -215,6 +292,7 @@
             feed,
             closeIfDone,
             yielded: () => cause,
+            hasUnparsed: () => unfed !== undefined || socket.readableLength > 0,
             yieldFor,
             start: request => {
                 if (running.size > 1) {
@@ -251,23 +329,33 @@
         states.set(socket, state);
         guarded.set(socket, state);
 
+        const destroySoon = socket.destroySoon.bind(socket);
+        // The runtime calls this too, after a response that is the last one on its connection.
+        socket.destroySoon = closeSoon;
         socket.removeListener("data", deliver);
         socket.on("data", (chunk: Buffer) => {
             countReadBytes(chunk.length);
-            if (cause === undefined) {
+            if (discardableBytes !== undefined) {
+                discardableBytes -= chunk.length;
+                if (discardableBytes <= 0) {
+                    destroySoon();
+                }
+            }
+            else if (cause === undefined) {
                 unfed = unfed === undefined ? chunk : Buffer.concat([unfed, chunk]);
-                isWaiting = false;
                 feed();
             }
         });
         socket.on("resume", feed);
         socket.on("drain", feed);
+        // The runtime has ended its side too: nothing that waits could be answered.
+        socket.once("end", dropUnparsed);
         socket.once("close", () => {
             states.delete(socket);
             holding.release();
             bodies.forEach(body => body.holding.release());
             bodies.clear();
-            unfed = undefined;
+            dropUnparsed();
         });
         if (states.size > maxConnections) {
             onYield("tooMany");
