Soak: sound generations beside those with a part that ends engines

A tenth of the generations with prompt parts hold one that ends the engine after its first event; the others share their first part and the rest. Checked: few such runs later than 3 s after the fifth, and that sound ones begin at least half as often as generations without parts, where half of those begin.

--- a/fakes/soakChecks.ts
+++ b/fakes/soakChecks.ts
@@ -15,6 +15,11 @@
 /** Engines that may end under copies of one request before entries must react, and copies that may run later. */
 const maxEnds = 3;
 const maxLaterRuns = 3;
+/** Engines that may end under a part of a prompt before entries must react. */
+const maxPartEnds = 5;
+/** Generations of a kind from which their share is judged. */
+const minGenerations = 20;
+const minServedShare = 0.5;
 const msPerSecond = 1_000;
 
 /** What an engine may get within one window. */
@@ -95,6 +100,46 @@
     });
 }
 
+/** A generation by its caller; times are wall-clock times in ms. */
+export interface Generation {
+    /** Whether its prompt has parts, the first of which requests with the deadly part have as well. */
+    readonly hasSharedPart: boolean;
+    readonly sentAtMs: number;
+    readonly hasBegun: boolean;
+}
+
+/**
+ * Checks the requests with a part that ends engines (`deadlyRunsAtMs`) and the sound ones beside them: few of the former
+ * reach engines some time after the fifth, and from the double of that time on, those of the latter that share their
+ * first part begin at least half as often as those without any part.
+ */
+export function checkDeadlyParts(
+    deadlyRunsAtMs: readonly number[],
+    generations: readonly Generation[],
+): readonly string[] {
+    const times = deadlyRunsAtMs.toSorted((left, right) => left - right);
+    const fifthAtMs = times[maxPartEnds - 1] ?? times.at(-1) ?? Infinity;
+    const later = times.filter(atMs => atMs > fifthAtMs + stableWindowMs).length;
+    const counted = generations.filter(({ sentAtMs }) => sentAtMs > fifthAtMs + 2 * stableWindowMs);
+    const [sharing, others] = [true, false].map(hasSharedPart => {
+        const sent = counted.filter(generation => generation.hasSharedPart === hasSharedPart);
+        const { length: begun } = sent.filter(({ hasBegun }) => hasBegun);
+        return { sent: sent.length, share: begun / sent.length };
+    });
+    // Where few begin at all, because an entry shuts down, the shares differ by chance.
+    const isServing = (others?.share ?? 0) >= minServedShare;
+    const isJudged = isServing && Math.min(sharing?.sent ?? 0, others?.sent ?? 0) >= minGenerations;
+    const isLost = isJudged && (sharing?.share ?? 0) < (others?.share ?? 0) / 2;
+    return [
+        ...later > maxLaterRuns
+            ? [`${later} runs with the deadly part later than ${stableWindowMs} ms after the fifth`]
+            : [],
+        ...isLost
+            ? [`beside the deadly part, ${sharing?.share} of those with its first part begin, ${others?.share} of others`]
+            : [],
+    ];
+}
+
 /** How a call ended for its caller; times are wall-clock times in ms. */
 export interface EndedCall {
     readonly path: string;
--- a/fakes/soakRun.ts
+++ b/fakes/soakRun.ts
@@ -10,12 +10,12 @@
 import { request } from "undici";
 import { createRandom, pickOne } from "../src/common/random.js";
 import type { Random } from "../src/common/random.js";
-import { bodyOfDuration, deadlyBody } from "./platformEngine.js";
-import type { EngineFault, FakePlatformEngine } from "./platformEngine.js";
+import { bodyOfDuration, deadlyBody, deadlyPromptPart } from "./platformEngine.js";
+import type { EngineFault, EngineRun, FakePlatformEngine } from "./platformEngine.js";
 import { callSite, expectedStream, isReady, nextRequestId, siteKey, startPlatformSite, until } from "./platformSite.js";
 import type { EntryProcess, PlatformSite, SiteResponse } from "./platformSite.js";
 import type { StoreFault } from "./platformStore.js";
-import { checkDeadlyRuns, checkLateCalls, checkRates, checkWholeResponses } from "./soakChecks.js";
+import { checkDeadlyParts, checkDeadlyRuns, checkLateCalls, checkRates, checkWholeResponses } from "./soakChecks.js";
 import { checkTakenUp, soakModelEngines, softwareVersions, takeUpOnce } from "./soakStreams.js";
 import type { TakenUpStream } from "./soakStreams.js";
 import { startTcpProxy } from "./tcpProxy.js";
@@ -49,6 +49,8 @@
     readonly sentAtMs: number;
     readonly endedAtMs: number;
     readonly response: SiteResponse;
+    /** Prompt parts that the request named. */
+    readonly promptPrefix: string | undefined;
 }
 
 interface Fault {
@@ -64,6 +66,9 @@
 /** Paths of calls that end engines with `deadlyBody`, and the fraction of calls on them that have it. */
 const deadlyPaths: ReadonlySet<string> = new Set(["/pay/x", "/look/x"]);
 const deadlyFraction = 0.01;
+/** Fraction of the generations whose prompts have parts, and of these, of those that have the deadly one. */
+const partsFraction = 0.5;
+const deadlyPartFraction = 0.1;
 /** Fraction of the other calls on these paths that last longer, and how long at most. */
 const slowFraction = 0.2;
 const maxSlowMs = 2_800;
@@ -115,7 +120,10 @@
         proxyEngineAddress: proxiedInto(engineProxies),
         proxyStoreAddress: proxiedInto(storeProxies),
     });
-    site.engines.forEach(engine => engine.endOnDeadlyBody());
+    site.engines.forEach(engine => {
+        engine.endOnDeadlyBody();
+        engine.endOnDeadlyPart();
+    });
     const completed: CompletedRequest[] = [];
     /** Ids of requests whose connections ended without the head of a response. */
     const unanswered: string[] = [];
@@ -144,15 +152,16 @@
             const key = withdrawnKey !== undefined && random() < 0.2 ? withdrawnKey : state.key;
             const sentAtMs = Date.now();
             const body = deadlyPaths.has(path) ? plainBody(random, !options.isPlanned) : undefined;
+            const promptPrefix = deadlyPaths.has(path) ? undefined : promptPrefixOf(random, !options.isPlanned);
             const requestId = nextRequestId();
-            const response = await callSite(entry, path, key, undefined, undefined, body, requestId)
+            const response = await callSite(entry, path, key, undefined, promptPrefix, body, requestId)
                 .catch(() => undefined);
             if (response === undefined) {
                 unanswered.push(requestId);
                 await delay(50);
                 continue;
             }
-            completed.push({ path, key, sentAtMs, endedAtMs: Date.now(), response });
+            completed.push({ path, key, sentAtMs, endedAtMs: Date.now(), response, promptPrefix });
             await delay(random() * 30);
         }
     }
@@ -198,6 +207,14 @@
                 })),
             ),
             ...checkDeadlyRuns(site.engines),
+            ...checkDeadlyParts(
+                site.engines.flatMap(engine => engine.runs).filter(isDeadlyRun).map(({ atMs }) => atMs),
+                completed.filter(isSoundGeneration).map(({ promptPrefix, sentAtMs, response }) => ({
+                    hasSharedPart: promptPrefix !== undefined,
+                    sentAtMs,
+                    hasBegun: response.status === statusOk,
+                })),
+            ),
             ...checkLateCalls(completed),
             ...options.isPlanned ? checkWholeResponses(completed, unanswered, site.engines) : [],
             ...checkTakenUp(takenUp, site.engines),
@@ -231,6 +248,27 @@
     return random() < slowFraction ? bodyOfDuration(Math.round(random() * maxSlowMs)) : undefined;
 }
 
+/** Prompt parts of a generation: none, a shared one and another, or the deadly one between these. */
+function promptPrefixOf(random: Random, mayBeDeadly: boolean): string | undefined {
+    if (random() >= partsFraction) {
+        return undefined;
+    }
+    const isDeadly = mayBeDeadly && random() < deadlyPartFraction;
+    const other = pickOne(random, ["d1", "d2", "d3"]) ?? "d1";
+    return ["c0:300", ...isDeadly ? [`${deadlyPromptPart}:100`] : [], `${other}:100`, "own:50"].join(",");
+}
+
+const hasDeadlyPart = (promptPrefix: string | undefined): boolean =>
+    promptPrefix?.includes(`${deadlyPromptPart}:`) ?? false;
+
+function isDeadlyRun({ headers }: EngineRun): boolean {
+    return hasDeadlyPart(headers["x-gooseberrywell-prompt-prefix"]);
+}
+
+function isSoundGeneration({ path, promptPrefix }: CompletedRequest): boolean {
+    return !deadlyPaths.has(path) && !hasDeadlyPart(promptPrefix);
+}
+
 async function injectFaults(
     nextFault: (random: Random) => Fault | undefined,
     options: SoakOptions,
--- a/test/soakChecks.test.ts
+++ b/test/soakChecks.test.ts
@@ -3,8 +3,8 @@
  */
 
 import { describe, expect, it } from "vitest";
-import { checkRates } from "../fakes/soakChecks.js";
-import type { PassedOnResponse } from "../fakes/soakChecks.js";
+import { checkDeadlyParts, checkRates } from "../fakes/soakChecks.js";
+import type { Generation, PassedOnResponse } from "../fakes/soakChecks.js";
 import { checkTakenUp } from "../fakes/soakStreams.js";
 
 const limit = { value: "2", fromMs: 1_000, untilMs: undefined };
@@ -83,3 +83,17 @@
         },
     );
 });
+
+const sent = (hasSharedPart: boolean, hasBegun: boolean): readonly Generation[] =>
+    Array.from({ length: many }, (unused, index) => ({ hasSharedPart, hasBegun, sentAtMs: 10_000 + index }));
+
+it.each([
+    { name: "all others are served", runsAtMs: [0, 100], generations: [...sent(true, true), ...sent(false, true)] },
+    { name: "none with the first part", runsAtMs: [0], generations: [...sent(true, false), ...sent(false, true)] },
+    { name: "none at all", runsAtMs: [0], generations: [...sent(true, false), ...sent(false, false)] },
+    { name: "too many late runs", runsAtMs: [0, 1, 2, 3, 4, 4_000, 5_000, 6_000, 7_000], generations: [] },
+    { name: "few late runs", runsAtMs: [0, 1, 2, 3, 4, 2_000, 5_000, 6_000, 7_000], generations: [] },
+])("a part of a prompt that ends engines: $name", ({ name, runsAtMs, generations }) => {
+    const isBroken = name === "none with the first part" || name === "too many late runs";
+    expect(checkDeadlyParts(runsAtMs, generations)).toHaveLength(isBroken ? 1 : 0);
+});
