--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -4,10 +4,11 @@
  *
  * Several parts may be in all requests under which engines ended. A part is blamed only together with every other part
  * that accounts for at least the same engines, so that a request with just one of them is still served and, if it runs,
- * refutes the evidence against that one. Once several engines have ended under it, or if the others account for most of its
- * engines only, it is blamed for a moment: it may be sound, but requests must not go on ending engines. A whole request is blamed by itself: other requests that were at the same
- * engines don't explain why engines ended under each copy of it. Evidence merges in any order: the oldest time of an
- * item counts, and an item that is refuted stays so.
+ * refutes the evidence against that one. Once several engines have ended under it, or if the others account for most of
+ * its engines only, it is blamed for a moment: it may be sound, but requests must not go on ending engines.
+ *
+ * A whole request is blamed by itself: other requests that were at the same engines don't explain why engines ended under
+ * each copy of it. Evidence merges in any order: the oldest time of an item counts, and an item that is refuted stays so.
  */
 
 import { z } from "zod";
--- a/src/rpc/connectionGuard.ts
+++ b/src/rpc/connectionGuard.ts
@@ -2,9 +2,9 @@
  * Bounds what the connections of an HTTP server hold in memory.
  *
  * What a connection has sent is passed to the parser in pieces, and no further one while several of its requests are
- * unanswered: the parser creates all requests of a piece at once. The connections take turns in this. What waits, heads and
- * bodies that have not arrived whole and requests sent ahead are charged to a budget. A connection that yields sends nothing more to the parser, and its
- * requests that have not been read whole are refused; none of them has run.
+ * unanswered: the parser creates all requests of a piece at once. The connections take turns in this. What waits, heads
+ * and bodies that have not arrived whole and requests sent ahead are charged to a budget. A connection that yields sends
+ * nothing more to the parser, and its requests that have not been read whole are refused; none of them has run.
  */
 
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
@@ -256,7 +256,7 @@
         }
 
         /**
-         * Closes after the responses. The operating system resets a connection that closes over unread bytes, and the
+         * Closes once all responses are written. The operating system resets a connection that closes over unread bytes, and the
          * client may lose responses that it has not read yet; so what it still sends is read and discarded.
          */
         function closeSoon(): void {
