A take-up is refused for good only once all who may know its stream have answered

Callers got 503 without Retry-After for a stream whose origin was about to become known.

Cause: two ways in which one outcome decided for good. And where one request ran twice, the first run whose engine could not be confirmed removed the note that the second was still being confirmed.

Evidence: src/resumption/streamOrigins.test.ts, "may become known while an entry that may know it does not answer" and "may become known as long as one of several runs of its request is being confirmed"; both failed before (isFinal: true).

Change: silence is told from ignorance, and the runs that wait are counted. Both refusals now ask to come back.

--- a/src/resumption/streamOrigins.test.ts
+++ b/src/resumption/streamOrigins.test.ts
@@ -259,6 +259,33 @@
         expect((await fleet.entry(1).find("r-1")).kind).toBe("unknown");
     });
 
+    it("may become known as long as one of several runs of its request is being confirmed", async () => {
+        const { entry } = createFleet(3);
+        const origin: KnownOrigin = { service: "chat", softwareVersion: "1" };
+        let confirm: (isKnown: boolean) => void = () => undefined;
+        const second = new Promise<boolean>(resolve => {
+            confirm = resolve;
+        });
+        const first = entry(0).recordOnceKnown("request", origin, Promise.resolve(false));
+        const recorded = entry(0).recordOnceKnown("request", origin, second);
+        await first;
+        expect(await entry(1).find("request")).toMatchObject({ kind: "unknown", isFinal: false });
+        confirm(true);
+        await recorded;
+        expect(await entry(0).find("request")).toEqual({ kind: "found", origin });
+    });
+
+    it("may become known while an entry that may know it does not answer", async () => {
+        const { entry, setSilent } = createFleet(3);
+        void entry(0).recordOnceKnown(
+            "request",
+            { service: "chat", softwareVersion: "1" },
+            new Promise(() => undefined),
+        );
+        setSilent(true);
+        expect(await entry(1).find("request")).toMatchObject({ kind: "unknown", isFinal: false });
+    });
+
     it("is known of streams that began while an entry was shutting down", async () => {
         const fleet = createFleet(1);
         fleet.entry(0).record("r-1", origin);
--- a/src/resumption/streamOrigins.ts
+++ b/src/resumption/streamOrigins.ts
@@ -80,8 +80,11 @@
 
 type Message = RecordOrigins["origins"][number];
 
-/** What one place knows; `pending` if the entry at which the stream began does not know its version yet. */
-type LookedUp = StoredOrigin | { readonly kind: "pending"; };
+/**
+ * What one place knows; `pending` if the entry at which the stream began does not know its version yet, `silent` if an
+ * entry that may know the stream did not answer.
+ */
+type LookedUp = StoredOrigin | { readonly kind: "pending"; } | { readonly kind: "silent"; readonly cause: string; };
 
 /** Identifies a stream by the id of the request with which it began; callers choose these ids. */
 export function streamKey(requestId: string): string {
@@ -93,7 +96,8 @@
     const remembered = new Map<string, StreamOrigin>();
     const outbox = new Map<string, Message[]>();
     const underheld = new Map<string, StreamOrigin>();
-    const pending = new Set<string>();
+    /** The number of runs whose engines are not confirmed yet, by stream: a request may be sent more than once. */
+    const pending = new Map<string, number>();
     let isSendScheduled = false;
     let recorders: { readonly entryList: string; readonly urls: readonly string[]; } = { entryList: "", urls: [] };
     const store = createOriginStore(tables, clock, log, () => currentRecorders()[0] === url);
@@ -197,8 +201,11 @@
 
     async function ask(entry: string, key: string): Promise<LookedUp> {
         const response = await rpc.call(entry, resumptionMethods.find, { key }, { timeoutMs: callTimeoutMs });
-        const found = response.isOk ? checkValue(findOriginResponseSchema, response.value) : undefined;
-        if (!found?.isOk) {
+        if (response.isErr) {
+            return { kind: "silent", cause: response.error.cause };
+        }
+        const found = checkValue(findOriginResponseSchema, response.value);
+        if (found.isErr) {
             return { kind: "absent" };
         }
         const { origin, isPending } = found.value;
@@ -222,7 +229,7 @@
             void Promise.all(answers).then(all =>
                 resolve(
                     all.find(({ kind }) => kind === "pending") ?? all.find(({ kind }) => kind === "unavailable")
-                        ?? { kind: "absent" },
+                        ?? all.find(({ kind }) => kind === "silent") ?? { kind: "absent" },
                 )
             );
         });
@@ -238,6 +245,9 @@
             if (found.kind === "unavailable") {
                 return { kind: "unknown", isFinal: false, cause: `the store does not answer: ${found.cause}` };
             }
+            if (found.kind === "silent") {
+                return { kind: "unknown", isFinal: false, cause: `another entry does not answer: ${found.cause}` };
+            }
             if (found.kind === "found") {
                 remember(key, found.origin);
             }
@@ -256,10 +266,16 @@
         record: (requestId, origin) => recordKey(streamKey(requestId), origin),
         recordOnceKnown: async (requestId, origin, isKnown) => {
             const key = streamKey(requestId);
-            pending.add(key);
+            pending.set(key, (pending.get(key) ?? 0) + 1);
             removeOldest(pending, maxPending);
             const mayRecord = await isKnown;
-            pending.delete(key);
+            const others = (pending.get(key) ?? 0) - 1;
+            if (others > 0) {
+                pending.set(key, others);
+            }
+            else {
+                pending.delete(key);
+            }
             if (mayRecord) {
                 recordKey(key, origin);
             }
