Parsing goes on after an error that nothing handles

Callers of other connections waited, and the one of the connection at fault for good, when a callback of the parser threw.

Cause: since the process goes on after such an error, what it leaves half done stays. The turn of parsing ended without a next one, with all who waited in it; the connection had what was read unparsed, and was paused.

Evidence: feedTurns.test.ts, "go on after one of them fails" (0 of 2 pieces parsed before); connectionGuard.test.ts, "does not stay open for good after an error that nothing handles" (open after 2.5 s before). No callback is known that throws.

Change: the next turn is scheduled whatever a share does. The connection yields: it parses nothing more, what has not arrived whole is refused, and it closes after its responses.

--- a/src/rpc/connectionGuard.test.ts
+++ b/src/rpc/connectionGuard.test.ts
@@ -137,4 +137,28 @@
         ]);
         await allReleased();
     });
+
+    it("does not stay open for good after an error that nothing handles", async () => {
+        await start(1_000_000);
+        const errors: unknown[] = [];
+        const earlier = process.listeners("uncaughtException");
+        process.removeAllListeners("uncaughtException");
+        process.on("uncaughtException", error => void errors.push(error));
+        server.server.on("request", request => {
+            if (request.url === "/failing") {
+                throw new Error("test");
+            }
+        });
+        const framing = "content-length: 20000";
+        const sent = exchange(
+            `${head("/failing", framing)}${"x".repeat(20_000)}${head("/b", "content-length: 0")}`,
+            /"\/b /,
+        );
+        const text = await Promise.race([sent, new Promise(resolve => setTimeout(resolve, 2_500, "open"))]);
+        process.removeAllListeners("uncaughtException");
+        earlier.forEach(listener => process.on("uncaughtException", listener));
+        expect(errors).toHaveLength(1);
+        expect(text).not.toBe("open");
+        await allReleased();
+    });
 });
--- a/src/rpc/connectionGuard.ts
+++ b/src/rpc/connectionGuard.ts
@@ -160,6 +160,7 @@
                 return false;
             }
             isFeeding = true;
+            let hasFailed = true;
             try {
                 while (canFeed()) {
                     feedPiece();
@@ -167,9 +168,14 @@
                         break;
                     }
                 }
+                hasFailed = false;
             }
             finally {
                 isFeeding = false;
+                if (hasFailed) {
+                    // The process goes on after an error that nothing handles, but this parser may not.
+                    yieldFor("overBudget");
+                }
             }
             settle();
             return canFeed();
--- a/src/rpc/feedTurns.test.ts
+++ b/src/rpc/feedTurns.test.ts
@@ -86,4 +86,22 @@
         expect(parsed.filter(name => name === "z")).toHaveLength(2);
         expect(parsed.filter(name => name !== "z" && name !== "|")).toHaveLength(25 * 20);
     });
+
+    it("go on after one of them fails", () => {
+        const { turns, parsed, feederOf, poll } = createLoop();
+        const failing: Feeder = () => {
+            throw new Error("test");
+        };
+        turns.feed(feederOf("a", 20));
+        turns.feed(feederOf("b", 20));
+        turns.feed(feederOf("c", 20));
+        turns.feed(failing);
+        turns.feed(feederOf("d", 2));
+        expect(poll).toThrow("test");
+        while (poll()) {
+            // Until nothing waits any more.
+        }
+        expect(parsed.filter(name => name === "d")).toHaveLength(2);
+        expect(parsed.filter(name => name === "a")).toHaveLength(20);
+    });
 });
--- a/src/rpc/feedTurns.ts
+++ b/src/rpc/feedTurns.ts
@@ -48,14 +48,20 @@
 
     function runShare(feeder: Feeder, limitMs: number): void {
         const startedAtMs = nowMs();
-        const hasMore = feeder(() => nowMs() - startedAtMs < limitMs);
-        spentMs += nowMs() - startedAtMs;
-        if (hasMore) {
-            resumed.add(feeder);
+        let hasMore = false;
+        try {
+            hasMore = feeder(() => nowMs() - startedAtMs < limitMs);
         }
-        // Without this bound, each ordinary request would cost a turn of the event loop.
-        if (hasMore || spentMs >= turnMs / 2) {
-            schedule();
+        finally {
+            // A feeder that fails must not end the turns of the others, since the process goes on.
+            spentMs += nowMs() - startedAtMs;
+            if (hasMore) {
+                resumed.add(feeder);
+            }
+            // Without this bound, each ordinary request would cost a turn of the event loop.
+            if (fresh.size + resumed.size > 0 || spentMs >= turnMs / 2) {
+                schedule();
+            }
         }
     }
 
