Answer also on a connection that is closed as idle for another one

A caller whose request had arrived on a kept connection, and was not read, got no answer when another connection exceeded the limit of descriptors: the same cause as for connections closed in a stop or after their idle time.

Cause: what the process has read is taken for what has arrived. An idle connection that yields was closed without a word, and at once, which resets it over what is unread.

Change: every connection that yields without a running request gets the refusal, and above the limit what has arrived is read before it closes, for two turns of the event loop.

--- a/src/rpc/connectionGuard.test.ts
+++ b/src/rpc/connectionGuard.test.ts
@@ -17,7 +17,7 @@
 afterEach(() => server.close());
 
 /** Answers each request with the number of its path and the size of its body. */
-async function start(limitBytes: number): Promise<void> {
+async function start(limitBytes: number, maxConnections?: number): Promise<void> {
     budget = createBudgetOf(limitBytes);
     server = await listen("127.0.0.1", 0, (method, path) => async (request, response) => {
         const body = await readBody(request, maxBodyBytes);
@@ -26,7 +26,7 @@
             return;
         }
         sendJson(response, 200, `${path} ${body.value.length} ${body.value.every(byte => byte === 0x78)}`);
-    }, { budget });
+    }, { budget, maxConnections });
 }
 
 /** Sends bytes on a connection of their own and reads until `until` matches or the connection ends. */
@@ -138,6 +138,24 @@
         await allReleased();
     });
 
+    it("is told that nothing more has run if it is closed as idle for another one", async () => {
+        await start(1_000_000, 1);
+        const { port } = new URL(server.url);
+        let text = "";
+        const idle = connect(Number(port), "127.0.0.1", () => idle.write(head("/a", "content-length: 0")));
+        idle.on("data", (data: Buffer) => (text += data.toString())).on("error", () => undefined);
+        const closed = new Promise(resolve => idle.once("close", resolve));
+        while (!text.includes("/a 0")) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        // It has arrived, and is not read, when the connection is closed.
+        server.server.prependOnceListener("connection", () => idle.write(head("/c", "content-length: 0")));
+        const crossing = exchange(head("/b", "content-length: 0"), /true/);
+        await closed;
+        expect(await crossing).toContain("/b 0");
+        expect(text).toMatch(/ (503|408) |\/c 0/);
+    });
+
     it("does not stay open for good after an error that nothing handles", async () => {
         await start(1_000_000);
         const errors: unknown[] = [];
--- a/src/rpc/connectionGuard.ts
+++ b/src/rpc/connectionGuard.ts
@@ -245,7 +245,6 @@
             }
             cause = yieldCause;
             onYield(yieldCause);
-            const hasBegun = headBytes > 0 || unfed !== undefined;
             dropUnparsed();
             holding.release();
             socket.pause();
@@ -255,7 +254,8 @@
                     body.onYield(yieldCause);
                 }
             }
-            if (running.size === 0 && hasBegun && socket.writable) {
+            if (running.size === 0 && socket.writable) {
+                // Also on an idle connection: a request may have arrived that was not read.
                 socket.write(overloadedResponse);
             }
             closeIfDone();
@@ -267,7 +267,7 @@
          */
         function closeSoon(): void {
             const isSending = isInBody() || cause !== undefined || unfed !== undefined || socket.readableLength > 0;
-            if (!isSending || states.size > maxConnections || socket.destroyed) {
+            if (!isSending || socket.destroyed) {
                 destroySoon();
                 return;
             }
@@ -279,6 +279,11 @@
             holding.release();
             socket.end();
             socket.resume();
+            if (states.size > maxConnections) {
+                // It holds a descriptor, so only what has arrived is read.
+                setImmediate(() => setImmediate(destroySoon));
+                return;
+            }
             const timer = setTimeout(destroySoon, lingerMs);
             socket.once("end", destroySoon);
             socket.once("close", () => clearTimeout(timer));
