Agents, and entries beside them, go on after errors that no code handles

One error that a callback threw, or a log whose reader had gone, ended such a process, and every request that it had read was lost.

Cause: only rejections had a handler, and the standard streams none for their errors.

Change: src/daemon/main.ts uses the same handler of errors; one in which they keep coming shuts down and exits with 1.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -6,6 +6,7 @@
 import { cac } from "cac";
 import { readFileSync } from "node:fs";
 import { Result } from "true-myth";
+import { systemClock } from "../common/clock.js";
 import { startAgent } from "../endpoint/agent.js";
 import { createHttpPlatform } from "../platform/httpPlatform.js";
 import { describeSettingsError, parseSettings } from "../settings/settings.js";
@@ -14,6 +15,7 @@
 import type { Telemetry } from "../telemetry/telemetry.js";
 import { version } from "../version.js";
 import { startEntry } from "./entry.js";
+import { createProcessErrors } from "./processErrors.js";
 
 interface RunningProcess {
     readonly shutDown: () => Promise<void>;
@@ -66,27 +68,32 @@
     const settings = readSettings(file);
     const telemetry = createTelemetry(settings.host, settings.statsd);
     // A signal may come while the listeners are being opened; the process then stops once it has started.
-    const stopRequested = new Promise<void>(resolve => {
-        process.on("SIGTERM", () => resolve());
-        process.on("SIGINT", () => resolve());
+    const stopRequested = new Promise<number>(resolve => {
+        process.on("SIGTERM", () => resolve(0));
+        process.on("SIGINT", () => resolve(0));
+        keepRunning(file, telemetry, () => resolve(exitFailure));
     });
-    keepRunning(file, telemetry);
     const running = await start(settings, telemetry);
-    await stopRequested;
+    const exitCode = await stopRequested;
     await running.shutDown();
-    process.exit(0);
+    process.exit(exitCode);
 }
 
-/** Without handlers, a reload request or one failed task would end the process and every request in progress. */
-function keepRunning(file: string, { log }: Telemetry): void {
+/**
+ * Without handlers, a reload request, an error that no other code handles, or a log without a reader would end the process
+ * and every request in progress. `drain` is called if such errors keep coming.
+ */
+function keepRunning(file: string, { log }: Telemetry, drain: () => void): void {
     process.on("SIGHUP", () => {
         const reread = loadSettings(file);
         const outcome = reread.isOk ? "valid; changes apply at the next start" : reread.error;
         log.info("settings were read again", { outcome });
     });
-    process.on("unhandledRejection", reason => {
-        log.warn("a task failed unexpectedly", { cause: reason instanceof Error ? reason.stack : String(reason) });
-    });
+    process.stdout.on("error", () => undefined);
+    process.stderr.on("error", () => undefined);
+    const errors = createProcessErrors({ clock: systemClock, log: { error: log.warn }, drain });
+    // Rejections that nothing handles arrive here as well.
+    process.on("uncaughtException", errors.record);
 }
 
 const program = cac("gooseberrywelld");
--- a/src/daemon/processErrors.ts
+++ b/src/daemon/processErrors.ts
@@ -13,7 +13,7 @@
 export interface ProcessErrorOptions {
     readonly clock: Pick<Clock, "monotonicMs">;
     readonly log: Pick<DecisionLog, "error">;
-    readonly requestsRunning: () => number;
+    readonly requestsRunning?: () => number;
     /** Stops the process once its requests have ended; called once. */
     readonly drain: () => void;
 }
@@ -61,7 +61,7 @@
                 log.error("a task failed unexpectedly", {
                     cause: describeError(error),
                     origin,
-                    requestsRunning: requestsRunning(),
+                    requestsRunning: requestsRunning?.(),
                     ...memoryFields(),
                 });
             }
