--- a/src/rpc/connectionGuard.ts
+++ b/src/rpc/connectionGuard.ts
@@ -160,6 +160,7 @@
                 return false;
             }
             isFeeding = true;
+            let hasFailed = true;
             try {
                 while (canFeed()) {
                     feedPiece();
@@ -167,9 +168,14 @@
                         break;
                     }
                 }
+                hasFailed = false;
             }
             finally {
                 isFeeding = false;
+                if (hasFailed) {
+                    // The process goes on after an error that nothing handles, but this parser may not.
+                    yieldFor("overBudget");
+                }
             }
             settle();
             return canFeed();
@@ -239,7 +245,6 @@
             }
             cause = yieldCause;
             onYield(yieldCause);
-            const hasBegun = headBytes > 0 || unfed !== undefined;
             dropUnparsed();
             holding.release();
             socket.pause();
@@ -249,7 +254,8 @@
                     body.onYield(yieldCause);
                 }
             }
-            if (running.size === 0 && hasBegun && socket.writable) {
+            if (running.size === 0 && socket.writable) {
+                // Also on an idle connection: a request may have arrived that was not read.
                 socket.write(overloadedResponse);
             }
             closeIfDone();
@@ -261,7 +267,7 @@
          */
         function closeSoon(): void {
             const isSending = isInBody() || cause !== undefined || unfed !== undefined || socket.readableLength > 0;
-            if (!isSending || states.size > maxConnections || socket.destroyed) {
+            if (!isSending || socket.destroyed) {
                 destroySoon();
                 return;
             }
@@ -273,6 +279,11 @@
             holding.release();
             socket.end();
             socket.resume();
+            if (states.size > maxConnections) {
+                // It holds a descriptor, so only what has arrived is read.
+                setImmediate(() => setImmediate(destroySoon));
+                return;
+            }
             const timer = setTimeout(destroySoon, lingerMs);
             socket.once("end", destroySoon);
             socket.once("close", () => clearTimeout(timer));
