Close a drained connection whose client stays after its request crossed the close

The drain of an agent, or of an entry beside agents, took 15 s instead of 2 when one such client did not close its side; a process whose grace period is shorter is killed with what else it still serves.

Cause: as for callers' connections: the runtime removes the time limit of a kept connection with the next head that it reads.

Evidence: src/rpc/httpServer.test.ts, "ends soon although a client stays whose request crosses the close", failed before; in a trial the drain took 15.0 s, and 2.0 s without the crossing request.

Change: a timer of its own.

--- a/src/rpc/connections.ts
+++ b/src/rpc/connections.ts
@@ -191,7 +191,10 @@
             afterNextPoll(() => {
                 for (const [socket, use] of idle) {
                     if (isIdle(socket, use)) {
-                        socket.setTimeout(lingerMs, () => socket.destroy());
+                        // The runtime would remove the time limit of the socket with the next head that it reads.
+                        socket.setTimeout(0);
+                        const timer = setTimeout(() => socket.destroy(), lingerMs);
+                        socket.once("close", () => clearTimeout(timer));
                         socket.end(farewell);
                     }
                 }
--- a/src/rpc/httpServer.test.ts
+++ b/src/rpc/httpServer.test.ts
@@ -122,6 +122,28 @@
         expect(connection.text()).toMatch(/"run":1\}[^]*HTTP\/1.1 200 OK\r\n[^]*"run":\d\}$/);
     });
 
+    // The runtime removed the time limit of the connection: the drain took 15 s.
+    it("ends soon although a client stays whose request crosses the close", async () => {
+        await start();
+        const { port } = new URL(server.url);
+        const socket = connect({ port: Number(port), host: "127.0.0.1", allowHalfOpen: true });
+        let text = "";
+        socket.on("data", (data: Buffer) => (text += data.toString())).on("error", () => undefined);
+        socket.write(request);
+        while (!text.includes(" 200 OK")) {
+            await turn();
+        }
+        const startedAtMs = performance.now();
+        const drained = server.drain();
+        while (!text.includes(" 408 ")) {
+            await turn();
+        }
+        socket.write(request);
+        await drained;
+        expect(performance.now() - startedAtMs).toBeLessThan(4_000);
+        socket.destroy();
+    }, 20_000);
+
     // The listener was closed while connections waited to be accepted, so that the system reset them.
     it("answers requests on connections that are not accepted yet", async () => {
         await start();
