--- a/src/resumption/streamOrigins.test.ts
+++ b/src/resumption/streamOrigins.test.ts
@@ -259,6 +259,7 @@
         expect((await fleet.entry(1).find("r-1")).kind).toBe("unknown");
     });
 
+    // The first run that was not confirmed made the stream unknown for good, although another was still being asked.
     it("may become known as long as one of several runs of its request is being confirmed", async () => {
         const { entry } = createFleet(3);
         const origin: KnownOrigin = { service: "chat", softwareVersion: "1" };
@@ -275,6 +276,7 @@
         expect(await entry(0).find("request")).toEqual({ kind: "found", origin });
     });
 
+    // An entry that did not answer within its time counted as one that does not know the stream.
     it("may become known while an entry that may know it does not answer", async () => {
         const { entry, setSilent } = createFleet(3);
         void entry(0).recordOnceKnown(
--- a/src/rpc/connectionGuard.test.ts
+++ b/src/rpc/connectionGuard.test.ts
@@ -138,6 +138,7 @@
         await allReleased();
     });
 
+    // The connection closed without a word, over a request that had arrived.
     it("is told that nothing more has run if it is closed as idle for another one", async () => {
         await start(1_000_000, 1);
         const { port } = new URL(server.url);
@@ -156,6 +157,7 @@
         expect(text).toMatch(/ (503|408) |\/c 0/);
     });
 
+    // The connection stayed paused for good, with bytes that nothing parsed.
     it("does not stay open for good after an error that nothing handles", async () => {
         await start(1_000_000);
         const errors: unknown[] = [];
--- a/src/rpc/feedTurns.test.ts
+++ b/src/rpc/feedTurns.test.ts
@@ -87,6 +87,7 @@
         expect(parsed.filter(name => name !== "z" && name !== "|")).toHaveLength(25 * 20);
     });
 
+    // All that waited in the same turn were left until other traffic began a turn.
     it("go on after one of them fails", () => {
         const { turns, parsed, feederOf, poll } = createLoop();
         const failing: Feeder = () => {
--- a/test/daemonErrors.test.ts
+++ b/test/daemonErrors.test.ts
@@ -37,6 +37,7 @@
     return child.exitCode === null && status < 500;
 }
 
+// The process ended, and its callers got no answer.
 it("an error that a callback throws is logged, and the process goes on", async () => {
     for (const each of await startProcesses()) {
         each.child.kill("SIGUSR2");
@@ -47,6 +48,7 @@
     }
 });
 
+// The process ended with the first line that it could not write.
 it("a process goes on whose log has no reader any more", async () => {
     for (const each of await startProcesses()) {
         each.child.stderr?.destroy();
