Say how much of a response had arrived when a read of shared state fails

Callers saw 404 for routes that had been added. The log said only "the timeout has elapsed", which is the same for a store that says nothing and for a response that is arriving over a slow link; calls to other entries for the desired state and for copies of tables failed without a line.

--- a/src/peerSync/desiredStateSync.ts
+++ b/src/peerSync/desiredStateSync.ts
@@ -78,6 +78,9 @@
         isCallPending = true;
         const response = await rpc.call(url, peerSyncMethods.desiredState, {}, { timeoutMs: callTimeoutMs });
         isCallPending = false;
+        if (response.isErr) {
+            log.warn("the desired state of another entry did not arrive", { entry: url, cause: response.error.cause });
+        }
         const checked = response.isOk ? checkValue(desiredStateResponseSchema, response.value) : undefined;
         if (checked?.isOk && checked.value.value !== undefined) {
             apply(checked.value.value, url);
--- a/src/peerSync/peerSync.ts
+++ b/src/peerSync/peerSync.ts
@@ -426,6 +426,13 @@
 
     async function fetchCopy(url: string, table: string, replica: TableReplica): Promise<void> {
         const response = await rpc.call(url, peerSyncMethods.copy, { table }, { timeoutMs: callTimeoutMs });
+        if (response.isErr) {
+            log.warn("a copy of a table did not arrive from another entry", {
+                entry: url,
+                table,
+                cause: response.error.cause,
+            });
+        }
         const copy = response.isOk ? checkValue(tableCopySchema, response.value) : undefined;
         if (copy?.isOk && replica.adoptIfNewer(copy.value)) {
             log.info("took a newer copy of a table from another entry", {
--- a/src/rpc/rpcClient.ts
+++ b/src/rpc/rpcClient.ts
@@ -118,8 +118,12 @@
     maxResponseBytes: number,
     { isTimedOut }: CallLimit,
 ): Promise<Result<unknown, RpcError>> {
+    let receivedBytes = 0;
     try {
-        const rpcResponse: unknown = JSON.parse(await readText(response.body, maxResponseBytes));
+        const text = await readText(response.body, maxResponseBytes, sizeBytes => {
+            receivedBytes += sizeBytes;
+        });
+        const rpcResponse: unknown = JSON.parse(text);
         const isResponse = isJSONRPCResponse(rpcResponse);
         // An error that is found before the call is read names no call.
         if (isResponse && rpcResponse.error !== undefined && (rpcResponse.id === id || rpcResponse.id === null)) {
@@ -133,6 +137,7 @@
         return Result.err({ kind: "interrupted", delivered: "maybe", cause });
     }
     catch (error) {
-        return Result.err(toRpcError(error, isTimedOut()));
+        const failure = toRpcError(error, isTimedOut());
+        return Result.err({ ...failure, cause: `${failure.cause}; ${receivedBytes} bytes of the response` });
     }
 }
