Tests: a large desired state on a slow link is not in force in time (known red)

A desired state of 1.07 MB on a link of 7 Mbit/s, the slowest of the users' deployments, is not in force 3 s after it was written: not from the store, not from another entry, not while both are asked, and not at a real entry. The proxy of the tests gets a link of limited bandwidth that connections share.

--- a/fakes/platformSite.ts
+++ b/fakes/platformSite.ts
@@ -55,9 +55,10 @@
     readonly engines: readonly FakePlatformEngine[];
     /**
      * Writes a desired state with a higher version, in which the only client account has these API keys. The plain routes
-     * lead to the first plain service unless another one is given.
+     * lead to the first plain service unless another one is given. There are `addedRoutes` more of them, none by default,
+     * with the prefixes `/added-0/`, `/added-1/` and so on.
      */
-    readonly publish: (keys: readonly string[], plainService?: PlainService) => void;
+    readonly publish: (keys: readonly string[], plainService?: PlainService, addedRoutes?: number) => void;
     /** Writes the registry record of an engine. */
     readonly register: (engine: FakePlatformEngine, state: "ready" | "draining") => void;
     /** Removes the registry record of an engine. */
@@ -314,7 +315,7 @@
         store.put(table, key, text);
     }
 
-    function publish(keys: readonly string[], plainService: PlainService = "desk"): void {
+    function publish(keys: readonly string[], plainService: PlainService = "desk", addedRoutes = 0): void {
         version += 3;
         const route = { host, timeout_ms: 5_000, target_latency_ms: 900, priority: 1, attempts: 2, public: false };
         const engineSpec = { slots: 50, kv_tokens: 100_000, hold_ms: options.maxReservationMs ?? 2_000, stride: 1 };
@@ -328,6 +329,13 @@
                     { ...route, name: "long", prefix: "/long/", kind: "stream", service: "models", resumable: true },
                     { ...route, name: "pay", prefix: "/pay/", kind: "non_idempotent", service: plainService },
                     { ...route, name: "look", prefix: "/look/", kind: "idempotent", service: plainService },
+                    ...Array.from({ length: addedRoutes }, (unused, index) => ({
+                        ...route,
+                        name: `added-${index}`,
+                        prefix: `/added-${index}/`,
+                        kind: "idempotent",
+                        service: plainService,
+                    })),
                 ],
                 services: [
                     { name: "models", max_connections: 400, engine: engineSpec },
--- a/fakes/tcpProxy.ts
+++ b/fakes/tcpProxy.ts
@@ -6,6 +6,7 @@
 
 import { connect, createServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 
 /**
  * Fault applied until the next one is set: `delay` delays all bytes, `reset` resets the open connections once, `silence`
@@ -22,11 +23,31 @@
     readonly close: () => Promise<void>;
 }
 
+/** A link of limited bandwidth for the bytes from the targets of one or several proxies; connections take turns. */
+export interface SlowLink {
+    /** Resolves when the bytes have passed. */
+    readonly pass: (sizeBytes: number) => Promise<void>;
+}
+
+/** Largest piece that passes a slow link in one turn. */
+const pieceBytes = 16_384;
+
+export function createSlowLink(bytesPerSecond: number): SlowLink {
+    let freeAtMs = Number.NEGATIVE_INFINITY;
+    return {
+        pass: async sizeBytes => {
+            freeAtMs = Math.max(freeAtMs, performance.now()) + sizeBytes * 1_000 / bytesPerSecond;
+            await sleep(freeAtMs - performance.now());
+        },
+    };
+}
+
 const delayMs = 150;
 /** Interval at which the proxy checks whether a target that refused a connection accepts them again. */
 const probeIntervalMs = 50;
 
-export async function startTcpProxy(target: string): Promise<TcpProxy> {
+/** Starts a proxy for a target, given as IP address and port; `link` limits the bandwidth of its responses. */
+export async function startTcpProxy(target: string, link?: SlowLink): Promise<TcpProxy> {
     const [ip = "", port = ""] = target.split(":");
     const pairs = new Set<readonly [Socket, Socket]>();
     const silentSockets = new Set<Socket>();
@@ -62,14 +83,34 @@
             }
         }
 
+        let passed = Promise.resolve();
+
+        /** Runs the action once the bytes, and all before them, have passed the link. */
+        function passLink(sizeBytes: number, action: () => void): void {
+            if (link === undefined || !isResponse) {
+                action();
+                return;
+            }
+            passed = passed.then(async () => {
+                // What a closed connection has not received never uses the link.
+                if (to.writable) {
+                    await link.pass(sizeBytes);
+                    action();
+                }
+            });
+        }
+
         from.on("data", (chunk: Buffer) => {
             if (fault === "silence" || silentSockets.has(from) || (fault === "dropResponses" && isResponse)) {
                 return;
             }
-            runInOrder(() => to.writable && to.write(chunk));
+            for (let start = 0; start < chunk.length; start += pieceBytes) {
+                const piece = chunk.subarray(start, start + pieceBytes);
+                passLink(piece.length, () => runInOrder(() => to.writable && to.write(piece)));
+            }
         });
         // Forwards a reset as a reset and a regular end as a regular end.
-        from.on("end", () => runInOrder(() => to.end()));
+        from.on("end", () => passLink(0, () => runInOrder(() => to.end())));
         from.on("error", () => to.resetAndDestroy());
         from.on("close", () => to.destroy());
     }
