End a call for shared state when its response stalls, not when it is large

Callers got 404 for routes that had been added more than 3 s before. A call to the store, to another entry or to the own platform had 0.7 s (2 s) until the last byte, whatever the size and the link: a desired state of 1.07 MB takes 1.2 s at 7 Mbit/s, so each call was cut and the next one began at the first byte, without end.

The time limit now starts anew with each 16 KiB that have arrived. A peer that says nothing, or stalls, ends the call as soon as before. A response may take 3 minutes at most (4 MB at the lowest rate).

--- a/src/common/callLimit.test.ts
+++ b/src/common/callLimit.test.ts
@@ -7,7 +7,7 @@
 import { describe, expect, it } from "vitest";
 import { createVirtualClock } from "../../fakes/virtualClock.js";
 import type { VirtualClock } from "../../fakes/virtualClock.js";
-import { limitCall } from "./callLimit.js";
+import { bytesPerTimeout, limitCall } from "./callLimit.js";
 import type { CallLimit } from "./callLimit.js";
 
 const timeoutMs = 1_000;
@@ -76,6 +76,36 @@
         },
         reason: "TimeoutError",
     },
+    {
+        name: "its response keeps arriving, and then stalls",
+        run: async (limit, caller, clock) => {
+            for (let part = 0; part < 4; part++) {
+                await clock.advance(timeoutMs - 1);
+                limit.recordBytes(bytesPerTimeout);
+            }
+            expect(limit.signal.aborted).toBe(false);
+            await clock.advance(timeoutMs);
+        },
+        reason: "TimeoutError",
+    },
+    {
+        name: "its response arrives too slowly",
+        run: async (limit, caller, clock) => {
+            await clock.advance(timeoutMs - 1);
+            limit.recordBytes(bytesPerTimeout - 1);
+            await clock.advance(1);
+        },
+        reason: "TimeoutError",
+    },
+    {
+        name: "bytes arrive after it has ended",
+        run: async (limit, caller, clock) => {
+            limit.end();
+            limit.recordBytes(bytesPerTimeout);
+            await clock.advance(timeoutMs);
+        },
+        reason: undefined,
+    },
 ];
 
 describe("the limit of a call", () => {
--- a/src/common/callLimit.ts
+++ b/src/common/callLimit.ts
@@ -1,6 +1,9 @@
 /**
  * Limits a call to another process: by time, and by signals that cancel it.
  *
+ * The time that a response takes depends on its size and on the link. A call that reads one tells the limit what arrives,
+ * which then ends the call if the response stalls, and not because it is large.
+ *
  * A limit keeps its timer and its listeners until the call has ended, and removes them then. The platform's combined and
  * timed signals do not: Node.js refers to the sources of `AbortSignal.any` weakly, so a full garbage collection removes a
  * timeout that nothing else refers to, and the call is not ended any more.
@@ -16,6 +19,8 @@
     readonly clock?: Pick<Clock, "startTimer">;
     /** Time until the call is aborted with a `TimeoutError`; `undefined` for no limit. */
     readonly timeoutMs?: number;
+    /** Time limit from each `bytesPerTimeout` of the response that have arrived to the next; by default `timeoutMs`. */
+    readonly progressTimeoutMs?: number;
     /** Signals that abort the call, with their reason. */
     readonly cancelledBy?: readonly AbortSignal[];
 }
@@ -25,6 +30,8 @@
     readonly signal: AbortSignal;
     /** Whether the time was over before the call ended and before it was cancelled. */
     readonly isTimedOut: () => boolean;
+    /** Counts bytes of the response that have arrived; each `bytesPerTimeout` of them start the time limit anew. */
+    readonly recordBytes: (sizeBytes: number) => void;
     /** Removes the timer: from now on the call may only be cancelled. */
     readonly liftTimeout: () => void;
     /** Removes the timer and the listeners; to be called when the call has ended. */
@@ -33,14 +40,33 @@
     readonly endWith: (body: Readable) => void;
 }
 
-export function limitCall({ clock = systemClock, timeoutMs, cancelledBy = [] }: CallLimitOptions): CallLimit {
+/** A response that delivers less than this within a time limit is stalled. */
+export const bytesPerTimeout = 16_384;
+
+export function limitCall(
+    { clock = systemClock, timeoutMs, progressTimeoutMs = timeoutMs, cancelledBy = [] }: CallLimitOptions,
+): CallLimit {
     const controller = new AbortController();
-    let stopTimer: () => void = () => undefined;
+    /** `undefined` if no time limit is running. */
+    let stopTimer: (() => void) | undefined;
     let isTimedOut = false;
+    let receivedBytes = 0;
     const cancellations = cancelledBy.map(signal => ({ signal, cancel: () => abort(signal.reason) }));
 
+    function liftTimeout(): void {
+        stopTimer?.();
+        stopTimer = undefined;
+    }
+
+    function startTimeout(durationMs: number): void {
+        stopTimer = clock.startTimer(durationMs, () => {
+            isTimedOut = true;
+            abort(new DOMException("the timeout has elapsed", "TimeoutError"));
+        });
+    }
+
     function end(): void {
-        stopTimer();
+        liftTimeout();
         cancellations.forEach(({ signal, cancel }) => signal.removeEventListener("abort", cancel));
     }
 
@@ -56,16 +82,21 @@
     else {
         cancellations.forEach(({ signal, cancel }) => signal.addEventListener("abort", cancel));
         if (timeoutMs !== undefined) {
-            stopTimer = clock.startTimer(timeoutMs, () => {
-                isTimedOut = true;
-                abort(new DOMException("the timeout has elapsed", "TimeoutError"));
-            });
+            startTimeout(timeoutMs);
         }
     }
     return {
         signal: controller.signal,
         isTimedOut: () => isTimedOut,
-        liftTimeout: () => stopTimer(),
+        recordBytes: sizeBytes => {
+            receivedBytes += sizeBytes;
+            if (receivedBytes >= bytesPerTimeout && stopTimer !== undefined && progressTimeoutMs !== undefined) {
+                receivedBytes = 0;
+                liftTimeout();
+                startTimeout(progressTimeoutMs);
+            }
+        },
+        liftTimeout,
         end,
         endWith: body => void finished(body, end),
     };
--- a/src/platform/httpPlatform.ts
+++ b/src/platform/httpPlatform.ts
@@ -6,6 +6,7 @@
 import { Result } from "true-myth";
 import { z } from "zod";
 import { runLimited } from "../common/callLimit.js";
+import type { CallLimit } from "../common/callLimit.js";
 import { checkValue, describeInvalidInput } from "../common/json.js";
 import type { JsonValue } from "../common/json.js";
 import { readText } from "../common/readText.js";
@@ -70,14 +71,14 @@
         body: unknown,
         schema: Schema,
     ): Promise<Result<z.output<Schema>, PlatformError>> {
-        return runLimited({ timeoutMs: settings.timeoutMs }, ({ signal }) => send(path, body, schema, signal));
+        return runLimited({ timeoutMs: settings.timeoutMs }, limit => send(path, body, schema, limit));
     }
 
     async function send<Schema extends z.ZodType>(
         path: string,
         body: unknown,
         schema: Schema,
-        signal: AbortSignal,
+        { signal, recordBytes }: CallLimit,
     ): Promise<Result<z.output<Schema>, PlatformError>> {
         try {
             const response = await dispatcher.request({
@@ -88,7 +89,7 @@
                 body: JSON.stringify(body),
                 signal,
             });
-            const responseBody: unknown = JSON.parse(await readText(response.body, maxResponseBytes));
+            const responseBody: unknown = JSON.parse(await readText(response.body, maxResponseBytes, recordBytes));
             if (response.statusCode !== statusOk) {
                 const kind = provesNothingDone(response.statusCode) ? "unavailable" : "unknown";
                 return Result.err({ kind, cause: `${path}: status ${response.statusCode}` });
--- a/src/rpc/rpcClient.ts
+++ b/src/rpc/rpcClient.ts
@@ -17,7 +17,10 @@
 import { maxRpcBodyBytes, rpcPath } from "./rpcServer.js";
 
 export interface CallOptions {
-    /** For a call, the limit on the whole response; for a stream, on the response's headers. */
+    /**
+     * For a call, the limit on the response, or on each part of `bytesPerTimeout` of a larger one; for a stream, on the
+     * response's headers.
+     */
     readonly timeoutMs: number;
     /** Aborting it closes the connection, by which the called process learns of the cancellation. */
     readonly signal?: AbortSignal;
@@ -116,12 +119,13 @@
     response: StreamResponse,
     id: number,
     maxResponseBytes: number,
-    { isTimedOut }: CallLimit,
+    { isTimedOut, recordBytes }: CallLimit,
 ): Promise<Result<unknown, RpcError>> {
     let receivedBytes = 0;
     try {
         const text = await readText(response.body, maxResponseBytes, sizeBytes => {
             receivedBytes += sizeBytes;
+            recordBytes(sizeBytes);
         });
         const rpcResponse: unknown = JSON.parse(text);
         const isResponse = isJSONRPCResponse(rpcResponse);
