Don't take a connection for silent while a response is arriving on it

A call without a response in time ends the long polls of its peer whose connections have delivered nothing lately. Only whole responses counted as a delivery. While a large desired state filled a slow link, other calls got no response in time, and each of them ended the call for changes that was receiving it, so that it began again at the first byte.

Heads and parts of bodies count now. Before: the store was asked twice for one change ("a call without a response does not end the call for changes", expected 1, received 2). A connection that has gone silent in the middle of a response ends at the stall limit of its call.

--- a/src/rpc/freshPool.ts
+++ b/src/rpc/freshPool.ts
@@ -4,7 +4,8 @@
  * All open connections to a peer may go silent at once, without a reset, while new ones work. Only a call without a
  * response shows it, and each idle connection would cost another call its whole time limit. So a call that gets no
  * response in its time limit closes the idle connections that have delivered nothing in the last part of its wait, and
- * the next calls open new ones. Calls that are running elsewhere are left to their own time limits, because they may have
+ * the next calls open new ones. A part of a response is a delivery as well: while a large one fills a slow link, other
+ * calls get no response in time. Calls that are running elsewhere are left to their own time limits, because they may have
  * been performed; only those with `endsOnSilence`, such as long polls, are ended.
  *
  * A slow peer is not called more often for it: nothing is repeated here, and only unused connections are opened again.
@@ -73,7 +74,7 @@
 /** One connection of a pool; it is opened again when it is needed after it was closed. */
 class Connection extends GuardedClient {
     readonly #onSilence: (sinceMs: number) => void;
-    /** Monotonic time at which the connection was opened or has delivered its latest response. */
+    /** Monotonic time at which the connection was opened or has delivered the latest part of a response. */
     #deliveredAtMs = Number.NEGATIVE_INFINITY;
     #endRunning: (() => void) | undefined;
 
@@ -107,6 +108,7 @@
     override dispatch(options: FreshRequestOptions, handler: Dispatcher.DispatchHandler): boolean {
         const onConnect = handler.onConnect?.bind(handler);
         const onHeaders = handler.onHeaders?.bind(handler);
+        const onData = handler.onData?.bind(handler);
         const onComplete = handler.onComplete?.bind(handler);
         const onError = handler.onError?.bind(handler);
         /** Monotonic time since which the request has waited for a response. */
@@ -120,8 +122,13 @@
         };
         handler.onHeaders = (...head) => {
             waitingSinceMs = undefined;
+            this.#recordDelivery();
             return onHeaders?.(...head) ?? true;
         };
+        handler.onData = chunk => {
+            this.#recordDelivery();
+            return onData?.(chunk) ?? true;
+        };
         handler.onComplete = trailers => {
             this.#endRunning = undefined;
             this.#recordDelivery();
--- a/test/silentConnections.test.ts
+++ b/test/silentConnections.test.ts
@@ -8,18 +8,21 @@
 import type { AddressInfo } from "node:net";
 import type { Readable } from "node:stream";
 import { finished } from "node:stream/promises";
+import { setTimeout as delay } from "node:timers/promises";
 import type { Result } from "true-myth";
 import { afterEach, describe, expect, it } from "vitest";
 import { engineRecord, silentDecisionLog } from "../fakes/forwardingHarness.js";
 import { startTcpProxy } from "../fakes/tcpProxy.js";
 import { createEngineClient } from "../platform/engineClient.js";
-import { limitCall } from "../src/common/callLimit.js";
+import { createStoreClient } from "../platform/storeClient.js";
+import { bytesPerTimeout, limitCall } from "../src/common/callLimit.js";
 import { systemClock } from "../src/common/clock.js";
 import { createColdEngines } from "../src/engines/coldEngines.js";
 import { createEngineNotices } from "../src/engines/engineNotices.js";
 import { createEngineRates } from "../src/engines/engineRates.js";
 import { createEvacuations } from "../src/engines/evacuations.js";
 import { createRpcClient } from "../src/rpc/rpcClient.js";
+import { createPrometheusMetrics } from "../src/telemetry/prometheusMetrics.js";
 
 const cleanups: (() => unknown)[] = [];
 
@@ -157,3 +160,39 @@
         slow.map(({ body }) => body.on("error", () => undefined));
     });
 });
+
+/** Parts and their interval: the response takes longer than another call to the store waits. */
+const feedParts = 12;
+const feedPartMs = 100;
+
+describe("while a large response of the store arrives over a slow link", () => {
+    // A call that got no response ended the long poll of which the response was arriving.
+    it("a call without a response does not end the call for changes", async () => {
+        let feedCalls = 0;
+        const server = createServer((request, response) => {
+            if (request.url?.startsWith("/rows-feed") !== true) {
+                return;
+            }
+            feedCalls += 1;
+            response.write("{\"row_version\":2,\"rows\":[{\"key\":\"a\",\"row_version\":2,\"value\":\"");
+            void (async () => {
+                for (let part = 0; part < feedParts; part++) {
+                    response.write("A".repeat(bytesPerTimeout));
+                    await delay(feedPartMs);
+                }
+                response.end("\"}]}");
+            })();
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", () => resolve()));
+        const store = createStoreClient(
+            `127.0.0.1:${(server.address() as AddressInfo).port}`,
+            createPrometheusMetrics(),
+        );
+        cleanups.push(store.close, () => server.closeAllConnections(), () => server.close());
+        const [changes, unanswered] = await Promise.all([
+            store.feed("t").changesAfter({ era: 0, revision: 1 }, 1_500, new AbortController().signal),
+            store.tables.read([{ table: "other", key: "a" }]),
+        ]);
+        expect([changes.isOk, unanswered.isOk, feedCalls]).toEqual([true, false, 1]);
+    });
+});
