Fetch a table once at a time, and not while it is arriving

Callers got 404 for added routes: an entry on a slow link that was behind began a copy of the whole table for each message of each peer that was ahead, a call to a peer for the desired state besides, and cancelled the call to the store after a second, also if its response was arriving.

A table is copied from one peer at a time. While a response of the store is arriving, for 3 s at most, neither a copy nor the desired state is asked of a peer; the call to the store is never cancelled in a response, since a stalled one ends by itself. An entry that starts asks the peers that have a copy, the newest first, one after another, not all known ones at once.

--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -212,6 +212,7 @@
         log,
         key: ports.desiredState.key,
         decode: ports.desiredState.decode,
+        isArriving: () => desiredStateReplica.isReceiving() || peerSync.isCopying(ports.desiredState.table),
         onChange: ({ services }) => {
             services.forEach(({ name, maxConnections }) => engines.setMaxConnections(name, maxConnections));
             coldEngines.setServices(services);
--- a/src/peerSync/desiredStateSync.test.ts
+++ b/src/peerSync/desiredStateSync.test.ts
@@ -24,7 +24,11 @@
 }
 
 /** An entry that calls `peer`, or nobody. */
-function createTestEntry(clock: VirtualClock, peer?: DesiredStateSync): TestEntry {
+function createTestEntry(
+    clock: VirtualClock,
+    peer?: DesiredStateSync,
+    isArriving: () => boolean = () => false,
+): TestEntry {
     const applied: number[] = [];
     const calls = { count: 0 };
     const rpc: RpcClient = {
@@ -47,6 +51,7 @@
             typeof value === "number"
                 ? Result.ok({ version: value, routes: [], services: [], clientAccounts: undefined } as never)
                 : Result.err("not a number"),
+        isArriving: () => isArriving(),
         onChange: ({ version }) => void applied.push(version),
     });
     return { sync, applied, calls };
@@ -108,6 +113,24 @@
         expect([entry.applied, entry.calls.count]).toEqual([[3, 7], 0]);
     });
 
+    // A second copy took half of a slow link, so that none of both arrived within its time limit.
+    it("is not requested from another entry while it is arriving", async () => {
+        const clock = createVirtualClock();
+        let isArriving = true;
+        const entry = createTestEntry(clock, undefined, () => isArriving);
+        const callsAfter = async (rounds: number): Promise<number> => {
+            for (let round = 0; round < rounds; round++) {
+                await entry.sync.applyPeerState({ url: peerUrl, desiredStateVersion: 7 });
+                await clock.advance(400);
+            }
+            return entry.calls.count;
+        };
+        expect(await callsAfter(10)).toBe(0);
+        isArriving = false;
+        expect(await callsAfter(1)).toBe(0);
+        expect(await callsAfter(1)).toBe(1);
+    });
+
     it("is requested again after a failed call", async () => {
         const clock = createVirtualClock();
         const entry = createTestEntry(clock);
--- a/src/peerSync/desiredStateSync.ts
+++ b/src/peerSync/desiredStateSync.ts
@@ -29,6 +29,8 @@
     /** Key of the desired state's row. */
     readonly key: string;
     readonly decode: (value: JsonValue) => Result<DesiredState, string>;
+    /** Whether the table with the desired state, or changes of it, are arriving from the store or another entry. */
+    readonly isArriving: () => boolean;
     /** Called with each desired state that comes into force. */
     readonly onChange: (state: DesiredState) => void;
 }
@@ -100,7 +102,9 @@
             if (state.desiredStateVersion <= version()) {
                 return;
             }
-            behindSinceMs ??= clock.monotonicMs();
+            if (behindSinceMs === undefined || dependencies.isArriving()) {
+                behindSinceMs = clock.monotonicMs();
+            }
             if (!isCallPending && clock.monotonicMs() - behindSinceMs >= waitForStoreMs) {
                 await fetchFrom(state.url);
             }
--- a/src/peerSync/peerSync.test.ts
+++ b/src/peerSync/peerSync.test.ts
@@ -251,15 +251,34 @@
     readonly usageReports: readonly ReceivedUsageReport[];
     /** Number of `exchange.state` and `exchange.copy` calls so far. */
     readonly calls: { states: number; copies: number; };
+    /** Largest number of calls for a copy by one entry at once. */
+    readonly mostCopiesAtOnce: () => number;
 }
 
-/** Entries that call each other in memory, except for those in `partitioned`. */
-function createFleet(entries: number, feeds: readonly TableFeed[], clock: VirtualClock, waitMs = 1_500): Fleet {
+/** Entries that call each other in memory, except for those in `partitioned`; a copy of a table takes `copyMs`. */
+function createFleet(
+    entries: number,
+    feeds: readonly TableFeed[],
+    clock: VirtualClock,
+    waitMs = 1_500,
+    copyMs = 0,
+): Fleet {
     const partitioned = new Set<number>();
     const usageReports: ReceivedUsageReport[] = [];
     const calls = { states: 0, copies: 0 };
     const peerSyncs: PeerSync[] = [];
+    const copiesAtOnce = new Map<number, number>();
+    let mostCopiesAtOnce = 0;
     const urlOf = (index: number): string => `http://entry-${index}`;
+
+    async function passCopy(to: number): Promise<void> {
+        const atOnce = (copiesAtOnce.get(to) ?? 0) + 1;
+        mostCopiesAtOnce = Math.max(mostCopiesAtOnce, atOnce);
+        copiesAtOnce.set(to, atOnce);
+        await clock.sleep(copyMs);
+        copiesAtOnce.set(to, (copiesAtOnce.get(to) ?? 0) - 1);
+    }
+
     const rpcOf = (from: number): RpcClient => ({
         call: async (url, method, params) => {
             calls.states += method === peerSyncMethods.state ? 1 : 0;
@@ -270,6 +289,9 @@
                 return Result.err({ kind: "timeout", delivered: "maybe", cause: "cut" });
             }
             const response = await target.invoke(structuredClone(params), { signal: new AbortController().signal });
+            if (method === peerSyncMethods.copy && copyMs > 0) {
+                await passCopy(from);
+            }
             return Result.ok(structuredClone(response));
         },
         stream: () => Promise.reject(new Error("not used")),
@@ -296,7 +318,15 @@
         peerSyncs.push(peerSync);
         void peerSync.run(new AbortController().signal);
     });
-    return { clock, peerSyncs, replicas, partitioned, usageReports, calls };
+    return {
+        clock,
+        peerSyncs,
+        replicas,
+        partitioned,
+        usageReports,
+        calls,
+        mostCopiesAtOnce: () => mostCopiesAtOnce,
+    };
 }
 
 describe("peer synchronization, the periodic push-pull of state between entries", () => {
@@ -470,4 +500,69 @@
         await clock.advance(5_000);
         expect(fleet.replicas[1]?.copy()).toEqual({ position: at(8), rows: [{ key: "a", value: "new" }] });
     });
+
+    // Each message of a peer that was ahead began another copy; in a fleet of 25 they filled the link without end.
+    it.each(["behind", "without a copy"])("an entry %s asks one peer at a time for a copy of a table", async name => {
+        const clock = createVirtualClock();
+        const good = createManualFeed(clock);
+        const bad = createManualFeed(clock);
+        if (name === "without a copy") {
+            bad.failure = "unavailable";
+        }
+        const fleet = createFleet(9, [bad, ...Array.from({ length: 8 }, () => good)], clock, 1_500, 900);
+        await clock.advance(1_000);
+        bad.failure = "unavailable";
+        good.copy = { position: at(8), rows: [{ key: "a", value: "new" }] };
+        for (let round = 0; round < 12; round++) {
+            void fleet.peerSyncs[0]?.fetchMissingCopies();
+            await clock.advance(500);
+        }
+        expect(fleet.replicas[0]?.position()).toEqual(at(8));
+        expect(fleet.mostCopiesAtOnce()).toBe(1);
+    });
+});
+
+describe("a response of the store that is arriving", () => {
+    /** A feed whose response to the next call for changes takes `responseMs`; `calls` counts the calls for changes. */
+    function createSlowFeed(clock: VirtualClock, responseMs: number): TableFeed & { calls: number; } {
+        const feed = {
+            calls: 0,
+            readAll: async () => Result.ok<TableCopy, never>({ position: at(1), rows: [] }),
+            changesAfter: async (...[position, waitMs, signal, onBytes]: Parameters<TableFeed["changesAfter"]>) => {
+                feed.calls += 1;
+                if (isLater(position, at(1))) {
+                    await clock.sleep(waitMs, signal);
+                    return Result.ok<TableChanges, FeedError>({ position, changed: [] });
+                }
+                onBytes?.(1);
+                await clock.sleep(responseMs, signal);
+                return signal.aborted
+                    ? Result.err<TableChanges, FeedError>({ kind: "unknown", cause: "aborted" })
+                    : Result.ok<TableChanges, FeedError>({ position: at(8), changed: [] });
+            },
+        };
+        return feed;
+    }
+
+    // A peer's later position cancelled the call after a second, although its response was arriving.
+    it("is neither cancelled nor copied from a peer that has it already", async () => {
+        const clock = createVirtualClock();
+        const slow = createSlowFeed(clock, 2_900);
+        const good = createManualFeed(clock);
+        good.copy = { position: at(8), rows: [] };
+        const fleet = createFleet(2, [good, slow], clock);
+        await clock.advance(2_800);
+        expect([slow.calls, fleet.calls.copies]).toEqual([1, 0]);
+        await clock.advance(200);
+        expect([fleet.replicas[1]?.position(), fleet.calls.copies]).toEqual([at(8), 0]);
+    });
+
+    it("does not keep an entry from asking a peer for longer than 3 s", async () => {
+        const clock = createVirtualClock();
+        const good = createManualFeed(clock);
+        good.copy = { position: at(8), rows: [] };
+        const fleet = createFleet(2, [good, createSlowFeed(clock, 60_000)], clock);
+        await clock.advance(7_000);
+        expect(fleet.replicas[1]?.position()).toEqual(at(8));
+    });
 });
--- a/src/peerSync/peerSync.ts
+++ b/src/peerSync/peerSync.ts
@@ -33,7 +33,7 @@
 } from "./messages.js";
 import type { EntryState, StateMessage, UsageReport } from "./messages.js";
 import { createStateHistory } from "./stateHistory.js";
-import { isLater, unknownPosition } from "./storePosition.js";
+import { comparePositions, isLater, unknownPosition } from "./storePosition.js";
 import type { StorePosition } from "./storePosition.js";
 import type { TableReplica } from "./tableReplica.js";
 
@@ -102,8 +102,10 @@
     /** Adds peers found elsewhere, such as in the store's list. */
     readonly addPeers: (urls: readonly string[]) => void;
     readonly run: (signal: AbortSignal) => Promise<void>;
-    /** Asks all known peers for a copy of each table of which this entry has none. */
+    /** Asks the peers that have one for a copy of each table of which this entry has none, the newest copy first. */
     readonly fetchMissingCopies: () => Promise<void>;
+    /** Whether a copy of a table is arriving from a peer. */
+    readonly isCopying: (table: string) => boolean;
     /** Announces to all peers that this entry is shutting down. */
     readonly leave: () => Promise<void>;
 }
@@ -186,6 +188,8 @@
     const startedAtMs = clock.monotonicMs();
     const peers = new Map<string, Peer>();
     const lags = new Map<string, Lag>();
+    /** Tables of which a peer has been asked for a copy. Several copies at once would share this entry's link. */
+    const copying = new Set<string>();
     const history = createStateHistory();
     const bytes = { near: { sent: 0, received: 0 }, far: { sent: 0, received: 0 } };
     let remindersSent = 0;
@@ -387,6 +391,10 @@
             if (!isLater(position, replica.position())) {
                 continue;
             }
+            if (replica.isReceiving()) {
+                resetLag(lag, lag.checked);
+                continue;
+            }
             if (!replica.isStoreReachable()) {
                 await fetchCopy(state.url, table, replica);
                 continue;
@@ -425,7 +433,12 @@
     }
 
     async function fetchCopy(url: string, table: string, replica: TableReplica): Promise<void> {
+        if (copying.has(table)) {
+            return;
+        }
+        copying.add(table);
         const response = await rpc.call(url, peerSyncMethods.copy, { table }, { timeoutMs: callTimeoutMs });
+        copying.delete(table);
         if (response.isErr) {
             log.warn("a copy of a table did not arrive from another entry", {
                 entry: url,
@@ -443,6 +456,19 @@
         }
     }
 
+    async function fetchFirstCopy(table: string, replica: TableReplica): Promise<void> {
+        const holders = [...peers]
+            .flatMap(([url, { held }]) => held === undefined ? [] : [{ url, position: positionOf(held.state, table) }])
+            .filter(({ position }) => isLater(position, unknownPosition))
+            .sort((left, right) => comparePositions(right.position, left.position));
+        for (const { url } of holders) {
+            if (isLater(replica.position(), unknownPosition)) {
+                return;
+            }
+            await fetchCopy(url, table, replica);
+        }
+    }
+
     /** The peers of a round: those with which there was no contact, by either side, for the longest time. */
     function nextPeers(): readonly [string, Peer][] {
         const nowMs = clock.monotonicMs();
@@ -531,11 +557,12 @@
         fetchMissingCopies: async () => {
             settings.seeds.forEach(addPeer);
             for (const [table, replica] of Object.entries(replicas)) {
-                if (replica.position().revision < 0) {
-                    await Promise.all([...peers.keys()].map(url => fetchCopy(url, table, replica)));
+                if (!replica.isReceiving()) {
+                    await fetchFirstCopy(table, replica);
                 }
             }
         },
+        isCopying: table => copying.has(table),
         leave: async () => {
             const message = { url: settings.url, start: settings.start };
             const calls = [...peers.keys()].map(url =>
--- a/src/peerSync/tableReplica.ts
+++ b/src/peerSync/tableReplica.ts
@@ -7,6 +7,7 @@
 import { Result } from "true-myth";
 import type { Clock } from "../common/clock.js";
 import type { JsonValue } from "../common/json.js";
+import type { BytesListener } from "../common/readText.js";
 import type { PlatformError } from "../platform/ports.js";
 import type { Log } from "../telemetry/telemetry.js";
 import { comparePositions, isLater, unknownPosition } from "./storePosition.js";
@@ -35,9 +36,9 @@
 
 export type FeedError = PlatformError | { readonly kind: "historyGone"; readonly cause: string; };
 
-/** The change feed of one table. */
+/** The change feed of one table. `onBytes` learns of what arrives of a response. */
 export interface TableFeed {
-    readonly readAll: () => Promise<Result<TableCopy, PlatformError>>;
+    readonly readAll: (onBytes?: BytesListener) => Promise<Result<TableCopy, PlatformError>>;
     /**
      * Long poll: resolves as soon as there are changes after `position`, or without changes after `waitMs`. Aborting
      * `signal` closes its connection.
@@ -46,6 +47,7 @@
         position: StorePosition,
         waitMs: number,
         signal: AbortSignal,
+        onBytes?: BytesListener,
     ) => Promise<Result<TableChanges, FeedError>>;
 }
 
@@ -57,7 +59,15 @@
     readonly stalenessMs: () => number;
     /** Whether the last call to the store succeeded. */
     readonly isStoreReachable: () => boolean;
-    /** Asks the store for changes now instead of waiting for the pending call, whose connection may be dead. */
+    /**
+     * Whether a response of the store is arriving, so that another copy would only take its share of the link; false again
+     * if that takes long.
+     */
+    readonly isReceiving: () => boolean;
+    /**
+     * Asks the store for changes now instead of waiting for the pending call, whose connection may be dead; does nothing
+     * while a response is arriving.
+     */
     readonly refresh: () => void;
     /** Replaces the copy by that of another entry if it is newer; returns whether it did. */
     readonly adoptIfNewer: (copy: TableCopy) => boolean;
@@ -86,6 +96,9 @@
 /** Called with each new copy. */
 export type CopyListener = (copy: TableCopy, origin: CopyOrigin) => void;
 
+/** While a response takes longer than this, another entry may be faster. */
+const maxReceivingMs = 3_000;
+
 export function createTableReplica(
     feed: TableFeed,
     clock: Clock,
@@ -99,6 +112,19 @@
     let isStoreUnreachable = false;
     let isRefreshRequested = false;
     let pendingPoll = new AbortController();
+    /** Monotonic time at which the first bytes of the pending response arrived. */
+    let receivingSinceMs: number | undefined;
+
+    async function receive<Value>(call: (onBytes: BytesListener) => Promise<Value>): Promise<Value> {
+        try {
+            return await call(() => {
+                receivingSinceMs ??= clock.monotonicMs();
+            });
+        }
+        finally {
+            receivingSinceMs = undefined;
+        }
+    }
 
     function copy(): TableCopy {
         return { position, rows: [...rows].map(([key, value]) => ({ key, value })) };
@@ -167,7 +193,7 @@
     async function readAll(): Promise<Result<undefined, FeedError>> {
         const askedAtMs = clock.monotonicMs();
         isRefreshRequested = false;
-        const all = await feed.readAll();
+        const all = await receive(onBytes => feed.readAll(onBytes));
         if (all.isErr) {
             return Result.err(all.error);
         }
@@ -183,7 +209,8 @@
         const waitMs = isRefreshRequested ? 0 : settings.waitMs();
         isRefreshRequested = false;
         pendingPoll = new AbortController();
-        const changes = await feed.changesAfter(before, waitMs, pendingPoll.signal);
+        const { signal } = pendingPoll;
+        const changes = await receive(onBytes => feed.changesAfter(before, waitMs, signal, onBytes));
         if (changes.isErr) {
             return Result.err(changes.error);
         }
@@ -204,9 +231,12 @@
         position: () => position,
         stalenessMs: () => clock.monotonicMs() - confirmedAtMs,
         isStoreReachable: () => !isStoreUnreachable,
+        isReceiving: () => receivingSinceMs !== undefined && clock.monotonicMs() - receivingSinceMs < maxReceivingMs,
         refresh: () => {
-            isRefreshRequested = true;
-            pendingPoll.abort();
+            if (receivingSinceMs === undefined) {
+                isRefreshRequested = true;
+                pendingPoll.abort();
+            }
         },
         adoptIfNewer: next => isLater(next.position, position) && replaceAll(next, isStoreUnreachable),
         follow: async signal => {
--- a/test/largeDesiredState.test.ts
+++ b/test/largeDesiredState.test.ts
@@ -98,6 +98,7 @@
         log: silentDecisionLog,
         key: desiredStateKey,
         decode: decodeDesiredState,
+        isArriving: () => replica.isReceiving() || peerSync.isCopying(desiredStateTable),
         onChange: () => undefined,
     });
     const server = await listen("127.0.0.1", 0, () => handler);
