Answer 503, not 404 or 401, while other entries have a newer desired state

Callers got 404 for a route that had been added, from an entry that had heard from other entries for seconds that its desired state was outdated. They don't retry after 404 and 401, although the next entry would have served them.

An unknown route or key is refused with 503 and Retry-After while another entry has said in the last 5 s that a newer desired state is in force there. 503 is true: nothing ran. Known routes are served as before.

Before: 404 and 401 in the two cases of "checks before forwarding" that may be newer. Ruled out: holding the request until the newer desired state arrives; how long that takes is not known, and another entry has it.

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -309,6 +309,7 @@
         metrics,
         view,
         routes: () => routes,
+        isOutdated: () => false,
         directory,
         health,
         loads,
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -448,6 +448,7 @@
         metrics,
         view,
         routes,
+        isOutdated: desiredState.isOutdated,
         directory,
         health,
         loads,
--- a/src/forwarding/context.ts
+++ b/src/forwarding/context.ts
@@ -34,6 +34,8 @@
     readonly view: PlacementView;
     /** `undefined` until a desired state is known. */
     readonly routes: () => RouteTable | undefined;
+    /** Whether a newer desired state is in force at other entries. */
+    readonly isOutdated: () => boolean;
     readonly directory: EngineDirectory;
     readonly health: EngineHealth;
     readonly loads: EngineLoads;
--- a/src/forwarding/forward.test.ts
+++ b/src/forwarding/forward.test.ts
@@ -87,6 +87,8 @@
     readonly name: string;
     readonly route: Partial<Route>;
     readonly request: Partial<ForwardRequest>;
+    /** Whether other entries have a newer desired state in force. */
+    readonly isOutdated?: boolean;
     readonly outcome: string;
 }
 
@@ -98,15 +100,24 @@
     { name: "an unknown host", route: {}, request: { host: "other.example" }, outcome: "404" },
     { name: "an unknown path", route: {}, request: { path: "/other/x" }, outcome: "404" },
     { name: "a prefix without its slash", route: {}, request: { path: "/idempotent" }, outcome: "404" },
+    // Callers don't retry after 401 and 404, although the next entry would have served them.
+    { name: "a path that may be newer", route: {}, request: { path: "/other/x" }, isOutdated: true, outcome: "503" },
+    {
+        name: "a key that may be newer",
+        route: { isPublic: false },
+        request: { key: "other" },
+        isOutdated: true,
+        outcome: "503",
+    },
+    { name: "a known path at an entry that is behind", route: {}, request: {}, isOutdated: true, outcome: "200 ok" },
 ];
 
 describe("checks before forwarding", () => {
-    it.each(checkCases)("$name: $outcome", async ({ route, request, outcome }) => {
+    it.each(checkCases)("$name: $outcome", async ({ route, request, isOutdated = false, outcome }) => {
         const harness = createForwardingHarness(desiredStateOf([routeOf("idempotent", route)]));
         harness.load(plainEngines);
-        expect(await describeOutcome(await forward(harness.context, requestTo("/idempotent/x", request)))).toBe(
-            outcome,
-        );
+        const context = { ...harness.context, isOutdated: () => isOutdated };
+        expect(await describeOutcome(await forward(context, requestTo("/idempotent/x", request)))).toBe(outcome);
         expect(harness.calls.length > 0).toBe(outcome === "200 ok");
     });
 
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -19,7 +19,7 @@
 import type { RoutedRequest } from "./routedRequest.js";
 import { refuseIfTooLate } from "./shutdownChecks.js";
 
-/** Retry delay for callers while this entry has no usable desired state: it is starting or cut off. */
+/** Retry delay for callers while this entry has no usable desired state: it is starting, cut off or behind others. */
 const noDesiredStateRetryMs = 500;
 
 export async function forward(context: ForwardContext, request: ForwardRequest): Promise<ForwardResult> {
@@ -49,10 +49,11 @@
         return refuse(503, "no desired state is known yet", noDesiredStateRetryMs);
     }
     if (route === undefined) {
-        return refuse(404, `no route for host ${request.host} and path ${request.path}`);
+        return refuseUnknown(context, 404, `no route for host ${request.host} and path ${request.path}`);
     }
     if (account === undefined && table.state.clientAccounts !== undefined && !route.isPublic) {
-        return refuse(401, request.key === undefined ? "no key was sent" : "the key belongs to no client account");
+        const cause = request.key === undefined ? "no key was sent" : "the key belongs to no client account";
+        return refuseUnknown(context, 401, cause);
     }
     const pickedService = pickService(route, context.random);
     if (pickedService === undefined) {
@@ -108,6 +109,13 @@
     return outcome;
 }
 
+/** Refuses a request for good, unless a newer desired state may allow it. */
+function refuseUnknown({ isOutdated }: ForwardContext, status: 401 | 404, cause: string): ForwardOutcome {
+    return isOutdated()
+        ? refuse(503, `${cause}; a newer desired state is not in force here yet`, noDesiredStateRetryMs)
+        : refuse(status, cause);
+}
+
 /** What a request counts against its account's rate. */
 function costOf({ size }: ForwardRequest, { unit, plainTokens }: ClientAccount): number {
     if (unit !== "tokens") {
--- a/src/peerSync/desiredStateSync.test.ts
+++ b/src/peerSync/desiredStateSync.test.ts
@@ -131,6 +131,27 @@
         expect(await callsAfter(1)).toBe(1);
     });
 
+    it("is known to be outdated while others have a newer one, for 5 s after the last of them said so", async () => {
+        const clock = createVirtualClock();
+        const entry = createTestEntry(clock);
+        entry.sync.applyCopy(storeCopy(3));
+        const outdated: boolean[] = [];
+        for (const version of [3, 7, 5]) {
+            await entry.sync.applyPeerState({ url: peerUrl, desiredStateVersion: version });
+            outdated.push(entry.sync.isOutdated());
+        }
+        entry.sync.applyCopy(storeCopy(5));
+        outdated.push(entry.sync.isOutdated());
+        entry.sync.applyCopy(storeCopy(7));
+        outdated.push(entry.sync.isOutdated());
+        await entry.sync.applyPeerState({ url: peerUrl, desiredStateVersion: 9 });
+        await clock.advance(4_999);
+        outdated.push(entry.sync.isOutdated());
+        await clock.advance(1);
+        outdated.push(entry.sync.isOutdated());
+        expect(outdated).toEqual([false, true, true, true, false, true, false]);
+    });
+
     it("is requested again after a failed call", async () => {
         const clock = createVirtualClock();
         const entry = createTestEntry(clock);
--- a/src/peerSync/desiredStateSync.ts
+++ b/src/peerSync/desiredStateSync.ts
@@ -42,6 +42,8 @@
     readonly version: () => number;
     /** Puts the desired state of a copy of the store's table into force, if it is newer. */
     readonly applyCopy: (copy: TableCopy) => void;
+    /** Whether another entry has had a newer desired state in force lately. */
+    readonly isOutdated: () => boolean;
     /** Asks another entry for its desired state if that has been newer for a while. */
     readonly applyPeerState: (state: Pick<EntryState, "url" | "desiredStateVersion">) => Promise<void>;
     readonly methods: RpcMethods;
@@ -50,6 +52,8 @@
 /** A newer version usually arrives from the store within this time, without a call to another entry. */
 const waitForStoreMs = 600;
 const callTimeoutMs = 700;
+/** Longer than the time between two messages of an entry in a large fleet. */
+const newerVersionLifetimeMs = 5_000;
 const noVersion = 0;
 
 export function createDesiredStateSync(dependencies: DesiredStateSyncDependencies): DesiredStateSync {
@@ -57,6 +61,7 @@
     let inForce: { readonly value: JsonValue; readonly routes: RouteTable; } | undefined;
     let behindSinceMs: number | undefined;
     let isCallPending = false;
+    let newest = { version: noVersion, heardAtMs: Number.NEGATIVE_INFINITY };
 
     const version = (): number => inForce?.routes.state.version ?? noVersion;
 
@@ -98,10 +103,15 @@
                 apply(row.value, `store, era ${position.era}, revision ${position.revision}`);
             }
         },
+        isOutdated: () => newest.version > version() && clock.monotonicMs() - newest.heardAtMs < newerVersionLifetimeMs,
         applyPeerState: async state => {
             if (state.desiredStateVersion <= version()) {
                 return;
             }
+            newest = {
+                version: Math.max(newest.version, state.desiredStateVersion),
+                heardAtMs: clock.monotonicMs(),
+            };
             if (behindSinceMs === undefined || dependencies.isArriving()) {
                 behindSinceMs = clock.monotonicMs();
             }
