--- a/fakes/soakRun.ts
+++ b/fakes/soakRun.ts
@@ -18,8 +18,8 @@
 import { checkDeadlyParts, checkDeadlyRuns, checkLateCalls, checkRates, checkWholeResponses } from "./soakChecks.js";
 import { checkTakenUp, soakModelEngines, softwareVersions, takeUpOnce } from "./soakStreams.js";
 import type { TakenUpStream } from "./soakStreams.js";
-import { startTcpProxy } from "./tcpProxy.js";
-import type { ProxyFault, TcpProxy } from "./tcpProxy.js";
+import { createSlowLink, startTcpProxy } from "./tcpProxy.js";
+import type { ProxyFault, SlowLink, TcpProxy } from "./tcpProxy.js";
 
 export interface SoakOptions {
     readonly seed: number;
@@ -103,6 +103,13 @@
 /** With little processor time, an entry runs for this time, and then rests for a time up to the other. */
 const processorOnMs = 10;
 const maxProcessorOffMs = 40;
+/** The first entry reaches the store over a link of 7 Mbit/s. */
+const slowLinkBytesPerSecond = 875_000;
+/** Routes added at once, and in all; a desired state with all of them takes about 1 MB of a response. */
+const routesPerGrowth = 1_400;
+const maxAddedRoutes = 3 * routesPerGrowth;
+/** A desired state is in force this long after its acknowledgement, at entries in touch. */
+const applyMs = 3_000;
 /** Revisions that a restoration of the store loses at most. */
 const maxLostRevisions = 8;
 const mayRunTwice = (path: string): boolean => path === "/look/x" || path === "/long/x";
@@ -110,10 +117,13 @@
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
     const engineProxies: TcpProxy[] = [];
     const storeProxies: TcpProxy[] = [];
-    const proxiedInto = (proxies: TcpProxy[]) => async (address: string): Promise<string> => {
-        const proxy = await startTcpProxy(address);
-        proxies.push(proxy);
-        return proxy.address;
+    const proxiedInto = (proxies: TcpProxy[], links: readonly SlowLink[] = []) => {
+        const unusedLinks = [...links];
+        return async (address: string): Promise<string> => {
+            const proxy = await startTcpProxy(address, unusedLinks.shift());
+            proxies.push(proxy);
+            return proxy.address;
+        };
     };
     const site = await startPlatformSite({
         entries: options.entries,
@@ -121,7 +131,7 @@
         eventMs,
         modelEngines: soakModelEngines,
         proxyEngineAddress: proxiedInto(engineProxies),
-        proxyStoreAddress: proxiedInto(storeProxies),
+        proxyStoreAddress: proxiedInto(storeProxies, [createSlowLink(slowLinkBytesPerSecond)]),
     });
     site.engines.forEach(engine => {
         engine.endOnDeadlyBody();
@@ -133,7 +143,8 @@
     const takenUp: TakenUpStream[] = [];
     const timeline: string[] = [];
     const withdrawnAtMs = new Map<string, number>();
-    const state = { key: siteKey, keyNumber: 0, stopped: false, storeFaultEndMs: 0 };
+    const state = { key: siteKey, keyNumber: 0, addedRoutes: 0, stopped: false, storeFaultEndMs: 0 };
+    const publish = (): void => site.publish([state.key], "desk", state.addedRoutes);
     const startedAtMs = Date.now();
 
     function logEvent(text: string): void {
@@ -175,9 +186,13 @@
             withdrawnAtMs.set(state.key, Date.now());
             state.keyNumber += 1;
             state.key = `key-${state.keyNumber}`;
-            site.publish([state.key]);
+            publish();
+        },
+        publishAgain: publish,
+        addRoutes: () => {
+            state.addedRoutes = Math.min(maxAddedRoutes, state.addedRoutes + routesPerGrowth);
+            publish();
         },
-        publishAgain: () => site.publish([state.key]),
         onStoreFaultEnd: endMs => {
             state.storeFaultEndMs = endMs;
         },
@@ -205,6 +220,7 @@
         const violations = [
             ...checkResponses(completed, site, withdrawnAtMs, state.storeFaultEndMs),
             ...await checkRecovery(site, state.key),
+            ...state.addedRoutes > 0 ? await checkAddedRoute(site, state.key, `/added-${state.addedRoutes - 1}/x`) : [],
             ...checkRates(
                 site.engines,
                 completed.map(({ sentAtMs, endedAtMs, response }) => ({
@@ -315,6 +331,8 @@
     readonly withdrawKey: () => void;
     /** Writes the desired state once more, as a newer version. */
     readonly publishAgain: () => void;
+    /** Writes a desired state with many more routes. */
+    readonly addRoutes: () => void;
     readonly onStoreFaultEnd: (endMs: number) => void;
 }
 
@@ -449,6 +467,7 @@
                     await delay(durations() * 300);
                 }
             }),
+        () => exclusiveFault(hooks.addRoutes, "many routes added", async () => hooks.addRoutes()),
         random =>
             exclusiveFault(
                 pickOne(random, site.engines.filter(({ stage }) => stage !== "prefill")),
@@ -565,6 +584,20 @@
     return [...violations, ...leaks.map(text => `an engine received a key: ${text}`)];
 }
 
+/** Each entry serves the newest route in time, also one that has just started. */
+async function checkAddedRoute(site: PlatformSite, key: string, path: string): Promise<readonly string[]> {
+    const deadlineMs = Date.now() + applyMs;
+    const statuses = await Promise.all(site.entries.map(async entry => {
+        let status: number | undefined;
+        while (status !== statusOk && Date.now() < deadlineMs) {
+            status = (await callSite(entry, path, key).catch(() => undefined))?.status;
+        }
+        return { entry, status };
+    }));
+    return statuses.filter(({ status }) => status !== statusOk)
+        .map(({ entry, status }) => `${entry.name} answers ${status} on a route that was added (${path})`);
+}
+
 async function checkRecovery(site: PlatformSite, key: string): Promise<readonly string[]> {
     const violations: string[] = [];
     const deadline = Date.now() + releaseTimeoutMs;
