--- a/src/configuration/distribution.ts
+++ b/src/configuration/distribution.ts
@@ -111,6 +111,8 @@
     const waitsEnded = new AbortController();
     let confirmedAtMs = Number.NEGATIVE_INFINITY;
     let lastContactAtMs = clock.monotonicMs();
+    /** The read of the store with which this process starts, while it is running. */
+    let initialRead: ReturnType<typeof loadFromStore> | undefined;
 
     function recordContact(): void {
         lastContactAtMs = clock.monotonicMs();
@@ -253,9 +255,17 @@
         }
     }
 
+    /** Continues the read that an earlier call began: a large snapshot takes longer than one call waits. */
+    function readInitial(): ReturnType<typeof loadFromStore> {
+        initialRead ??= loadFromStore(platform, replica.state()).finally(() => {
+            initialRead = undefined;
+        });
+        return initialRead;
+    }
+
     async function loadInitial(): Promise<boolean> {
         const peers = pickSome(random, dependencies.knownEntries(), maxInitialPeers);
-        const fromStore = loadFromStore(platform, replica.state());
+        const fromStore = readInitial();
         const responses = await Promise.all(peers.map(url => askPeer(url, 0)));
         const received = responses.filter(response => response !== undefined);
         received.forEach(applyResponse);
