Metrics: memory within the runtime's heap and outside of it

An entry that exceeded its memory could not be told from one whose heap is large: the buffers of connections and bodies lie outside of the heap, and no metric counted them. Two gauges, read without a file of the operating system, which a confined process may not open.

--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -6,6 +6,7 @@
  */
 
 import { randomUUID } from "node:crypto";
+import { getHeapStatistics } from "node:v8";
 import type { Result } from "true-myth";
 import type { Clock } from "../common/clock.js";
 import type { JsonValue } from "../common/json.js";
@@ -425,6 +426,13 @@
         "longest time for which the process was held up since the metrics were read last",
         loopDelays.takeLongestMs,
     );
+    // The whole memory of the process is not read here: its file may not be readable, and its host measures it.
+    metrics.gauge("heapBytes", "memory in use within the runtime's heap", () => getHeapStatistics().used_heap_size);
+    metrics.gauge(
+        "externalBytes",
+        "memory outside of the runtime's heap that its objects refer to, such as buffers, collected or not",
+        () => getHeapStatistics().external_memory,
+    );
     metrics.gauge(
         "storeSilenceMs",
         "time since the store confirmed the desired state",
--- a/test/platformPath.test.ts
+++ b/test/platformPath.test.ts
@@ -61,6 +61,8 @@
         await expectAllReleased();
         const metrics = await (await fetch(entry().metricsUrl)).text();
         expect(metrics).toMatch(/gooseberrywell_requests\{label="generation",outcome="200"\} 2/);
+        expect(metrics).toMatch(/^gooseberrywell_heap_bytes [1-9]\d+$/mu);
+        expect(metrics).toMatch(/^gooseberrywell_external_bytes [1-9]\d+$/mu);
     });
 
     it("is not ready and responds with 503 until it has a desired state", async () => {
