Copy an event that is not whole once, instead of with each piece

Cause: what was kept of an event was joined with each piece of 4 KB, so that an event of 256 KB cost 8 MB of copies, for each call and each engine that was tried. They are garbage outside of the heap, which the runtime collects late. The same in agents' decode streams.

Change: the beginning of an event is kept in the blocks in which bodies of callers are kept, so that each piece is copied once, whatever its size. The blocks move to src/common.

--- a/src/rpc/bodyBlocks.ts
+++ b/src/common/bodyBlocks.ts
@@ -1,5 +1,6 @@
 /**
- * Bytes of a body that arrives in pieces of any size, copied into blocks so that a small piece costs no object of its own.
+ * Bytes of a body, or of an event, that arrives in pieces of any size, copied into blocks so that a small piece costs no
+ * object of its own, and each piece is copied once.
  *
  * Whole blocks are used again for other bodies: the runtime frees the memory of buffers late.
  */
@@ -17,7 +18,10 @@
 const blockBytes = 65_536;
 /** A body up to this size takes no whole block. */
 const smallBytes = 4_096;
-/** Free blocks; there are never more blocks than the bodies have taken at once, which the connection budget bounds. */
+/**
+ * Free blocks; there are never more blocks than bodies and events have taken at once, which the connection budget and the
+ * limit on an event bound.
+ */
 const free: Buffer[] = [];
 
 export function createBodyBlocks(): BodyBlocks {
--- a/src/endpoint/decodeStreams.ts
+++ b/src/endpoint/decodeStreams.ts
@@ -89,7 +89,7 @@
                 scanner.push(events);
                 const mayGoOn = events.length === 0 || response.write(events)
                     || await waitForDrain(response, clock, disconnected);
-                if (!mayGoOn || assembler.partialEvent().length > maxEventBytes) {
+                if (!mayGoOn || assembler.keptBytes() > maxEventBytes) {
                     break;
                 }
             }
@@ -97,6 +97,9 @@
         catch {
             // A broken engine stream is detected below by its missing end event.
         }
+        finally {
+            assembler.drop();
+        }
         if (!scanner.ended()) {
             counters.add("endpoint.decodeBroken");
             const endpointEndedAtMs = disconnected.aborted ? undefined : await dependencies.checkEnded();
--- a/src/forwarding/eventStream.ts
+++ b/src/forwarding/eventStream.ts
@@ -4,6 +4,7 @@
  * An event ends with a blank line. Lines end with LF, CR LF or CR. The order of events is checked in `eventOrder.ts`.
  */
 
+import { createBodyBlocks } from "../common/bodyBlocks.js";
 import type { BodyFraming } from "../engines/enginePort.js";
 import type { RouteKind } from "../routes/desiredState.js";
 
@@ -83,21 +84,36 @@
 export interface EventAssembler {
     /** Returns the events that are complete with the chunk; empty if none is. */
     readonly push: (chunk: Buffer) => Buffer;
-    /** The bytes after the last complete event. */
-    readonly partialEvent: () => Buffer;
+    /** Size of what is kept: the bytes after the last complete event. */
+    readonly keptBytes: () => number;
+    /** Keeps nothing any more; to be called when the stream has ended. */
+    readonly drop: () => void;
 }
 
 export function createEventAssembler(): EventAssembler {
-    let partialEvent: Buffer = Buffer.alloc(0);
+    const partialEvent = createBodyBlocks();
+    /** The last bytes of the partial event, which decide whether it ends in the next chunk. */
+    let tail: Buffer = Buffer.alloc(0);
+
+    function keep(bytes: Buffer): void {
+        if (bytes.length > 0) {
+            partialEvent.append(bytes);
+        }
+    }
+
     return {
         push: chunk => {
-            const searchedBytes = partialEvent.length;
-            const pending = searchedBytes === 0 ? chunk : Buffer.concat([partialEvent, chunk]);
-            const eventsLength = completeEventsLength(pending, searchedBytes);
-            partialEvent = pending.subarray(eventsLength);
-            return pending.subarray(0, eventsLength);
+            const searched = tail.length === 0 ? chunk : Buffer.concat([tail, chunk]);
+            const searchedEnd = completeEventsLength(searched, tail.length);
+            const end = Math.max(0, searchedEnd - tail.length);
+            keep(chunk.subarray(0, end));
+            const events = end === 0 ? Buffer.alloc(0) : partialEvent.take();
+            keep(chunk.subarray(end));
+            tail = searched.subarray(Math.max(searchedEnd, searched.length - boundaryBytes));
+            return events;
         },
-        partialEvent: () => partialEvent,
+        keptBytes: partialEvent.sizeBytes,
+        drop: partialEvent.drop,
     };
 }
 
--- a/src/forwarding/slowResponses.test.ts
+++ b/src/forwarding/slowResponses.test.ts
@@ -4,7 +4,7 @@
 
 import { Readable } from "node:stream";
 import { Result } from "true-myth";
-import { describe, expect, it } from "vitest";
+import { describe, expect, it, vi } from "vitest";
 import {
     createForwardingHarness,
     describeOutcome,
@@ -19,6 +19,7 @@
 import type { ForwardingHarness } from "../../fakes/forwardingHarness.js";
 import type { RetryBudgetSettings } from "../limits/fleetRetryBudget.js";
 import type { RouteKind } from "../routes/desiredState.js";
+import { maxEventBytes } from "./eventStream.js";
 import { forward } from "./forward.js";
 import { createResponseTimes } from "./responseTimes.js";
 
@@ -37,6 +38,7 @@
     readonly endsAtMs: number;
 }
 
+const pieceBytes = 4_096;
 const noBudget: RetryBudgetSettings = { ratio: 0, slack: 0, windowMs: 10_000 };
 /** The outlier time before the first response. */
 const hedgeAtMs = 150;
@@ -224,6 +226,35 @@
 });
 
 describe("bodies without end", () => {
+    // It was copied with each piece: 8 MB of garbage for each call, more than a small machine has left.
+    it.each([true, false])("an event without an end is copied once (resumable: %s)", async isResumable => {
+        const route = routeOf("stream", { isResumable, maxEngines: 1 });
+        const harness = createForwardingHarness(desiredStateOf([route]), {
+            send: async () => {
+                const pieces = Array.from(
+                    { length: 2 * maxEventBytes / pieceBytes },
+                    () => Buffer.alloc(pieceBytes, "z"),
+                );
+                return Result.ok({
+                    engine: "d-1",
+                    status: 200,
+                    headers: [],
+                    framing: "chunks",
+                    body: Readable.from(pieces, { objectMode: false }),
+                });
+            },
+        });
+        harness.load([engineRecord("d-1", "decode")]);
+        const joins = vi.spyOn(Buffer, "concat");
+        const result = await forward(harness.context, requestTo("/stream/x", { size: smallSize }));
+        const described = await describeOutcome(result);
+        const copiedBytes = joins.mock.results.reduce((sum, { value }) => sum + (value as Buffer).length, 0);
+        joins.mockRestore();
+        expect(described.endsWith(", broken")).toBe(true);
+        // Besides the copy, the test joins what its caller gets.
+        expect(copiedBytes).toBeLessThan(4 * maxEventBytes);
+    });
+
     it("passes a large body of a plain service on, and ends it with the attempt", async () => {
         const chunk = Buffer.alloc(65_536, "x");
         let produced = 0;
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -8,6 +8,7 @@
  */
 
 import { finished, Readable } from "node:stream";
+import { createBodyBlocks } from "../common/bodyBlocks.js";
 import { holdsInTime } from "../common/callLimit.js";
 import type { BodyFraming, EngineRecord, EngineResponse } from "../engines/enginePort.js";
 import type { ForwardContext } from "./context.js";
@@ -227,7 +228,7 @@
 ): Promise<Error | undefined> {
     const boundaries = createEventBoundaryTracker();
     const order = createEventOrder(state.lastEventId, route.kind === "stream");
-    let partialEvent: Buffer = Buffer.alloc(0);
+    const partialEvent = createBodyBlocks();
     const relay = (bytes: Buffer): void => {
         if (!relayed.push(bytes)) {
             body.pause();
@@ -236,30 +237,30 @@
     body.on("data", (chunk: Buffer) => {
         boundaries.push(chunk);
         const inOrderBytes = order.push(chunk);
-        const pending = partialEvent.length === 0 ? chunk : Buffer.concat([partialEvent, chunk]);
-        const eventsLength = inOrderBytes === 0 ? 0 : partialEvent.length + inOrderBytes;
-        partialEvent = pending.subarray(eventsLength);
-        if (eventsLength > 0) {
-            const events = pending.subarray(0, eventsLength);
+        if (inOrderBytes > 0) {
+            partialEvent.append(chunk.subarray(0, inOrderBytes));
+            const events = partialEvent.take();
             state.lastEventId = order.lastNumber() === undefined
                 ? lastEventIdIn(events) ?? state.lastEventId
                 : String(order.lastNumber());
             state.isLastNamed = order.isLastNamed();
             relay(events);
         }
+        if (inOrderBytes < chunk.length) {
+            partialEvent.append(chunk.subarray(inOrderBytes));
+        }
         const fault = order.fault();
         if (fault !== undefined) {
             body.destroy(new Error(fault));
         }
-        else if (partialEvent.length > maxEventBytes && route.isResumable) {
+        else if (partialEvent.sizeBytes() > maxEventBytes && route.isResumable) {
             body.destroy(new Error(`an event is larger than ${maxEventBytes} bytes`));
         }
-        else if (partialEvent.length > maxEventBytes) {
-            relay(partialEvent);
-            partialEvent = Buffer.alloc(0);
+        else if (partialEvent.sizeBytes() > maxEventBytes) {
+            relay(partialEvent.take());
         }
     });
-    return endOf(body, boundaries, framing);
+    return endOf(body, boundaries, framing).finally(partialEvent.drop);
 }
 
 function endOf(body: Readable, boundaries: EventBoundaryTracker, framing: BodyFraming): Promise<Error | undefined> {
--- a/src/rpc/httpServer.ts
+++ b/src/rpc/httpServer.ts
@@ -6,7 +6,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { Result } from "true-myth";
-import { createBodyBlocks } from "./bodyBlocks.js";
+import { createBodyBlocks } from "../common/bodyBlocks.js";
 import { createConnectionBudget } from "./connectionBudget.js";
 import { guardConnections, guardOf } from "./connectionGuard.js";
 import type { ConnectionGuardOptions } from "./connectionGuard.js";
