Free the buffers of connections to engines, the store and other entries while they are read

Second cause of the same failure (endlessBytes, 212.9 and 214.2 MB, bound 209.7 MB): each read of a connection takes a buffer of up to 64 KB outside of the heap, and the runtime lets tens of megabytes of them pile up. For callers' connections they are collected each 4 MB; for connections that this process opens they were not.

Change: what these clients read counts as well.

Evidence: src/rpc/bufferCollection.test.ts, red in three of three runs before (34.0 to 40.5 MB left while 256 MB were read, 16 allowed), green in three of three now.

test/endlessBytes.test.ts, all 68: green once calm and once beside 8 busy processes.

--- a/src/rpc/guardedClient.ts
+++ b/src/rpc/guardedClient.ts
@@ -9,6 +9,7 @@
 import type { Socket } from "node:net";
 import { Agent, Client, Pool } from "undici";
 import type { buildConnector, Dispatcher } from "undici";
+import { countReadBytes } from "./bufferCollection.js";
 
 export interface GuardedClientOptions extends Client.Options {
     readonly connect: buildConnector.connector;
@@ -142,6 +143,7 @@
         const pieceBytes = reading.isInBody ? bodyPieceBytes : headPieceBytes;
         const piece = socket.readableLength > pieceBytes ? read(pieceBytes) : read(size);
         reading.piece = piece ?? undefined;
+        countReadBytes(piece?.length ?? 0);
         return piece;
     };
 }
