--- a/src/common/callLimit.ts
+++ b/src/common/callLimit.ts
@@ -32,6 +32,8 @@
     readonly isTimedOut: () => boolean;
     /** Counts bytes of the response that have arrived; each `bytesPerTimeout` of them start the time limit anew. */
     readonly recordBytes: (sizeBytes: number) => void;
+    /** Bytes of the response that have arrived, as far as they were counted. */
+    readonly receivedBytes: () => number;
     /** Removes the timer: from now on the call may only be cancelled. */
     readonly liftTimeout: () => void;
     /** Removes the timer and the listeners; to be called when the call has ended. */
@@ -51,6 +53,8 @@
     let stopTimer: (() => void) | undefined;
     let isTimedOut = false;
     let receivedBytes = 0;
+    /** Of these, the bytes until which the time limit was started anew. */
+    let creditedBytes = 0;
     const cancellations = cancelledBy.map(signal => ({ signal, cancel: () => abort(signal.reason) }));
 
     function liftTimeout(): void {
@@ -90,12 +94,14 @@
         isTimedOut: () => isTimedOut,
         recordBytes: sizeBytes => {
             receivedBytes += sizeBytes;
-            if (receivedBytes >= bytesPerTimeout && stopTimer !== undefined && progressTimeoutMs !== undefined) {
-                receivedBytes = 0;
+            const isProgress = receivedBytes - creditedBytes >= bytesPerTimeout;
+            if (isProgress && stopTimer !== undefined && progressTimeoutMs !== undefined) {
+                creditedBytes = receivedBytes;
                 liftTimeout();
                 startTimeout(progressTimeoutMs);
             }
         },
+        receivedBytes: () => receivedBytes,
         liftTimeout,
         end,
         endWith: body => void finished(body, end),
--- a/src/rpc/rpcClient.ts
+++ b/src/rpc/rpcClient.ts
@@ -119,14 +119,10 @@
     response: StreamResponse,
     id: number,
     maxResponseBytes: number,
-    { isTimedOut, recordBytes }: CallLimit,
+    { isTimedOut, recordBytes, receivedBytes }: CallLimit,
 ): Promise<Result<unknown, RpcError>> {
-    let receivedBytes = 0;
     try {
-        const text = await readText(response.body, maxResponseBytes, sizeBytes => {
-            receivedBytes += sizeBytes;
-            recordBytes(sizeBytes);
-        });
+        const text = await readText(response.body, maxResponseBytes, recordBytes);
         const rpcResponse: unknown = JSON.parse(text);
         const isResponse = isJSONRPCResponse(rpcResponse);
         // An error that is found before the call is read names no call.
@@ -142,6 +138,6 @@
     }
     catch (error) {
         const failure = toRpcError(error, isTimedOut());
-        return Result.err({ ...failure, cause: `${failure.cause}; ${receivedBytes} bytes of the response` });
+        return Result.err({ ...failure, cause: `${failure.cause}; ${receivedBytes()} bytes of the response` });
     }
 }
