--- a/src/common/callLimit.test.ts
+++ b/src/common/callLimit.test.ts
@@ -85,6 +85,8 @@
             }
             expect(limit.signal.aborted).toBe(false);
             await clock.advance(timeoutMs);
+            // The cause of a failed call names all that had arrived, also before the time limit was last started anew.
+            expect(limit.receivedBytes()).toBe(4 * bytesPerTimeout);
         },
         reason: "TimeoutError",
     },
