Log and count which stage had no room for a generation, and how engines are split

A generation that waited in vain was refused with 'no decode engine had room in time' also when nothing was asked of decode engines because the wait at all prefill engines was too long. 'engines of a service by stage' is logged whenever the split changes, 'an engine has changed its stage' with the time from its order. No change of which requests are served.

--- a/fakes/loadPolicies.ts
+++ b/fakes/loadPolicies.ts
@@ -41,6 +41,7 @@
         expectedResponseMs: () => responseMs,
         retryAfterMs: () => retryAfterMs,
         queuedRequests: () => 0,
+        shortStage: () => undefined,
         allocate: async ({ service, size }) => {
             const candidates = view.enginesFor(service, "decode");
             const engine = candidates[chooseIndex(candidates.length)];
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -224,7 +224,17 @@
         isFirstStart: settings.isFirstStart,
     });
     const stages = createStageController(
-        { clock, directory, loads, engines, leadership, log, metrics, routes: desiredState.routes },
+        {
+            clock,
+            directory,
+            loads,
+            engines,
+            leadership,
+            log,
+            metrics,
+            routes: desiredState.routes,
+            shortStage: service => decodeScheduler.shortStage(service),
+        },
         { prefillFraction },
     );
     const view: PlacementView = {
@@ -418,6 +428,11 @@
         "data centres to whose engines nothing is sent",
         () => evacuations.dataCentres().length,
     );
+    metrics.gauge(
+        "enginesReconfiguring",
+        "engines that change their stage by order of this entry",
+        () => Object.keys(stages.reconfiguring()).length,
+    );
     metrics.gauge("callsWaiting", "plain calls that wait for a slot", plainQueue.waitingCalls);
     metrics.gauge("coldEngines", "engines that get few requests because they are cold", coldEngines.count);
     metrics.gauge("desiredStateVersion", "version in force", desiredState.version);
--- a/src/scheduling/decodeScheduler.ts
+++ b/src/scheduling/decodeScheduler.ts
@@ -12,7 +12,7 @@
 import type { EngineDirectory } from "../engines/engineDirectory.js";
 import type { EngineHealth } from "../engines/engineHealth.js";
 import type { EngineLoads } from "../engines/engineLoads.js";
-import type { EnginePort, EngineRecord } from "../engines/enginePort.js";
+import type { EnginePort, EngineRecord, Stage } from "../engines/enginePort.js";
 import type { GenerationSize } from "../forwarding/forwardRequest.js";
 import { isInHomeRegion, mayRunAt } from "../forwarding/routedRequest.js";
 import type { GenerationRequest } from "../forwarding/routedRequest.js";
@@ -48,6 +48,8 @@
     readonly retryAfterMs: (service: string) => number;
     /** Number of queued requests of all services. */
     readonly queuedRequests: () => number;
+    /** Stage whose engines lack room for queued requests of a service; `undefined` if none waits. */
+    readonly shortStage: (service: string) => Stage | undefined;
 }
 
 export interface DecodeSchedulerDependencies {
@@ -83,6 +85,10 @@
 const minimumRetryAfterMs = 400;
 const maximumRetryAfterMs = 4_000;
 const noEngineCause = "no decode engine is available";
+const noRoomCauses: Readonly<Record<Stage, string>> = {
+    decode: "no decode engine had room in time",
+    prefill: "no prefill engine could read the prompt in time",
+};
 const queueFullCause = "too many requests wait for a decode engine";
 const yieldedCause = "more urgent requests need the room that is left";
 const allExhaustedCause = "all decode engines have got as many requests as the rates that they name";
@@ -212,11 +218,13 @@
     function refuseExpired(queue: GenerationQueue): void {
         const restMs = directory.allRestingMs(queue.choice.service, "decode");
         const nextAllocationMs = clock.monotonicMs() + (restMs ?? 0);
+        const shortStage = queue.shortStage ?? "decode";
         for (const item of queue.pending.takeExpired(nextAllocationMs)) {
             metrics.count("turnedAway", "expired", String(item.priority));
+            metrics.count("stageFull", queue.choice.service, shortStage);
             item.resolve(
                 Result.err({
-                    cause: restMs === undefined ? "no decode engine had room in time" : allRestingCause,
+                    cause: restMs === undefined ? noRoomCauses[shortStage] : allRestingCause,
                     retryAfterMs: restMs ?? retryAfterQueueMs(queue.choice),
                 }),
             );
@@ -294,18 +302,20 @@
             refuseExpired(queue);
             refuseTooLate(queue);
             refuseIfVersionLeft(queue);
-            const candidates = queue.pending.candidates(clock.monotonicMs()).filter(item =>
-                canPrefill(item.generation)
-            );
+            const waiting = queue.pending.candidates(clock.monotonicMs());
+            const candidates = waiting.filter(item => canPrefill(item.generation));
             const results = await Promise.all(candidates.map(tryAllocate));
+            const isBlocked = !results.includes(true) && queue.pending.size() > 0;
+            queue.shortStage = !isBlocked ? undefined : candidates.length === 0 ? "prefill" : "decode";
             refuseIfExhausted(queue);
-            if (!results.includes(true) && queue.pending.size() > 0) {
+            if (isBlocked && queue.pending.size() > 0) {
                 const wakeController = new AbortController();
                 queue.wake = () => wakeController.abort();
                 await clock.sleep(queuePollMs, wakeController.signal);
             }
         }
         queue.isProcessing = false;
+        queue.shortStage = undefined;
         queues.removeIfOfVersion(queue);
     }
 
@@ -330,6 +340,9 @@
         expectedResponseMs: (service, size) => durations.expectedMs(service, expectedOutputTokens(size)),
         retryAfterMs: service => retryAfterQueueMs({ service, softwareVersion: undefined, homeRegions: undefined }),
         queuedRequests: () => queues.all().reduce((sum, queue) => sum + queue.pending.size(), 0),
+        shortStage: service =>
+            queues.all().find(({ choice, shortStage }) => choice.service === service && shortStage !== undefined)
+                ?.shortStage,
         allocate: async generation => {
             const { service, size, engineSpec, priority } = generation;
             const { callerDisconnected } = generation.request;
--- a/src/scheduling/engineQueues.ts
+++ b/src/scheduling/engineQueues.ts
@@ -3,6 +3,7 @@
  * engines.
  */
 
+import type { Stage } from "../engines/enginePort.js";
 import { createDecodeQueue } from "./decodeQueue.js";
 import type { DecodeQueue, QueuedRequest } from "./decodeQueue.js";
 
@@ -20,6 +21,8 @@
     readonly pending: DecodeQueue<Item>;
     /** KV memory of one engine of the service. */
     kvTokens: number;
+    /** Stage whose engines had no room for the queued requests when they were last tried; `undefined` if none waits. */
+    shortStage: Stage | undefined;
     isProcessing: boolean;
     wake: () => void;
 }
@@ -49,6 +52,7 @@
                 choice,
                 pending: createDecodeQueue(),
                 kvTokens: 0,
+                shortStage: undefined,
                 isProcessing: false,
                 wake: () => undefined,
             };
--- a/src/scheduling/scheduling.test.ts
+++ b/src/scheduling/scheduling.test.ts
@@ -66,6 +66,15 @@
     return harness;
 }
 
+interface ShortageCase {
+    readonly name: string;
+    readonly isFull: boolean;
+    /** Prompt tokens ahead at the prefill engine. */
+    readonly prefillTokens: number;
+    readonly stage: Stage | undefined;
+    readonly cause: string | undefined;
+}
+
 const sizeOf = (promptTokens: number): GenerationSize => ({ ...smallSize, promptTokens });
 
 describe("allocation at decode engines", () => {
@@ -88,6 +97,37 @@
         expect(order).toEqual(["r-1", "r-2", "r-3"]);
     });
 
+    it.each<ShortageCase>([
+        {
+            name: "the decode engines are full",
+            isFull: true,
+            prefillTokens: 0,
+            stage: "decode",
+            cause: "no decode engine had room in time",
+        },
+        {
+            name: "the prompts ahead would take the only prefill engine too long",
+            isFull: false,
+            prefillTokens: 1_000_000,
+            stage: "prefill",
+            cause: "no prefill engine could read the prompt in time",
+        },
+        { name: "both have room", isFull: false, prefillTokens: 0, stage: undefined, cause: undefined },
+    ])("names the stage without room: $name", async ({ isFull, prefillTokens, stage, cause }) => {
+        const harness = harnessWith(() => !isFull);
+        const { decodeScheduler, loads } = harness.context;
+        loads.start(prefill.id, { requests: 1, kvTokens: 0, prefillTokens });
+        const generation = generationOf(sizeOf(1_000));
+        const strictSpec = { ...generation.engineSpec, tokensPerEvent: generation.route.maxGapMs };
+        const allocation = decodeScheduler.allocate({ ...generation, engineSpec: strictSpec });
+        await harness.clock.advance(100);
+        expect(decodeScheduler.shortStage("models")).toBe(stage);
+        await harness.clock.advance(2_000);
+        const ended = await allocation;
+        expect(ended.isErr ? ended.error.cause : undefined).toBe(cause);
+        expect(decodeScheduler.shortStage("models")).toBeUndefined();
+    });
+
     it("sustained overload: requests that cannot start in time are refused at once with a retry delay", async () => {
         const harness = harnessWith(() => false);
         const pending = Array.from(
--- a/src/stages/stageController.ts
+++ b/src/stages/stageController.ts
@@ -33,6 +33,15 @@
     readonly log: DecisionLog;
     readonly metrics: PrometheusMetrics;
     readonly routes: () => RouteTable | undefined;
+    /** Stage whose engines lack room for queued requests of a service; `undefined` if none waits. */
+    readonly shortStage: (service: string) => Stage | undefined;
+}
+
+/** An order that was sent, until its new stage appears in the engine's record; monotonic times. */
+interface PendingOrder {
+    readonly stage: Stage;
+    readonly sentAtMs: number;
+    readonly untilMs: number;
 }
 
 export interface StageControllerSettings {
@@ -59,7 +68,8 @@
     settings: StageControllerSettings,
 ): StageController {
     const { clock, directory, loads, engines, leadership, log, metrics } = dependencies;
-    const pendingOrders = new Map<string, { readonly stage: Stage; readonly untilMs: number; }>();
+    const pendingOrders = new Map<string, PendingOrder>();
+    const lastSplits = new Map<string, string>();
     const peerChangeUntilMs = new Map<string, number>();
     const lastEngineLists = new Map<string, { readonly engineIds: string; readonly sinceMs: number; }>();
     let nextChangeAtMs = 0;
@@ -71,13 +81,39 @@
 
     /** Removes the orders whose new stage appears in the engine's record. */
     function removeCompletedOrders(): void {
-        for (const [id, { stage }] of pendingOrders) {
+        for (const [id, { stage, sentAtMs }] of pendingOrders) {
             if (directory.get(id)?.stage === stage) {
                 pendingOrders.delete(id);
+                log.info("an engine has changed its stage", {
+                    engine: id,
+                    stage,
+                    tookMs: Math.round(clock.monotonicMs() - sentAtMs),
+                });
             }
         }
     }
 
+    /** Logs how many engines of a service serve each stage whenever that changes. */
+    function logSplit(service: string): void {
+        const engines = directory.usable(service).filter(engine => engine.stage !== undefined);
+        const inUse = (stage: Stage): number =>
+            engines.filter(engine => engine.stage === stage && !isReconfiguring(engine.id)).length;
+        const split = {
+            prefill: inUse("prefill"),
+            decode: inUse("decode"),
+            reconfiguring: engines.filter(({ id }) => isReconfiguring(id)).length,
+        };
+        const text = JSON.stringify(split);
+        if (lastSplits.get(service) !== text) {
+            lastSplits.set(service, text);
+            log.info("engines of a service by stage", {
+                service,
+                ...split,
+                shortStage: dependencies.shortStage(service),
+            });
+        }
+    }
+
     function isEngineListStable(service: string): boolean {
         const engineIds = directory.usable(service).map(engine => engine.id).sort().join(" ");
         const lastSeen = lastEngineLists.get(service);
@@ -113,7 +149,12 @@
             orderTimeoutMs,
         );
         const pauseMs = outcome === "unknown" ? unknownOutcomePauseMs : reconfigureMs + recordLagMs;
-        pendingOrders.set(engine.id, { stage, untilMs: clock.monotonicMs() + (outcome === "rejected" ? 0 : pauseMs) });
+        const nowMs = clock.monotonicMs();
+        pendingOrders.set(engine.id, {
+            stage,
+            sentAtMs: nowMs,
+            untilMs: nowMs + (outcome === "rejected" ? 0 : pauseMs),
+        });
         metrics.count("ordersSent", stage, outcome);
         log.info("ordered an engine to another stage", { engine: engine.id, stage, fencingToken, outcome });
     }
@@ -164,7 +205,11 @@
                 await clock.sleep(intervalMs, signal);
                 removeCompletedOrders();
                 for (const { name, engine: engineSpec } of dependencies.routes()?.state.services ?? []) {
-                    if (engineSpec !== undefined && isEngineListStable(name)) {
+                    if (engineSpec === undefined) {
+                        continue;
+                    }
+                    logSplit(name);
+                    if (isEngineListStable(name)) {
                         await rebalance(name, engineSpec.reconfigureMs);
                     }
                 }
--- a/src/stages/stages.test.ts
+++ b/src/stages/stages.test.ts
@@ -356,6 +356,7 @@
             log: silentDecisionLog,
             metrics: createPrometheusMetrics(),
             routes: () => createRouteTable(state),
+            shortStage: () => undefined,
         }, { prefillFraction: 0.25 });
         const decode = ["d-1", "d-2", "d-3", "d-4", "d-5"].map(id =>
             engineRecord(id, "decode", { dataCentre: dataCentreOf(id) })
--- a/src/telemetry/prometheusMetrics.ts
+++ b/src/telemetry/prometheusMetrics.ts
@@ -22,6 +22,7 @@
     callsTurnedAway: "plain calls refused because no instance had room in time, by cause",
     statusChecks: "status checks of instances after their ejection, by result",
     turnedAway: "generations refused for lack of room, by cause (displaced, notAdmitted, expired) and priority",
+    stageFull: "generations refused for lack of room, by service and the stage whose engines had none",
     storeCalls: "calls to the platform's store by outcome",
     ordersSent: "orders to engines by outcome",
 } as const;
