Observe when an engine has changed its stage, instead of assuming a time

Callers saw: 12 generations refused within 2 s ('the engine rejected the request: 503'), and a prefill engine without work in a burst. An engine is out of use from its acceptance, or from when a report says that it is changing, until its new stage is listed; entries that hear of the change use it from then on too.

Four of the six cases of the test failed before. Ruled out: asking engines for reports in every round (each is priced).

--- a/src/stages/stageController.ts
+++ b/src/stages/stageController.ts
@@ -37,13 +37,29 @@
     readonly shortStage: (service: string) => Stage | undefined;
 }
 
-/** An order that was sent, until its new stage appears in the engine's record; monotonic times. */
+/**
+ * An order that was sent, until its new stage appears in the engine's record; monotonic times. While it is `unanswered`,
+ * its engine may carry it out late or never, and serves its present stage meanwhile.
+ */
 interface PendingOrder {
+    readonly kind: "accepted" | "unanswered";
+    /** The engine as it was ordered. */
+    readonly engine: EngineRecord;
     readonly stage: Stage;
     readonly sentAtMs: number;
+    /** When the engine is asked next whether it is changing. */
+    readonly checkAtMs: number;
+    /** Until then the engine is out of use if the order was accepted, and gets no other order if it was not answered. */
     readonly untilMs: number;
 }
 
+/** A change that another entry ordered. */
+interface PeerChange {
+    readonly untilMs: number;
+    /** Stage in the engine's record when the change was heard of. */
+    readonly stage: Stage | undefined;
+}
+
 export interface StageControllerSettings {
     /** Fraction of a service's engines that should prefill. */
     readonly prefillFraction: number;
@@ -60,8 +76,12 @@
  */
 const pauseBetweenChangesMs = 15_000;
 const orderTimeoutMs = 1_500;
-/** Pause for an engine that did not respond to an order: the order may still be carried out late (platform). */
-const unknownOutcomePauseMs = 13_000;
+/** An order that was not answered may still be carried out for this long (platform). */
+const lateOrderMs = 13_000;
+/** Interval at which an engine with an order that was not answered is asked whether it is changing. */
+const lateOrderCheckMs = 1_000;
+/** An engine is asked so long before it is expected back, so that the other entries hear in time that it is not. */
+const checkLeadMs = 1_000;
 
 export function createStageController(
     dependencies: StageControllerDependencies,
@@ -70,29 +90,63 @@
     const { clock, directory, loads, engines, leadership, log, metrics } = dependencies;
     const pendingOrders = new Map<string, PendingOrder>();
     const lastSplits = new Map<string, string>();
-    const peerChangeUntilMs = new Map<string, number>();
+    const peerChanges = new Map<string, PeerChange>();
     const lastEngineLists = new Map<string, { readonly engineIds: string; readonly sinceMs: number; }>();
     let nextChangeAtMs = 0;
 
     function isReconfiguring(engineId: string): boolean {
-        const nowMs = clock.monotonicMs();
-        return (pendingOrders.get(engineId)?.untilMs ?? 0) > nowMs || (peerChangeUntilMs.get(engineId) ?? 0) > nowMs;
+        const peerChange = peerChanges.get(engineId);
+        return pendingOrders.get(engineId)?.kind === "accepted"
+            || (peerChange !== undefined && peerChange.untilMs > clock.monotonicMs()
+                && directory.get(engineId)?.stage === peerChange.stage);
     }
 
-    /** Removes the orders whose new stage appears in the engine's record. */
-    function removeCompletedOrders(): void {
-        for (const [id, { stage, sentAtMs }] of pendingOrders) {
-            if (directory.get(id)?.stage === stage) {
-                pendingOrders.delete(id);
+    /** Ends the orders that are complete, and asks engines whether they are still changing. */
+    async function updateOrders(): Promise<void> {
+        for (const order of [...pendingOrders.values()]) {
+            const { engine, stage, sentAtMs } = order;
+            const nowMs = clock.monotonicMs();
+            const record = directory.get(engine.id);
+            if (record?.stage === stage) {
+                pendingOrders.delete(engine.id);
                 log.info("an engine has changed its stage", {
-                    engine: id,
+                    engine: engine.id,
                     stage,
-                    tookMs: Math.round(clock.monotonicMs() - sentAtMs),
+                    tookMs: Math.round(nowMs - sentAtMs),
                 });
             }
+            else if (record !== undefined && record.bornMs !== engine.bornMs) {
+                pendingOrders.delete(engine.id);
+            }
+            else if (order.checkAtMs <= nowMs) {
+                await checkOrder(order);
+            }
         }
     }
 
+    async function checkOrder(order: PendingOrder): Promise<void> {
+        const { engine, stage, kind } = order;
+        const report = await engines.report(engine, orderTimeoutMs);
+        const nowMs = clock.monotonicMs();
+        if (report.isOk && (report.value.isReconfiguring || report.value.stage === stage)) {
+            const untilMs = Math.max(order.untilMs, nowMs + checkLeadMs + recordLagMs);
+            pendingOrders.set(engine.id, { ...order, kind: "accepted", checkAtMs: untilMs - checkLeadMs, untilMs });
+            return;
+        }
+        // An engine that does not respond to the check may be changing.
+        const lastCheckMs = kind === "unanswered" ? order.untilMs : report.isErr ? order.untilMs + lateOrderMs : 0;
+        if (nowMs < lastCheckMs) {
+            pendingOrders.set(engine.id, { ...order, checkAtMs: nowMs + lateOrderCheckMs });
+            return;
+        }
+        pendingOrders.delete(engine.id);
+        log.info("an engine does not carry out an order", {
+            engine: engine.id,
+            stage,
+            cause: report.isErr ? report.error.cause : "it is not changing its stage",
+        });
+    }
+
     /** Logs how many engines of a service serve each stage whenever that changes. */
     function logSplit(service: string): void {
         const engines = directory.usable(service).filter(engine => engine.stage !== undefined);
@@ -148,13 +202,20 @@
             { stage, holder, fencingToken, expectedSequence },
             orderTimeoutMs,
         );
-        const pauseMs = outcome === "unknown" ? unknownOutcomePauseMs : reconfigureMs + recordLagMs;
-        const nowMs = clock.monotonicMs();
-        pendingOrders.set(engine.id, {
-            stage,
-            sentAtMs: nowMs,
-            untilMs: nowMs + (outcome === "rejected" ? 0 : pauseMs),
-        });
+        const sentAtMs = clock.monotonicMs();
+        const order = { engine, stage, sentAtMs };
+        if (outcome === "accepted" || outcome === "alreadyHolds") {
+            const untilMs = sentAtMs + reconfigureMs + recordLagMs;
+            pendingOrders.set(engine.id, { ...order, kind: "accepted", checkAtMs: untilMs - checkLeadMs, untilMs });
+        }
+        else if (outcome === "unknown") {
+            pendingOrders.set(engine.id, {
+                ...order,
+                kind: "unanswered",
+                checkAtMs: sentAtMs + lateOrderCheckMs,
+                untilMs: sentAtMs + lateOrderMs,
+            });
+        }
         metrics.count("ordersSent", stage, outcome);
         log.info("ordered an engine to another stage", { engine: engine.id, stage, fencingToken, outcome });
     }
@@ -162,15 +223,15 @@
     async function rebalance(service: string, reconfigureMs: number): Promise<void> {
         const modelEngines = directory.usable(service).filter(engine => engine.stage !== undefined);
         const nowMs = clock.monotonicMs();
-        if (modelEngines.some(engine => isReconfiguring(engine.id)) && !isIdle(modelEngines)) {
+        if (modelEngines.some(engine => isOrdered(engine.id)) && !isIdle(modelEngines)) {
             return;
         }
-        const effective = modelEngines.map(engine => withPendingStage(engine, nowMs));
+        const effective = modelEngines.map(withPendingStage);
         if (!isIdle(modelEngines) && nowMs < nextChangeAtMs && !isStageMissing(effective)) {
             return;
         }
         const change = nextStageChange(effective, settings.prefillFraction, id => loads.total(id).requests);
-        if (change === undefined || isReconfiguring(change.engine.id)) {
+        if (change === undefined || isOrdered(change.engine.id)) {
             return;
         }
         nextChangeAtMs = nowMs + pauseBetweenChangesMs;
@@ -178,11 +239,14 @@
     }
 
     /** Replaces the stage of an engine that is changing, whose record still shows the old one, by the ordered stage. */
-    function withPendingStage(engine: EngineRecord, nowMs: number): EngineRecord {
+    function withPendingStage(engine: EngineRecord): EngineRecord {
         const pendingOrder = pendingOrders.get(engine.id);
-        return pendingOrder !== undefined && pendingOrder.untilMs > nowMs
-            ? { ...engine, stage: pendingOrder.stage }
-            : engine;
+        return pendingOrder === undefined ? engine : { ...engine, stage: pendingOrder.stage };
+    }
+
+    /** Whether an engine is changing its stage, or has an order that was not answered. */
+    function isOrdered(engineId: string): boolean {
+        return pendingOrders.has(engineId) || isReconfiguring(engineId);
     }
 
     return {
@@ -191,19 +255,22 @@
             const nowMs = clock.monotonicMs();
             return Object.fromEntries(
                 [...pendingOrders]
-                    .filter(([, { untilMs }]) => untilMs > nowMs)
+                    .filter(([, { kind, untilMs }]) => kind === "accepted" && untilMs > nowMs)
                     .map(([id, { untilMs }]) => [id, untilMs - nowMs]),
             );
         },
         recordPeerReconfiguring: remainingMs => {
             for (const [id, ms] of Object.entries(remainingMs)) {
-                peerChangeUntilMs.set(id, clock.monotonicMs() + ms);
+                const untilMs = clock.monotonicMs() + ms;
+                const earlier = peerChanges.get(id);
+                const isSameChange = earlier !== undefined && earlier.untilMs > clock.monotonicMs();
+                peerChanges.set(id, { untilMs, stage: isSameChange ? earlier.stage : directory.get(id)?.stage });
             }
         },
         run: async signal => {
             while (!signal.aborted) {
                 await clock.sleep(intervalMs, signal);
-                removeCompletedOrders();
+                await updateOrders();
                 for (const { name, engine: engineSpec } of dependencies.routes()?.state.services ?? []) {
                     if (engineSpec === undefined) {
                         continue;
--- a/src/stages/stages.test.ts
+++ b/src/stages/stages.test.ts
@@ -14,11 +14,14 @@
     silentDecisionLog,
 } from "../../fakes/forwardingHarness.js";
 import { createProcessGate, createVirtualClock } from "../../fakes/virtualClock.js";
+import type { VirtualClock } from "../../fakes/virtualClock.js";
 import type { Clock } from "../common/clock.js";
 import { createEngineDirectory } from "../engines/engineDirectory.js";
+import type { EngineDirectory } from "../engines/engineDirectory.js";
 import { createEngineLoads } from "../engines/engineLoads.js";
+import type { EngineLoads, EngineWork } from "../engines/engineLoads.js";
 import { createEngineNotices } from "../engines/engineNotices.js";
-import type { EngineRecord, EngineReport } from "../engines/enginePort.js";
+import type { EngineRecord, EngineReport, OrderOutcome } from "../engines/enginePort.js";
 import { createEvacuations } from "../engines/evacuations.js";
 import { createMemoryPlatform } from "../platform/memoryPlatform.js";
 import type { TableService } from "../platform/ports.js";
@@ -27,6 +30,7 @@
 import { createOrderLeadership } from "./orderLeadership.js";
 import type { OrderLeadership } from "./orderLeadership.js";
 import { createStageController } from "./stageController.js";
+import type { StageController } from "./stageController.js";
 import { nextStageChange, targetPrefillEngines } from "./stageSplit.js";
 
 function leadershipOf(holder: string, tables: TableService, clock: Clock, isFirstStart = true): OrderLeadership {
@@ -311,63 +315,83 @@
     });
 });
 
+interface ControllerFixture {
+    readonly clock: VirtualClock;
+    readonly controller: StageController;
+    readonly directory: EngineDirectory;
+    readonly loads: EngineLoads;
+    /** Orders sent so far as `id stage`. */
+    readonly sent: readonly string[];
+    readonly stop: () => void;
+}
+
+interface ControllerOptions {
+    readonly evacuatedDataCentres?: readonly string[];
+    readonly orderOutcome?: OrderOutcome;
+    /** Whether the engines say that they are changing their stage, by the time since the start. */
+    readonly isReconfiguringAt?: (nowMs: number) => boolean;
+}
+
+const idleReport: EngineReport = {
+    stage: "decode",
+    bornMs: 1,
+    isReconfiguring: false,
+    orderSequence: 0,
+    running: 0,
+    queued: 0,
+    kvUsedTokens: 0,
+    kvTotalTokens: 1,
+};
+
+/** Runs a controller that holds the order leadership. */
+function startController(options: ControllerOptions = {}): ControllerFixture {
+    const { evacuatedDataCentres = [], orderOutcome = "accepted", isReconfiguringAt = () => false } = options;
+    const clock = createVirtualClock();
+    const evacuations = createEvacuations(clock, silentDecisionLog);
+    evacuations.apply(evacuatedDataCentres, "current");
+    const state = desiredStateOf([routeOf("stream")]);
+    const notices = createEngineNotices(clock, silentDecisionLog);
+    const directory = createEngineDirectory(clock, silentDecisionLog, notices, evacuations);
+    const loads = createEngineLoads(clock, 50);
+    const sent: string[] = [];
+    const controller = createStageController({
+        clock,
+        directory,
+        loads,
+        engines: {
+            ...createForwardingHarness(state).context.engines,
+            report: async () => Result.ok({ ...idleReport, isReconfiguring: isReconfiguringAt(clock.monotonicMs()) }),
+            orderStage: async (engine, { stage }) => {
+                sent.push(`${engine.id} ${stage}`);
+                return orderOutcome;
+            },
+        },
+        leadership: {
+            claim: async () => ({ holder: "a", fencingToken: 1, isFresh: () => true }),
+            highestToken: () => 1,
+            recordPeerToken: () => undefined,
+        },
+        log: silentDecisionLog,
+        metrics: createPrometheusMetrics(),
+        routes: () => createRouteTable(state),
+        shortStage: () => undefined,
+    }, { prefillFraction: 0.25 });
+    const stopping = new AbortController();
+    void controller.run(stopping.signal);
+    return { clock, controller, directory, loads, sent, stop: () => stopping.abort() };
+}
+
+const requestWork: EngineWork = { requests: 1, kvTokens: 1, prefillTokens: 0 };
+
 describe("the stage controller", () => {
     it.each(controllerCases)("$name", async ({ leaving, evacuated = [], orders }) => {
-        const clock = createVirtualClock();
-        const evacuations = createEvacuations(clock, silentDecisionLog);
-        evacuations.apply(["evacuated"], "current");
+        const { clock, directory, loads, sent, stop } = startController({ evacuatedDataCentres: ["evacuated"] });
         const dataCentreOf = (id: string): string => evacuated.includes(id) ? "evacuated" : "a";
-        const state = desiredStateOf([routeOf("stream")]);
-        const directory = createEngineDirectory(
-            clock,
-            silentDecisionLog,
-            createEngineNotices(clock, silentDecisionLog),
-            evacuations,
-        );
-        const loads = createEngineLoads(clock, 50);
-        const sent: string[] = [];
-        const report: EngineReport = {
-            stage: "decode",
-            bornMs: 1,
-            isReconfiguring: false,
-            orderSequence: 0,
-            running: 0,
-            queued: 0,
-            kvUsedTokens: 0,
-            kvTotalTokens: 1,
-        };
-        const controller = createStageController({
-            clock,
-            directory,
-            loads,
-            engines: {
-                ...createForwardingHarness(state).context.engines,
-                report: async () => Result.ok(report),
-                orderStage: async (engine, { stage }) => {
-                    sent.push(`${engine.id} ${stage}`);
-                    return "accepted";
-                },
-            },
-            leadership: {
-                claim: async () => ({ holder: "a", fencingToken: 1, isFresh: () => true }),
-                highestToken: () => 1,
-                recordPeerToken: () => undefined,
-            },
-            log: silentDecisionLog,
-            metrics: createPrometheusMetrics(),
-            routes: () => createRouteTable(state),
-            shortStage: () => undefined,
-        }, { prefillFraction: 0.25 });
         const decode = ["d-1", "d-2", "d-3", "d-4", "d-5"].map(id =>
             engineRecord(id, "decode", { dataCentre: dataCentreOf(id) })
         );
         directory.load([engineRecord("p-1", "prefill"), ...decode], "current");
-        ["d-2", "d-3", "d-4", "d-5"].forEach(id => loads.start(id, { requests: 1, kvTokens: 1, prefillTokens: 0 }));
-        loads.start("d-3", { requests: 1, kvTokens: 1, prefillTokens: 0 });
-        loads.start("d-4", { requests: 1, kvTokens: 1, prefillTokens: 0 });
-        loads.start("d-5", { requests: 1, kvTokens: 1, prefillTokens: 0 });
-        const stopping = new AbortController();
-        void controller.run(stopping.signal);
+        ["d-2", "d-3", "d-3", "d-4", "d-4", "d-5", "d-5"].forEach(id => loads.start(id, requestWork));
         await clock.advance(5_000);
         // The first order has been carried out.
         const first = engineRecord("d-1", "prefill", { recordSequence: 2, dataCentre: dataCentreOf("d-1") });
@@ -377,6 +401,88 @@
         directory.load(changed.filter(({ id }) => !leaving.includes(id)), "current");
         await clock.advance(5_000);
         expect(sent).toEqual(orders);
-        stopping.abort();
+        stop();
+    });
+});
+
+interface ChangeCase {
+    readonly name: string;
+    readonly orderOutcome: OrderOutcome;
+    /** When the engine begins its change and when its new stage is listed, after the order; never by default. */
+    readonly changesAtMs?: number;
+    readonly listedAtMs?: number;
+    /** Whether the engine is in use at times after the order. */
+    readonly isInUse: readonly (readonly [afterMs: number, isInUse: boolean])[];
+}
+
+const changeCases: readonly ChangeCase[] = [
+    {
+        name: "an engine that first ends its streams is not used until its new stage is listed",
+        orderOutcome: "accepted",
+        changesAtMs: 0,
+        listedAtMs: 14_000,
+        isInUse: [[1_000, false], [9_000, false], [13_500, false], [14_500, true]],
+    },
+    {
+        name: "an engine that changes fast is used as soon as its new stage is listed",
+        orderOutcome: "accepted",
+        changesAtMs: 0,
+        listedAtMs: 3_000,
+        isInUse: [[2_500, false], [3_500, true]],
+    },
+    {
+        name: "an engine that accepted an order and does not change is used again",
+        orderOutcome: "accepted",
+        isInUse: [[1_000, false], [9_000, true]],
+    },
+    {
+        name: "an engine that does not answer an order goes on until it changes",
+        orderOutcome: "unknown",
+        changesAtMs: 6_000,
+        listedAtMs: 13_000,
+        isInUse: [[500, true], [5_000, true], [8_000, false], [12_500, false], [13_500, true]],
+    },
+    {
+        name: "an engine that does not answer an order and never carries it out stays in use",
+        orderOutcome: "unknown",
+        isInUse: [[500, true], [8_000, true], [14_000, true]],
+    },
+    { name: "an engine that rejects an order stays in use", orderOutcome: "rejected", isInUse: [[500, true]] },
+];
+
+// Guards against requests sent to an engine that is changing its stage, and engines left unused that are not.
+describe("an engine under order", () => {
+    it.each(changeCases)("$name", async ({ orderOutcome, changesAtMs, listedAtMs, isInUse }) => {
+        let sentAtMs = Number.POSITIVE_INFINITY;
+        const { clock, controller, directory, loads, sent, stop } = startController({
+            orderOutcome,
+            isReconfiguringAt: nowMs =>
+                changesAtMs !== undefined && nowMs >= sentAtMs + changesAtMs
+                && nowMs < sentAtMs + (listedAtMs ?? Number.POSITIVE_INFINITY),
+        });
+        const others = ["d-2", "d-3", "d-4", "d-5"].map(id => engineRecord(id, "decode"));
+        directory.load([engineRecord("p-1", "prefill"), engineRecord("d-1", "decode"), ...others], "current");
+        others.forEach(({ id }) => loads.start(id, requestWork));
+        while (sent.length === 0) {
+            await clock.advance(50);
+        }
+        sentAtMs = clock.monotonicMs();
+        // Another entry, which orders nothing itself.
+        const peer = startController();
+        peer.stop();
+        for (const [afterMs, expected] of isInUse) {
+            while (clock.monotonicMs() < sentAtMs + afterMs) {
+                const isListed = clock.monotonicMs() >= sentAtMs + (listedAtMs ?? Number.POSITIVE_INFINITY);
+                const changed = engineRecord("d-1", isListed ? "prefill" : "decode", { recordSequence: 2 });
+                directory.load([engineRecord("p-1", "prefill"), changed, ...others], "current");
+                peer.directory.load([changed], "current");
+                peer.controller.recordPeerReconfiguring(controller.reconfiguring());
+                await clock.advance(100);
+                await peer.clock.advance(100);
+            }
+            expect([afterMs, !controller.isReconfiguring("d-1"), !peer.controller.isReconfiguring("d-1")])
+                .toEqual([afterMs, expected, expected]);
+        }
+        stop();
     });
 });
