Split engines between the stages by the work of generations, and weigh a change against its cost

Cause: the number of prefill engines was a fixed share of the number of engines, so that the loss of a decode engine of six ordered one of the two prefill engines to decode, for 8 s out of use, while its successor was starting. Now: entries estimate how long a mean generation occupies an engine of each stage, hence how many generations a split serves, with what decode engines read themselves where routes allow it. Under load an engine changes only once the requests that wait for the other stage have cost as much as the change, by what is lost while the engine serves neither stage. The share holds only before the first requests. An empty stage is filled at once, as before.

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -56,6 +56,7 @@
 import { prefillTokensPerMs } from "../src/scheduling/placement.js";
 import type { PlacementView } from "../src/scheduling/placement.js";
 import { compareByObjective, createPlainQueue } from "../src/scheduling/plainQueue.js";
+import { createStageWorkEstimates } from "../src/stages/stageWork.js";
 import type { DecisionLog } from "../src/telemetry/decisionLog.js";
 import { createPrometheusMetrics } from "../src/telemetry/prometheusMetrics.js";
 import { createVirtualClock } from "./virtualClock.js";
@@ -315,6 +316,7 @@
         loads,
         engines,
         engineRates,
+        stageWork: createStageWorkEstimates(),
         decodeScheduler: createScheduler({
             clock,
             view,
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -60,6 +60,7 @@
 import { compareByObjective, createPlainQueue } from "../scheduling/plainQueue.js";
 import { createOrderLeadership } from "../stages/orderLeadership.js";
 import { createStageController } from "../stages/stageController.js";
+import { createStageWorkEstimates } from "../stages/stageWork.js";
 import type { DecisionLog } from "../telemetry/decisionLog.js";
 import { createLoopDelays } from "../telemetry/loopDelays.js";
 import type { PrometheusMetrics } from "../telemetry/prometheusMetrics.js";
@@ -140,8 +141,8 @@
 const maxPeerResponseBytes = 4 * 1_024 * 1_024;
 /** Fraction of the platform's quota slack that is used, so that callers within their rate are not refused. */
 const quotaSlackFraction = 0.5;
-/** Fraction of a service's model engines that serve prefill. */
-const prefillFraction = 0.25;
+/** Fraction of a service's model engines that serve prefill before its generations show how much work they are. */
+const initialPrefillFraction = 0.25;
 
 /** Starts an entry and resolves once its peer listener is open; `isReady` tells when it can forward. */
 export async function startForwardingEntry(
@@ -223,6 +224,7 @@
         holder: settings.host,
         isFirstStart: settings.isFirstStart,
     });
+    const stageWork = createStageWorkEstimates();
     const stages = createStageController(
         {
             clock,
@@ -234,8 +236,9 @@
             metrics,
             routes: desiredState.routes,
             shortStage: service => decodeScheduler.shortStage(service),
+            stageWork,
         },
-        { prefillFraction },
+        { initialPrefillFraction },
     );
     const view: PlacementView = {
         dataCentre: settings.dataCentre,
@@ -478,6 +481,7 @@
         engines,
         engineRates,
         decodeScheduler,
+        stageWork,
         instanceLoads,
         plainQueue,
         quota,
--- a/src/forwarding/context.ts
+++ b/src/forwarding/context.ts
@@ -21,6 +21,7 @@
 import type { InstanceLoads } from "../scheduling/instanceLoads.js";
 import type { PlacementView } from "../scheduling/placement.js";
 import type { PlainQueue } from "../scheduling/plainQueue.js";
+import type { StageWorkEstimates } from "../stages/stageWork.js";
 import type { DecisionLog } from "../telemetry/decisionLog.js";
 import type { PrometheusMetrics } from "../telemetry/prometheusMetrics.js";
 import type { ResponseTimes } from "./responseTimes.js";
@@ -42,6 +43,7 @@
     readonly engines: EnginePort;
     readonly engineRates: EngineRateLimiter;
     readonly decodeScheduler: DecodeScheduler;
+    readonly stageWork: StageWorkEstimates;
     readonly instanceLoads: InstanceLoads;
     readonly plainQueue: PlainQueue;
     readonly quota: FleetQuota;
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -106,6 +106,9 @@
         current = bindToVersion(current, allocation.value.engine);
         const result = await prefillAndSend(context, current, allocation.value, lastEventId);
         if (result.isOk) {
+            if (lastEventId === undefined) {
+                context.stageWork.recordStart(service, generation.size, generation.engineSpec);
+            }
             return {
                 kind: "started",
                 stream: {
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -79,7 +79,7 @@
     relayed: Readable,
     onStreamChange: (stream: RunningStream) => void,
 ): Promise<void> {
-    const { request, route } = generation;
+    const { request, route, service } = generation;
     const state: RelayState = { lastEventId: request.lastEventId, isLastNamed: true, engineCount: 1 };
     const isCallerWaiting = (): boolean => !relayed.destroyed && !request.callerDisconnected.aborted;
     let stream: RunningStream | undefined = first;
@@ -90,6 +90,10 @@
         stream.end();
         if (failure === undefined) {
             void stream.run.end(stream.response.framing === "connection" ? "closed" : "completed");
+            if (stream === first && request.lastEventId === undefined) {
+                const durationMs = context.clock.monotonicMs() - stream.startedAtMs;
+                context.stageWork.recordEnd(service, generation.size, durationMs);
+            }
             relayed.push(endOfStream);
             return;
         }
--- a/src/stages/stageController.ts
+++ b/src/stages/stageController.ts
@@ -1,17 +1,25 @@
 /**
- * Control loop that keeps the split of model engines between prefill and decode on target. It checks the split at a
- * fixed interval and, if this entry obtains the order leadership, sends one order at a time.
+ * Control loop that splits model engines between prefill and decode. It checks the split at a fixed interval and, if this
+ * entry obtains the order leadership, sends one order at a time.
+ *
+ * A change takes an engine out of use for seconds, and the engines may be other ones by then. Under load an engine changes
+ * therefore only once the present split has cost as much as the change will: while requests wait for a stage, the fraction
+ * that a better split would serve more is added up over time.
  */
 
 import type { Clock } from "../common/clock.js";
 import type { EngineDirectory } from "../engines/engineDirectory.js";
 import type { EngineLoads } from "../engines/engineLoads.js";
 import type { EnginePort, EngineRecord, Stage } from "../engines/enginePort.js";
+import type { EngineSpec, Service } from "../routes/desiredState.js";
 import type { RouteTable } from "../routes/routeTable.js";
+import { allowsLocalPrefill } from "../scheduling/placement.js";
 import type { DecisionLog } from "../telemetry/decisionLog.js";
 import type { PrometheusMetrics } from "../telemetry/prometheusMetrics.js";
 import type { OrderLeadership } from "./orderLeadership.js";
-import { isStageMissing, nextStageChange } from "./stageSplit.js";
+import { bestImprovement, byVersion, changeToMissingStage, nextStageChange } from "./stageSplit.js";
+import type { SplitDemand, StageChange, StageImprovement } from "./stageSplit.js";
+import type { StageWorkEstimates } from "./stageWork.js";
 
 export interface StageController {
     /** Runs the loop until `signal` aborts. */
@@ -35,6 +43,7 @@
     readonly routes: () => RouteTable | undefined;
     /** Stage whose engines lack room for queued requests of a service; `undefined` if none waits. */
     readonly shortStage: (service: string) => Stage | undefined;
+    readonly stageWork: Pick<StageWorkEstimates, "of">;
 }
 
 /**
@@ -60,9 +69,16 @@
     readonly stage: Stage | undefined;
 }
 
+/** Time that a change of a software version's split would have saved so far, if its engines were all busy. */
+interface Saving {
+    /** The split before the change, and the stage that gets an engine. */
+    readonly change: string;
+    readonly savedMs: number;
+}
+
 export interface StageControllerSettings {
-    /** Fraction of a service's engines that should prefill. */
-    readonly prefillFraction: number;
+    /** Fraction of a service's engines that prefill before its generations show how much work they are. */
+    readonly initialPrefillFraction: number;
 }
 
 /** No order is sent until the list of engines has been unchanged for this long: at a start they register one by one. */
@@ -70,11 +86,12 @@
 const intervalMs = 250;
 /** Longest delay until a changed stage appears in the engine's record, which is written at intervals. */
 const recordLagMs = 1_500;
-/**
- * Pause between two changes while requests run: a change takes an engine out of use for seconds. A stage without any engine
- * is filled without this pause.
- */
-const pauseBetweenChangesMs = 15_000;
+/** Pause after an order that was not sent, mostly because another entry holds the order leadership, or had no effect. */
+const failedOrderPauseMs = 15_000;
+/** Least cost of a change, as a fraction of its engine's share of what the service serves. */
+const minCostFraction = 0.5;
+/** Longest time that counts as cost of a split in one round, however long the previous round took. */
+const maxRoundMs = 1_000;
 const orderTimeoutMs = 1_500;
 /** An order that was not answered may still be carried out for this long (platform). */
 const lateOrderMs = 13_000;
@@ -92,7 +109,8 @@
     const lastSplits = new Map<string, string>();
     const peerChanges = new Map<string, PeerChange>();
     const lastEngineLists = new Map<string, { readonly engineIds: string; readonly sinceMs: number; }>();
-    let nextChangeAtMs = 0;
+    const savings = new Map<string, Saving>();
+    let nextOrderAtMs = 0;
 
     function isReconfiguring(engineId: string): boolean {
         const peerChange = peerChanges.get(engineId);
@@ -140,6 +158,7 @@
             return;
         }
         pendingOrders.delete(engine.id);
+        nextOrderAtMs = nowMs + failedOrderPauseMs;
         log.info("an engine does not carry out an order", {
             engine: engine.id,
             stage,
@@ -182,18 +201,19 @@
         return serviceEngines.every(engine => loads.total(engine.id).requests === 0);
     }
 
-    async function sendOrder(engine: EngineRecord, stage: Stage, reconfigureMs: number): Promise<void> {
+    /** Returns whether an order was sent and not rejected. */
+    async function sendOrder({ engine, stage }: StageChange, reconfigureMs: number): Promise<boolean> {
         const report = await engines.report(engine, orderTimeoutMs);
         if (report.isErr) {
             log.info("an engine that was to change its stage did not report", {
                 engine: engine.id,
                 cause: report.error.cause,
             });
-            return;
+            return false;
         }
         const permit = report.value.isReconfiguring ? undefined : await leadership.claim();
         if (permit === undefined || !permit.isFresh()) {
-            return;
+            return false;
         }
         const { holder, fencingToken } = permit;
         const expectedSequence = report.value.orderSequence;
@@ -218,24 +238,78 @@
         }
         metrics.count("ordersSent", stage, outcome);
         log.info("ordered an engine to another stage", { engine: engine.id, stage, fencingToken, outcome });
+        return outcome !== "rejected";
     }
 
-    async function rebalance(service: string, reconfigureMs: number): Promise<void> {
-        const modelEngines = directory.usable(service).filter(engine => engine.stage !== undefined);
-        const nowMs = clock.monotonicMs();
-        if (modelEngines.some(engine => isOrdered(engine.id)) && !isIdle(modelEngines)) {
+    const requestsAt = (engineId: string): number => loads.total(engineId).requests;
+
+    async function rebalance({ name, engine: engineSpec }: Service, roundMs: number): Promise<void> {
+        const modelEngines = directory.usable(name).filter(engine => engine.stage !== undefined);
+        const isServiceIdle = isIdle(modelEngines);
+        const isListStable = isEngineListStable(name);
+        if (engineSpec === undefined || (modelEngines.some(engine => isOrdered(engine.id)) && !isServiceIdle)) {
             return;
         }
         const effective = modelEngines.map(withPendingStage);
-        if (!isIdle(modelEngines) && nowMs < nextChangeAtMs && !isStageMissing(effective)) {
+        const urgent = changeToMissingStage(effective, requestsAt);
+        const isUnknown = dependencies.stageWork.of(name) === undefined;
+        const change = urgent
+            ?? (isServiceIdle && isUnknown
+                ? nextStageChange(effective, settings.initialPrefillFraction, requestsAt)
+                : worthwhileChange(name, engineSpec, effective, roundMs));
+        const mayOrder = urgent !== undefined || isServiceIdle || clock.monotonicMs() >= nextOrderAtMs;
+        if (change === undefined || !isListStable || !mayOrder || isOrdered(change.engine.id)) {
             return;
         }
-        const change = nextStageChange(effective, settings.prefillFraction, id => loads.total(id).requests);
-        if (change === undefined || isOrdered(change.engine.id)) {
-            return;
+        if (!await sendOrder(change, engineSpec.reconfigureMs)) {
+            nextOrderAtMs = clock.monotonicMs() + failedOrderPauseMs;
         }
-        nextChangeAtMs = nowMs + pauseBetweenChangesMs;
-        await sendOrder(change.engine, change.stage, reconfigureMs);
+    }
+
+    /** The change that would have saved at least what it costs, since the split that it improves is in force. */
+    function worthwhileChange(
+        service: string,
+        engineSpec: EngineSpec,
+        modelEngines: readonly EngineRecord[],
+        roundMs: number,
+    ): StageChange | undefined {
+        const work = dependencies.stageWork.of(service);
+        const shortStage = dependencies.shortStage(service);
+        if (work === undefined || shortStage === undefined) {
+            return undefined;
+        }
+        const demand: SplitDemand = { work, allowsLocalPrefill: allowsLocalPrefillAt(service, engineSpec) };
+        return byVersion(modelEngines)
+            .map(group => bestImprovement(group, demand, requestsAt))
+            .filter(improvement => improvement !== undefined)
+            // Decode engines that read prompts themselves are full although prefill engines are missing.
+            .filter(({ stage }) => stage === shortStage || (stage === "prefill" && demand.allowsLocalPrefill))
+            .find(improvement => addSaving(service, improvement, roundMs) >= costMs(improvement, engineSpec));
+    }
+
+    /** Adds what a change would have saved in this round; starts anew if the split is another one than before. */
+    function addSaving(service: string, improvement: StageImprovement, roundMs: number): number {
+        const { engine, stage, before, shortfall } = improvement;
+        const key = JSON.stringify([service, engine.softwareVersion]);
+        const change = JSON.stringify([before, stage]);
+        const saving = savings.get(key);
+        const savedMs = (saving?.change === change ? saving.savedMs : 0) + shortfall * roundMs;
+        savings.set(key, { change, savedMs });
+        return savedMs;
+    }
+
+    /**
+     * Cost of a change: what is lost while the engine serves neither stage. It is at least a part of the engine's share, since
+     * a lost engine may be replaced soon and the change have to be taken back.
+     */
+    function costMs({ before, lossMeanwhile }: StageImprovement, { reconfigureMs }: EngineSpec): number {
+        return reconfigureMs * Math.max(minCostFraction / (before.prefill + before.decode), lossMeanwhile);
+    }
+
+    function allowsLocalPrefillAt(service: string, engineSpec: EngineSpec): boolean {
+        return (dependencies.routes()?.state.routes ?? [])
+            .filter(({ services }) => services.some(target => target.service === service))
+            .every(route => allowsLocalPrefill(route, engineSpec));
     }
 
     /** Replaces the stage of an engine that is changing, whose record still shows the old one, by the ordered stage. */
@@ -268,17 +342,18 @@
             }
         },
         run: async signal => {
+            let roundAtMs = clock.monotonicMs();
             while (!signal.aborted) {
                 await clock.sleep(intervalMs, signal);
                 await updateOrders();
-                for (const { name, engine: engineSpec } of dependencies.routes()?.state.services ?? []) {
-                    if (engineSpec === undefined) {
+                const roundMs = Math.min(maxRoundMs, clock.monotonicMs() - roundAtMs);
+                roundAtMs = clock.monotonicMs();
+                for (const service of dependencies.routes()?.state.services ?? []) {
+                    if (service.engine === undefined) {
                         continue;
                     }
-                    logSplit(name);
-                    if (isEngineListStable(name)) {
-                        await rebalance(name, engineSpec.reconfigureMs);
-                    }
+                    logSplit(service.name);
+                    await rebalance(service, roundMs);
                 }
             }
         },
--- a/src/stages/stageSplit.ts
+++ b/src/stages/stageSplit.ts
@@ -1,22 +1,62 @@
 /**
- * Split of a service's engines between prefill and decode: the target number, and the next engine to change. Each software
- * version has a split of its own, because a decode engine can use only the KV caches of its version.
+ * Split of a service's engines between prefill and decode: how many generations a split can serve, and which change of one
+ * engine would serve more. Each software version has a split of its own, because a decode engine can use only the KV caches
+ * of its version.
  */
 
 import type { EngineRecord, Stage } from "../engines/enginePort.js";
+import type { StageWork } from "./stageWork.js";
 
 export interface StageChange {
     readonly engine: EngineRecord;
     readonly stage: Stage;
 }
 
+/** A change of one engine that would let a software version's engines serve more. */
+export interface StageImprovement extends StageChange {
+    /** Fraction by which the present split serves fewer generations than the new one, from 0 to 1. */
+    readonly shortfall: number;
+    /** Fraction of what the present split serves that is lost while the engine serves neither stage, from 0 to 1. */
+    readonly lossMeanwhile: number;
+    /** The present split of the software version's engines. */
+    readonly before: Split;
+}
+
+/** Numbers of engines in each stage. */
+export interface Split {
+    readonly prefill: number;
+    readonly decode: number;
+}
+
+/** What determines how many generations a split serves. */
+export interface SplitDemand {
+    readonly work: StageWork;
+    /** Whether decode engines may read the prompts that prefill engines have no time for. */
+    readonly allowsLocalPrefill: boolean;
+}
+
+/** How much longer a decode engine takes to read a prompt than a prefill engine (platform). */
+const localPrefillFactor = 2;
+
 /** Target number of prefill engines among `engines` in total; 0 for a single engine, otherwise both stages get one. */
 export function targetPrefillEngines(engines: number, prefillFraction: number): number {
     return engines < 2 ? 0 : Math.min(engines - 1, Math.max(1, Math.round(engines * prefillFraction)));
 }
 
+/** Generations per millisecond that a split serves at most. */
+export function generationsPerMs({ prefill, decode }: Split, { work, allowsLocalPrefill }: SplitDemand): number {
+    const { prefillMs, decodeMs } = work;
+    const prefillRate = prefill / prefillMs;
+    const decodeRate = decode / decodeMs;
+    if (prefillRate >= decodeRate || !allowsLocalPrefill) {
+        return Math.min(prefillRate, decodeRate);
+    }
+    // All engines are busy: decode engines with the streams and with the prompts that prefill engines have no time for.
+    return (decode + localPrefillFactor * prefill) / (decodeMs + localPrefillFactor * prefillMs);
+}
+
 /** Engines by their software versions; first the versions without decode engines, then those without prefill engines. */
-function byVersion(engines: readonly EngineRecord[]): readonly (readonly EngineRecord[])[] {
+export function byVersion(engines: readonly EngineRecord[]): readonly (readonly EngineRecord[])[] {
     const versions = new Set(engines.map(({ softwareVersion }) => softwareVersion));
     const groups = [...versions].map(version => engines.filter(({ softwareVersion }) => softwareVersion === version));
     const urgency = (group: readonly EngineRecord[]): number =>
@@ -24,9 +64,15 @@
     return groups.sort((left, right) => urgency(right) - urgency(left));
 }
 
-/** Whether no engine of a software version is left in a stage, although there are engines for both. */
-export function isStageMissing(engines: readonly EngineRecord[]): boolean {
-    return byVersion(engines).some(lacksStage);
+/** A change that gives an engine to a stage without any, for a software version with engines for both. */
+export function changeToMissingStage(
+    engines: readonly EngineRecord[],
+    requestsAt: (engineId: string) => number,
+): StageChange | undefined {
+    const [group] = byVersion(engines).filter(lacksStage);
+    return group === undefined
+        ? undefined
+        : changeTo(splitOf(group).prefill > 0 ? "decode" : "prefill", group, requestsAt);
 }
 
 function lacksStage(engines: readonly EngineRecord[]): boolean {
@@ -34,14 +80,23 @@
     return engines.length > 1 && !(stages.has("prefill") && stages.has("decode"));
 }
 
-/** The next change of stage, or `undefined` if the splits of all software versions are on target. */
+/**
+ * The next change towards a fixed fraction of prefill engines, or `undefined` if the splits of all software versions are
+ * on target. `requestsAt` returns the requests in flight at an engine.
+ */
 export function nextStageChange(
     engines: readonly EngineRecord[],
     prefillFraction: number,
     requestsAt: (engineId: string) => number,
 ): StageChange | undefined {
     for (const group of byVersion(engines)) {
-        const change = nextChangeOf(group, prefillFraction, requestsAt);
+        const { prefill, decode } = splitOf(group);
+        const target = targetPrefillEngines(prefill + decode, prefillFraction);
+        const change = prefill > target
+            ? changeTo("decode", group, requestsAt)
+            : prefill < target
+            ? changeTo("prefill", group, requestsAt)
+            : undefined;
         if (change !== undefined) {
             return change;
         }
@@ -49,31 +104,52 @@
     return undefined;
 }
 
-/**
- * The next change among the engines of one software version. Of the stage with too many engines, the one with
- * the fewest requests changes; `requestsAt` returns the requests in flight at an engine.
- */
-function nextChangeOf(
+/** The change of one of `engines`, all of one software version, with which they serve most; `undefined` if none helps. */
+export function bestImprovement(
+    engines: readonly EngineRecord[],
+    demand: SplitDemand,
+    requestsAt: (engineId: string) => number,
+): StageImprovement | undefined {
+    const before = splitOf(engines);
+    const rateNow = generationsPerMs(before, demand);
+    const improvements = (["prefill", "decode"] as const).flatMap(stage => {
+        const change = changeTo(stage, engines, requestsAt);
+        const added = stage === "prefill" ? 1 : -1;
+        const after: Split = { prefill: before.prefill + added, decode: before.decode - added };
+        const rateAfter = generationsPerMs(after, demand);
+        if (change === undefined || after.prefill < 1 || after.decode < 1 || rateAfter <= rateNow) {
+            return [];
+        }
+        const meanwhile: Split = {
+            prefill: Math.min(before.prefill, after.prefill),
+            decode: Math.min(before.decode, after.decode),
+        };
+        return [{
+            ...change,
+            shortfall: 1 - rateNow / rateAfter,
+            lossMeanwhile: Math.max(0, 1 - generationsPerMs(meanwhile, demand) / rateNow),
+            before,
+        }];
+    });
+    return improvements.sort((left, right) => right.shortfall - left.shortfall)[0];
+}
+
+function splitOf(engines: readonly EngineRecord[]): Split {
+    const countOf = (stage: Stage): number => engines.filter(engine => engine.stage === stage).length;
+    return { prefill: countOf("prefill"), decode: countOf("decode") };
+}
+
+/** The change to a stage of the engine of the other one with the fewest requests. */
+function changeTo(
+    stage: Stage,
     engines: readonly EngineRecord[],
-    prefillFraction: number,
     requestsAt: (engineId: string) => number,
 ): StageChange | undefined {
-    const prefill = engines.filter(engine => engine.stage === "prefill");
-    const decode = engines.filter(engine => engine.stage === "decode");
-    const target = targetPrefillEngines(prefill.length + decode.length, prefillFraction);
-    const leastBusy = (from: readonly EngineRecord[]): EngineRecord | undefined =>
-        [...from].sort((a, b) =>
-            requestsAt(a.id) - requestsAt(b.id) || countInDataCentre(from, b) - countInDataCentre(from, a)
-        )[0];
-    if (prefill.length > target) {
-        const engine = leastBusy(prefill);
-        return engine === undefined ? undefined : { engine, stage: "decode" };
-    }
-    if (prefill.length < target) {
-        const engine = leastBusy(decode);
-        return engine === undefined ? undefined : { engine, stage: "prefill" };
-    }
-    return undefined;
+    const from = engines.filter(engine => engine.stage !== undefined && engine.stage !== stage);
+    const [engine] = [...from].sort((a, b) =>
+        requestsAt(a.id) - requestsAt(b.id) || countInDataCentre(from, b) - countInDataCentre(from, a)
+    );
+    return engine === undefined ? undefined : { engine, stage };
 }
 
 /**
--- a/src/stages/stages.test.ts
+++ b/src/stages/stages.test.ts
@@ -21,17 +21,22 @@
 import { createEngineLoads } from "../engines/engineLoads.js";
 import type { EngineLoads, EngineWork } from "../engines/engineLoads.js";
 import { createEngineNotices } from "../engines/engineNotices.js";
-import type { EngineRecord, EngineReport, OrderOutcome } from "../engines/enginePort.js";
+import type { EngineRecord, EngineReport, OrderOutcome, Stage } from "../engines/enginePort.js";
 import { createEvacuations } from "../engines/evacuations.js";
+import type { GenerationSize } from "../forwarding/forwardRequest.js";
 import { createMemoryPlatform } from "../platform/memoryPlatform.js";
 import type { TableService } from "../platform/ports.js";
+import type { DesiredState } from "../routes/desiredState.js";
 import { createRouteTable } from "../routes/routeTable.js";
 import { createPrometheusMetrics } from "../telemetry/prometheusMetrics.js";
 import { createOrderLeadership } from "./orderLeadership.js";
 import type { OrderLeadership } from "./orderLeadership.js";
 import { createStageController } from "./stageController.js";
 import type { StageController } from "./stageController.js";
-import { nextStageChange, targetPrefillEngines } from "./stageSplit.js";
+import { bestImprovement, nextStageChange, targetPrefillEngines } from "./stageSplit.js";
+import type { StageImprovement } from "./stageSplit.js";
+import { createStageWorkEstimates } from "./stageWork.js";
+import type { StageWork } from "./stageWork.js";
 
 function leadershipOf(holder: string, tables: TableService, clock: Clock, isFirstStart = true): OrderLeadership {
     return createOrderLeadership(tables, clock, silentDecisionLog, { holder, isFirstStart });
@@ -249,27 +254,185 @@
     });
 });
 
+/** Ids of a number of engines of a stage. */
+function enginesOf(stage: Stage, count: number): readonly EngineRecord[] {
+    return Array.from({ length: count }, (unused, index) => engineRecord(`${stage}-${index + 1}`, stage));
+}
+
+interface ImprovementCase {
+    readonly name: string;
+    readonly prefill: number;
+    readonly decode: number;
+    readonly work: StageWork;
+    readonly allowsLocalPrefill?: boolean;
+    readonly improvement: Pick<StageImprovement, "stage" | "shortfall" | "lossMeanwhile"> | undefined;
+}
+
+const improvementCases: readonly ImprovementCase[] = [
+    {
+        name: "after the loss of a decode engine, both splits of five serve the same",
+        prefill: 2,
+        decode: 3,
+        work: { prefillMs: 100, decodeMs: 300 },
+        improvement: undefined,
+    },
+    {
+        name: "long prompts need a second prefill engine of five",
+        prefill: 1,
+        decode: 4,
+        work: { prefillMs: 200, decodeMs: 300 },
+        improvement: { stage: "prefill", shortfall: 0.5, lossMeanwhile: 0 },
+    },
+    {
+        name: "short prompts need no second prefill engine of six",
+        prefill: 2,
+        decode: 4,
+        work: { prefillMs: 50, decodeMs: 400 },
+        improvement: { stage: "decode", shortfall: 0.2, lossMeanwhile: 0 },
+    },
+    {
+        name: "the engine that changes serves neither stage meanwhile",
+        prefill: 2,
+        decode: 2,
+        work: { prefillMs: 300, decodeMs: 100 },
+        improvement: { stage: "prefill", shortfall: 1 / 3, lossMeanwhile: 0 },
+    },
+    {
+        name: "decode engines that read prompts themselves need no more prefill engines",
+        prefill: 2,
+        decode: 6,
+        work: { prefillMs: 100, decodeMs: 245 },
+        allowsLocalPrefill: true,
+        improvement: undefined,
+    },
+    {
+        name: "the last engine of a stage does not change",
+        prefill: 1,
+        decode: 1,
+        work: { prefillMs: 10, decodeMs: 1_000 },
+        improvement: undefined,
+    },
+];
+
+describe("what a split of the engines serves", () => {
+    it.each(improvementCases)("$name", ({ prefill, decode, work, allowsLocalPrefill = false, improvement }) => {
+        const engines = [...enginesOf("prefill", prefill), ...enginesOf("decode", decode)];
+        const best = bestImprovement(engines, { work, allowsLocalPrefill }, () => 0);
+        expect(best && [best.stage, best.shortfall.toFixed(3), best.lossMeanwhile.toFixed(3)]).toEqual(
+            improvement
+                && [improvement.stage, improvement.shortfall.toFixed(3), improvement.lossMeanwhile.toFixed(3)],
+        );
+    });
+
+    it("is estimated from what is to be generated, not from the short streams that end first", () => {
+        const estimates = createStageWorkEstimates();
+        const engineSpec = {
+            slots: 100,
+            kvTokens: 10_000,
+            reconfigureMs: 6_000,
+            maxReservationMs: 0,
+            tokensPerEvent: 1,
+        };
+        const sizeOf = (outputTokens: number): GenerationSize => ({
+            promptTokens: 500,
+            maxOutputTokens: outputTokens,
+            outputHintTokens: outputTokens,
+        });
+        for (let index = 0; index < 8; index++) {
+            estimates.recordStart("models", sizeOf(100), engineSpec);
+            estimates.recordStart("models", sizeOf(1_500), engineSpec);
+            expect(estimates.of("models")).toBeUndefined();
+            estimates.recordEnd("models", sizeOf(100), 200);
+        }
+        const { prefillMs = 0, decodeMs = 0 } = estimates.of("models") ?? {};
+        // At 50 tokens a millisecond; at 2 ms a token, 6% of an engine for 200 ms and 20% for 3 s.
+        expect([prefillMs, decodeMs].map(Math.round)).toEqual([10, (0.06 * 200 + 0.2 * 3_000) / 2]);
+    });
+});
+
 interface ControllerCase {
     readonly name: string;
-    /** Engines that leave at 5 s, while the pause after the first change lasts. */
-    readonly leaving: readonly string[];
+    /** Engines in each stage, and those that leave after 5 s. */
+    readonly prefill: number;
+    readonly decode: number;
+    readonly leaving?: readonly string[];
     /** Engines whose data centre is evacuated from the start. */
     readonly evacuated?: readonly string[];
-    readonly orders: readonly string[];
+    /** Stage that requests wait for. */
+    readonly shortStage?: Stage;
+    readonly work?: StageWork;
+    /** Orders sent within 6.5 s and within 15 s. */
+    readonly early: readonly string[];
+    readonly late: readonly string[];
 }
 
+const usualWork: StageWork = { prefillMs: 100, decodeMs: 300 };
+
 const controllerCases: readonly ControllerCase[] = [
-    { name: "waits before a second change under load", leaving: ["p-1"], orders: ["d-1 prefill"] },
+    {
+        name: "leaves the split as it is when a decode engine of six is lost in a burst",
+        prefill: 2,
+        decode: 4,
+        leaving: ["decode-1"],
+        shortStage: "decode",
+        work: usualWork,
+        early: [],
+        late: [],
+    },
+    {
+        name: "replaces a lost prefill engine of six once its loss has cost as much as a change",
+        prefill: 2,
+        decode: 5,
+        leaving: ["prefill-1"],
+        shortStage: "prefill",
+        work: usualWork,
+        early: [],
+        late: ["decode-1 prefill"],
+    },
+    {
+        name: "changes nothing under load while no request waits",
+        prefill: 1,
+        decode: 5,
+        work: usualWork,
+        early: [],
+        late: [],
+    },
+    {
+        name: "changes nothing while requests wait for the stage that would lose an engine",
+        prefill: 1,
+        decode: 5,
+        shortStage: "decode",
+        work: usualWork,
+        early: [],
+        late: [],
+    },
+    {
+        name: "changes nothing under load before the work of generations is known",
+        prefill: 1,
+        decode: 7,
+        shortStage: "prefill",
+        early: [],
+        late: [],
+    },
     {
         name: "fills a stage without any engine at once",
-        leaving: ["p-1", "d-1"],
-        orders: ["d-1 prefill", "d-2 prefill"],
+        prefill: 1,
+        decode: 5,
+        leaving: ["prefill-1"],
+        shortStage: "prefill",
+        work: usualWork,
+        early: ["decode-1 prefill"],
+        late: ["decode-1 prefill"],
     },
     {
         name: "neither counts nor orders the engines of an evacuated data centre",
-        leaving: [],
-        evacuated: ["d-1", "d-2", "d-3"],
-        orders: [],
+        prefill: 1,
+        decode: 5,
+        evacuated: ["decode-1", "decode-2", "decode-3"],
+        shortStage: "prefill",
+        work: usualWork,
+        early: [],
+        late: [],
     },
 ];
 
@@ -330,6 +493,10 @@
     readonly orderOutcome?: OrderOutcome;
     /** Whether the engines say that they are changing their stage, by the time since the start. */
     readonly isReconfiguringAt?: (nowMs: number) => boolean;
+    /** Stage that requests wait for; none by default. */
+    readonly shortStage?: Stage;
+    /** Unknown by default. */
+    readonly work?: StageWork;
 }
 
 const idleReport: EngineReport = {
@@ -343,13 +510,23 @@
     kvTotalTokens: 1,
 };
 
+/** A desired state with a route for which decode engines must not read prompts beside their streams. */
+function strictState(): DesiredState {
+    const state = desiredStateOf([routeOf("stream")]);
+    const services = state.services.map(service =>
+        service.engine === undefined ? service : { ...service, engine: { ...service.engine, tokensPerEvent: 1_000 } }
+    );
+    return { ...state, services };
+}
+
 /** Runs a controller that holds the order leadership. */
 function startController(options: ControllerOptions = {}): ControllerFixture {
     const { evacuatedDataCentres = [], orderOutcome = "accepted", isReconfiguringAt = () => false } = options;
+    const { shortStage, work } = options;
     const clock = createVirtualClock();
     const evacuations = createEvacuations(clock, silentDecisionLog);
     evacuations.apply(evacuatedDataCentres, "current");
-    const state = desiredStateOf([routeOf("stream")]);
+    const state = strictState();
     const notices = createEngineNotices(clock, silentDecisionLog);
     const directory = createEngineDirectory(clock, silentDecisionLog, notices, evacuations);
     const loads = createEngineLoads(clock, 50);
@@ -374,8 +551,9 @@
         log: silentDecisionLog,
         metrics: createPrometheusMetrics(),
         routes: () => createRouteTable(state),
-        shortStage: () => undefined,
-    }, { prefillFraction: 0.25 });
+        shortStage: () => shortStage,
+        stageWork: { of: () => work },
+    }, { initialPrefillFraction: 0.25 });
     const stopping = new AbortController();
     void controller.run(stopping.signal);
     return { clock, controller, directory, loads, sent, stop: () => stopping.abort() };
@@ -383,24 +561,38 @@
 
 const requestWork: EngineWork = { requests: 1, kvTokens: 1, prefillTokens: 0 };
 
+// Guards against a split that follows the number of engines, whatever the work is and whatever a change costs.
 describe("the stage controller", () => {
-    it.each(controllerCases)("$name", async ({ leaving, evacuated = [], orders }) => {
-        const { clock, directory, loads, sent, stop } = startController({ evacuatedDataCentres: ["evacuated"] });
-        const dataCentreOf = (id: string): string => evacuated.includes(id) ? "evacuated" : "a";
-        const decode = ["d-1", "d-2", "d-3", "d-4", "d-5"].map(id =>
-            engineRecord(id, "decode", { dataCentre: dataCentreOf(id) })
+    it.each(controllerCases)("$name", async testCase => {
+        const { prefill, decode, leaving = [], evacuated = [], shortStage, work, early, late } = testCase;
+        const { clock, directory, loads, sent, stop } = startController({
+            evacuatedDataCentres: ["evacuated"],
+            // An ordered engine takes longer to change than the test lasts.
+            isReconfiguringAt: () => sent.length > 0,
+            ...shortStage === undefined ? {} : { shortStage },
+            ...work === undefined ? {} : { work },
+        });
+        const engines = [...enginesOf("prefill", prefill), ...enginesOf("decode", decode)].map(engine =>
+            evacuated.includes(engine.id) ? { ...engine, dataCentre: "evacuated" } : engine
         );
-        directory.load([engineRecord("p-1", "prefill"), ...decode], "current");
-        ["d-2", "d-3", "d-3", "d-4", "d-4", "d-5", "d-5"].forEach(id => loads.start(id, requestWork));
+        directory.load(engines, "current");
+        // The first engine of each stage is the least busy one.
+        engines.flatMap(engine => engine.id.endsWith("-1") ? [engine] : [engine, engine])
+            .forEach(({ id }) => loads.start(id, requestWork));
         await clock.advance(5_000);
-        // The first order has been carried out.
-        const first = engineRecord("d-1", "prefill", { recordSequence: 2, dataCentre: dataCentreOf("d-1") });
-        const changed = evacuated.length > 0
-            ? [engineRecord("p-1", "prefill"), ...decode]
-            : [first, ...decode.slice(1)];
-        directory.load(changed.filter(({ id }) => !leaving.includes(id)), "current");
+        directory.load(engines.filter(({ id }) => !leaving.includes(id)), "current");
+        await clock.advance(1_500);
+        expect(sent).toEqual(early);
+        await clock.advance(8_500);
+        expect(sent).toEqual(late);
+        stop();
+    });
+
+    it("splits by a fixed fraction before the first request", async () => {
+        const { clock, directory, sent, stop } = startController();
+        directory.load([...enginesOf("prefill", 3), ...enginesOf("decode", 3)], "current");
         await clock.advance(5_000);
-        expect(sent).toEqual(orders);
+        expect(sent).toEqual(["prefill-1 decode"]);
         stop();
     });
 });
@@ -456,6 +648,8 @@
         let sentAtMs = Number.POSITIVE_INFINITY;
         const { clock, controller, directory, loads, sent, stop } = startController({
             orderOutcome,
+            shortStage: "prefill",
+            work: usualWork,
             isReconfiguringAt: nowMs =>
                 changesAtMs !== undefined && nowMs >= sentAtMs + changesAtMs
                 && nowMs < sentAtMs + (listedAtMs ?? Number.POSITIVE_INFINITY),
@@ -463,9 +657,10 @@
         const others = ["d-2", "d-3", "d-4", "d-5"].map(id => engineRecord(id, "decode"));
         directory.load([engineRecord("p-1", "prefill"), engineRecord("d-1", "decode"), ...others], "current");
         others.forEach(({ id }) => loads.start(id, requestWork));
-        while (sent.length === 0) {
+        for (let waitedMs = 0; waitedMs < 10_000 && sent.length === 0; waitedMs += 50) {
             await clock.advance(50);
         }
+        expect(sent).toEqual(["d-1 prefill"]);
         sentAtMs = clock.monotonicMs();
         // Another entry, which orders nothing itself.
         const peer = startController();
