Measure how fast each prefill engine reads, and place and split by it

Cause: one rate for all engines, although those of a service differ by up to 1.6, in the wait that is expected at an engine, in the choice of an engine and in what a split serves. While an engine is busy, its rate is the tokens in flight there, as all entries report them, over the time that a prompt takes (Little's law), within a factor of two of the usual rate, forgotten after 30 s without work. Of the prefill engines the slowest changes first.

Ruled out: a regression of the times over the tokens ahead of a prompt, from one entry's view: half of the true rate (trial on logs).

--- a/fakes/forwardingHarness.ts
+++ b/fakes/forwardingHarness.ts
@@ -56,6 +56,7 @@
 import { prefillTokensPerMs } from "../src/scheduling/placement.js";
 import type { PlacementView } from "../src/scheduling/placement.js";
 import { compareByObjective, createPlainQueue } from "../src/scheduling/plainQueue.js";
+import { createPrefillRates } from "../src/scheduling/prefillRates.js";
 import { createStageWorkEstimates } from "../src/stages/stageWork.js";
 import type { DecisionLog } from "../src/telemetry/decisionLog.js";
 import { createPrometheusMetrics } from "../src/telemetry/prometheusMetrics.js";
@@ -294,8 +295,10 @@
     const metrics = createPrometheusMetrics();
     const log = silentDecisionLog;
     const quarantine = createRequestQuarantine({ clock, log, onEvidence: () => undefined });
+    const prefillRates = createPrefillRates(clock, directory, loads);
     const view: PlacementView = {
         dataCentre: "a",
+        prefillRateOf: prefillRates.rateOf,
         workAt: loads.total,
         entries: () => 4,
         isCold: engine => coldEngines.rateOf(engine) !== undefined,
@@ -317,6 +320,7 @@
         engines,
         engineRates,
         stageWork: createStageWorkEstimates(),
+        prefillRates,
         decodeScheduler: createScheduler({
             clock,
             view,
--- a/src/daemon/forwardingEntry.ts
+++ b/src/daemon/forwardingEntry.ts
@@ -58,6 +58,7 @@
 import { prefillTokensPerMs } from "../scheduling/placement.js";
 import type { PlacementView } from "../scheduling/placement.js";
 import { compareByObjective, createPlainQueue } from "../scheduling/plainQueue.js";
+import { createPrefillRates } from "../scheduling/prefillRates.js";
 import { createOrderLeadership } from "../stages/orderLeadership.js";
 import { createStageController } from "../stages/stageController.js";
 import { createStageWorkEstimates } from "../stages/stageWork.js";
@@ -225,6 +226,7 @@
         isFirstStart: settings.isFirstStart,
     });
     const stageWork = createStageWorkEstimates();
+    const prefillRates = createPrefillRates(clock, directory, loads);
     const stages = createStageController(
         {
             clock,
@@ -237,6 +239,7 @@
             routes: desiredState.routes,
             shortStage: service => decodeScheduler.shortStage(service),
             stageWork,
+            prefillRates,
         },
         { initialPrefillFraction },
     );
@@ -244,6 +247,7 @@
         dataCentre: settings.dataCentre,
         workAt: loads.total,
         entries: () => peerSync.members(),
+        prefillRateOf: prefillRates.rateOf,
         isCold: engine => coldEngines.rateOf(engine) !== undefined,
         enginesFor: (service, stage) =>
             directory.usable(service).filter(engine => engine.stage === stage && !stages.isReconfiguring(engine.id)),
@@ -464,6 +468,7 @@
     void createEvidenceStore(ports.tables, clock, log, quarantine).run(stopping.signal);
     void streamOrigins.run(stopping.signal);
     void stages.run(stopping.signal);
+    void prefillRates.run(stopping.signal);
     void fetchCopies();
     void updateBudgets();
 
@@ -482,6 +487,7 @@
         engineRates,
         decodeScheduler,
         stageWork,
+        prefillRates,
         instanceLoads,
         plainQueue,
         quota,
--- a/src/engines/engineLoads.ts
+++ b/src/engines/engineLoads.ts
@@ -34,6 +34,8 @@
     readonly forgetPeer: (peer: string) => void;
     /** Work of all entries at an engine. */
     readonly total: (engineId: string) => EngineWork;
+    /** Work of all entries at an engine as they reported it, whatever the age of the reports. */
+    readonly reported: (engineId: string) => EngineWork;
     /** Calls `listener` whenever work of this entry ends. */
     readonly onEnd: (listener: () => void) => void;
 }
@@ -98,6 +100,11 @@
             const prefillTokens = Math.max(0, reported.prefillTokens - prefillTokensPerMs * meanAgeMs);
             return add(own.get(engineId) ?? noWork, { ...reported, prefillTokens });
         },
+        reported: engineId =>
+            [...peers.values()].reduce(
+                (sum, { work }) => add(sum, work[engineId] ?? noWork),
+                own.get(engineId) ?? noWork,
+            ),
         onEnd: listener => void listeners.push(listener),
     };
 }
--- a/src/forwarding/context.ts
+++ b/src/forwarding/context.ts
@@ -21,6 +21,7 @@
 import type { InstanceLoads } from "../scheduling/instanceLoads.js";
 import type { PlacementView } from "../scheduling/placement.js";
 import type { PlainQueue } from "../scheduling/plainQueue.js";
+import type { PrefillRates } from "../scheduling/prefillRates.js";
 import type { StageWorkEstimates } from "../stages/stageWork.js";
 import type { DecisionLog } from "../telemetry/decisionLog.js";
 import type { PrometheusMetrics } from "../telemetry/prometheusMetrics.js";
@@ -44,6 +45,7 @@
     readonly engineRates: EngineRateLimiter;
     readonly decodeScheduler: DecodeScheduler;
     readonly stageWork: StageWorkEstimates;
+    readonly prefillRates: PrefillRates;
     readonly instanceLoads: InstanceLoads;
     readonly plainQueue: PlainQueue;
     readonly quota: FleetQuota;
--- a/src/forwarding/generation.ts
+++ b/src/forwarding/generation.ts
@@ -327,6 +327,7 @@
             / minPrefillTokensPerMs;
         const timeoutMs = Math.min(expectedMs + prefillTimeoutMarginMs, timeLeftMs(context, generation));
         const endLoad = context.loads.start(engine.id, { requests: 1, kvTokens: 0, prefillTokens: size.promptTokens });
+        const recordRead = context.prefillRates.recordSend(engine, size.promptTokens);
         const sentAtMs = context.clock.monotonicMs();
         const run = context.engineRuns.start(engine, suspectsOf(generation));
         const result = await runLimited(
@@ -342,6 +343,7 @@
         if (result.isOk) {
             context.health.recordOutcome(engine.id, "succeeded");
             const tookMs = context.clock.monotonicMs() - sentAtMs;
+            recordRead(tookMs);
             context.metrics.observe("prefillMs", service, tookMs);
             context.log.decision("the prompt was read", {
                 requestId: request.requestId,
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -13,6 +13,8 @@
     readonly dataCentre: string;
     /** Work that all entries have in flight at an engine. */
     readonly workAt: (engineId: string) => EngineWork;
+    /** Prompt tokens that a prefill engine reads in a millisecond. */
+    readonly prefillRateOf: (engine: EngineRecord) => number;
     /** Whether an engine is cold and bears only few requests a second. */
     readonly isCold: (engine: EngineRecord) => boolean;
     /** Engines of a service that accept work of a stage now: ready, and not changing their stage. */
@@ -23,7 +25,7 @@
     readonly random: () => number;
 }
 
-/** Prefill rate of a prefill engine (platform's data sheet; engines of one pool differ by a factor of up to 1.5). */
+/** Prefill rate of a usual prefill engine (platform's data sheet; engines of one pool differ by a factor of up to 1.5). */
 export const prefillTokensPerMs = 50;
 /**
  * Longer wait that is preferred to a prefill engine in another data centre than the decode engine, for each other entry:
@@ -70,14 +72,14 @@
     prefillEngine: EngineRecord,
     promptTokens: number,
 ): boolean {
-    const prefillEngineMs = prefillWaitMs(view, prefillEngine) + promptTokens / prefillTokensPerMs;
+    const prefillEngineMs = prefillWaitMs(view, prefillEngine) + promptTokens / view.prefillRateOf(prefillEngine);
     const pendingTokens = view.workAt(decodeEngine.id).prefillTokens + promptTokens;
     return pendingTokens / localPrefillTokensPerMs + localPrefillAdvantageMs < prefillEngineMs;
 }
 
 /** Time that a prompt sent now would wait at a prefill engine before its prefill starts. */
 export function prefillWaitMs(view: PlacementView, engine: EngineRecord): number {
-    return view.workAt(engine.id).prefillTokens / prefillTokensPerMs + engine.coldRemainingMs;
+    return view.workAt(engine.id).prefillTokens / view.prefillRateOf(engine) + engine.coldRemainingMs;
 }
 
 /** Prefill engines whose KV caches a decode engine can use: those of its software version. */
--- a/src/scheduling/scheduling.test.ts
+++ b/src/scheduling/scheduling.test.ts
@@ -22,7 +22,14 @@
 import type { GenerationRequest } from "../forwarding/routedRequest.js";
 import { createDecodeQueue } from "./decodeQueue.js";
 import type { QueuedRequest } from "./decodeQueue.js";
-import { allowsLocalPrefill, isLocalPrefillFaster, rankForDecode, rankForPlain, rankForPrefill } from "./placement.js";
+import {
+    allowsLocalPrefill,
+    isLocalPrefillFaster,
+    prefillTokensPerMs,
+    rankForDecode,
+    rankForPlain,
+    rankForPrefill,
+} from "./placement.js";
 import { createStreamDurations } from "./streamDurations.js";
 
 const decode = [engineRecord("m-1", "decode"), engineRecord("m-2", "decode")];
@@ -396,6 +403,7 @@
         entries: () => entries,
         workAt: (id: string) => ({ ...work, ...loads[id] }),
         isCold: () => false,
+        prefillRateOf: () => prefillTokensPerMs,
         enginesFor: (service: string, stage: Stage) => [prefill, ...decode].filter(engine => engine.stage === stage),
         random: () => 0,
     });
--- a/src/stages/stageController.ts
+++ b/src/stages/stageController.ts
@@ -13,7 +13,8 @@
 import type { EnginePort, EngineRecord, Stage } from "../engines/enginePort.js";
 import type { EngineSpec, Service } from "../routes/desiredState.js";
 import type { RouteTable } from "../routes/routeTable.js";
-import { allowsLocalPrefill } from "../scheduling/placement.js";
+import { allowsLocalPrefill, prefillTokensPerMs } from "../scheduling/placement.js";
+import type { PrefillRates } from "../scheduling/prefillRates.js";
 import type { DecisionLog } from "../telemetry/decisionLog.js";
 import type { PrometheusMetrics } from "../telemetry/prometheusMetrics.js";
 import type { OrderLeadership } from "./orderLeadership.js";
@@ -44,6 +45,7 @@
     /** Stage whose engines lack room for queued requests of a service; `undefined` if none waits. */
     readonly shortStage: (service: string) => Stage | undefined;
     readonly stageWork: Pick<StageWorkEstimates, "of">;
+    readonly prefillRates: Pick<PrefillRates, "rateOf">;
 }
 
 /**
@@ -278,7 +280,11 @@
         if (work === undefined || shortStage === undefined) {
             return undefined;
         }
-        const demand: SplitDemand = { work, allowsLocalPrefill: allowsLocalPrefillAt(service, engineSpec) };
+        const demand: SplitDemand = {
+            work,
+            allowsLocalPrefill: allowsLocalPrefillAt(service, engineSpec),
+            prefillSpeedOf: engine => dependencies.prefillRates.rateOf(engine) / prefillTokensPerMs,
+        };
         return byVersion(modelEngines)
             .map(group => bestImprovement(group, demand, requestsAt))
             .filter(improvement => improvement !== undefined)
--- a/src/stages/stageSplit.ts
+++ b/src/stages/stageSplit.ts
@@ -33,6 +33,8 @@
     readonly work: StageWork;
     /** Whether decode engines may read the prompts that prefill engines have no time for. */
     readonly allowsLocalPrefill: boolean;
+    /** How fast an engine reads prompts, as a multiple of the usual speed. */
+    readonly prefillSpeedOf: (engine: EngineRecord) => number;
 }
 
 /** How much longer a decode engine takes to read a prompt than a prefill engine (platform). */
@@ -43,8 +45,8 @@
     return engines < 2 ? 0 : Math.min(engines - 1, Math.max(1, Math.round(engines * prefillFraction)));
 }
 
-/** Generations per millisecond that a split serves at most. */
-export function generationsPerMs({ prefill, decode }: Split, { work, allowsLocalPrefill }: SplitDemand): number {
+/** Generations per millisecond that a split serves at most; prefill engines count by their speeds. */
+function generationsPerMs({ prefill, decode }: Split, { work, allowsLocalPrefill }: SplitDemand): number {
     const { prefillMs, decodeMs } = work;
     const prefillRate = prefill / prefillMs;
     const decodeRate = decode / decodeMs;
@@ -110,19 +112,29 @@
     demand: SplitDemand,
     requestsAt: (engineId: string) => number,
 ): StageImprovement | undefined {
+    const { prefillSpeedOf } = demand;
     const before = splitOf(engines);
-    const rateNow = generationsPerMs(before, demand);
+    const prefillSpeed = engines.filter(({ stage }) => stage === "prefill")
+        .reduce((sum, engine) => sum + prefillSpeedOf(engine), 0);
+    const now: Split = { prefill: prefillSpeed, decode: before.decode };
+    const rateNow = generationsPerMs(now, demand);
     const improvements = (["prefill", "decode"] as const).flatMap(stage => {
-        const change = changeTo(stage, engines, requestsAt);
-        const added = stage === "prefill" ? 1 : -1;
-        const after: Split = { prefill: before.prefill + added, decode: before.decode - added };
+        // The slowest prefill engine changes first.
+        const change = changeTo(stage, engines, requestsAt, stage === "decode" ? prefillSpeedOf : () => 1);
+        if (change === undefined || before[stage === "decode" ? "prefill" : "decode"] < 2) {
+            return [];
+        }
+        const speed = prefillSpeedOf(change.engine);
+        const after: Split = stage === "prefill"
+            ? { prefill: prefillSpeed + speed, decode: before.decode - 1 }
+            : { prefill: prefillSpeed - speed, decode: before.decode + 1 };
         const rateAfter = generationsPerMs(after, demand);
-        if (change === undefined || after.prefill < 1 || after.decode < 1 || rateAfter <= rateNow) {
+        if (rateAfter <= rateNow) {
             return [];
         }
         const meanwhile: Split = {
-            prefill: Math.min(before.prefill, after.prefill),
-            decode: Math.min(before.decode, after.decode),
+            prefill: Math.min(now.prefill, after.prefill),
+            decode: Math.min(now.decode, after.decode),
         };
         return [{
             ...change,
@@ -139,15 +151,17 @@
     return { prefill: countOf("prefill"), decode: countOf("decode") };
 }
 
-/** The change to a stage of the engine of the other one with the fewest requests. */
+/** The change to a stage of the engine of the other one that comes first: the slowest, then that with the fewest requests. */
 function changeTo(
     stage: Stage,
     engines: readonly EngineRecord[],
     requestsAt: (engineId: string) => number,
+    speedOf: (engine: EngineRecord) => number = () => 1,
 ): StageChange | undefined {
     const from = engines.filter(engine => engine.stage !== undefined && engine.stage !== stage);
     const [engine] = [...from].sort((a, b) =>
-        requestsAt(a.id) - requestsAt(b.id) || countInDataCentre(from, b) - countInDataCentre(from, a)
+        speedOf(a) - speedOf(b) || requestsAt(a.id) - requestsAt(b.id)
+        || countInDataCentre(from, b) - countInDataCentre(from, a)
     );
     return engine === undefined ? undefined : { engine, stage };
 }
--- a/src/stages/stages.test.ts
+++ b/src/stages/stages.test.ts
@@ -28,6 +28,7 @@
 import type { TableService } from "../platform/ports.js";
 import type { DesiredState } from "../routes/desiredState.js";
 import { createRouteTable } from "../routes/routeTable.js";
+import { prefillTokensPerMs } from "../scheduling/placement.js";
 import { createPrometheusMetrics } from "../telemetry/prometheusMetrics.js";
 import { createOrderLeadership } from "./orderLeadership.js";
 import type { OrderLeadership } from "./orderLeadership.js";
@@ -265,6 +266,8 @@
     readonly decode: number;
     readonly work: StageWork;
     readonly allowsLocalPrefill?: boolean;
+    /** Speeds of prefill engines by id; 1 by default. */
+    readonly speeds?: Readonly<Record<string, number>>;
     readonly improvement: Pick<StageImprovement, "stage" | "shortfall" | "lossMeanwhile"> | undefined;
 }
 
@@ -305,6 +308,14 @@
         allowsLocalPrefill: true,
         improvement: undefined,
     },
+    {
+        name: "a slow prefill engine of five needs a second one",
+        prefill: 1,
+        decode: 4,
+        work: { prefillMs: 100, decodeMs: 300 },
+        speeds: { "prefill-1": 0.75 },
+        improvement: { stage: "prefill", shortfall: 0.25, lossMeanwhile: 0 },
+    },
     {
         name: "the last engine of a stage does not change",
         prefill: 1,
@@ -315,14 +326,18 @@
 ];
 
 describe("what a split of the engines serves", () => {
-    it.each(improvementCases)("$name", ({ prefill, decode, work, allowsLocalPrefill = false, improvement }) => {
-        const engines = [...enginesOf("prefill", prefill), ...enginesOf("decode", decode)];
-        const best = bestImprovement(engines, { work, allowsLocalPrefill }, () => 0);
-        expect(best && [best.stage, best.shortfall.toFixed(3), best.lossMeanwhile.toFixed(3)]).toEqual(
-            improvement
-                && [improvement.stage, improvement.shortfall.toFixed(3), improvement.lossMeanwhile.toFixed(3)],
-        );
-    });
+    it.each(improvementCases)(
+        "$name",
+        ({ prefill, decode, work, allowsLocalPrefill = false, speeds = {}, improvement }) => {
+            const engines = [...enginesOf("prefill", prefill), ...enginesOf("decode", decode)];
+            const prefillSpeedOf = ({ id }: EngineRecord): number => speeds[id] ?? 1;
+            const best = bestImprovement(engines, { work, allowsLocalPrefill, prefillSpeedOf }, () => 0);
+            expect(best && [best.stage, best.shortfall.toFixed(3), best.lossMeanwhile.toFixed(3)]).toEqual(
+                improvement
+                    && [improvement.stage, improvement.shortfall.toFixed(3), improvement.lossMeanwhile.toFixed(3)],
+            );
+        },
+    );
 
     it("is estimated from what is to be generated, not from the short streams that end first", () => {
         const estimates = createStageWorkEstimates();
@@ -553,6 +568,7 @@
         routes: () => createRouteTable(state),
         shortStage: () => shortStage,
         stageWork: { of: () => work },
+        prefillRates: { rateOf: () => prefillTokensPerMs },
     }, { initialPrefillFraction: 0.25 });
     const stopping = new AbortController();
     void controller.run(stopping.signal);
