Order another engine at once when one ends while it changes its stage

Now an order ends with its engine's start.

The test failed before, for a removed record; an engine that has started again was replaced before as well.

--- a/src/stages/stageController.ts
+++ b/src/stages/stageController.ts
@@ -135,7 +135,8 @@
                     tookMs: Math.round(nowMs - sentAtMs),
                 });
             }
-            else if (record !== undefined && record.bornMs !== engine.bornMs) {
+            else if (record?.bornMs !== engine.bornMs) {
+                // The engine has ended.
                 pendingOrders.delete(engine.id);
             }
             else if (order.checkAtMs <= nowMs) {
@@ -148,6 +149,10 @@
         const { engine, stage, kind } = order;
         const report = await engines.report(engine, orderTimeoutMs);
         const nowMs = clock.monotonicMs();
+        if (report.isOk && report.value.bornMs > engine.bornMs) {
+            pendingOrders.delete(engine.id);
+            return;
+        }
         if (report.isOk && (report.value.isReconfiguring || report.value.stage === stage)) {
             const untilMs = Math.max(order.untilMs, nowMs + checkLeadMs + recordLagMs);
             pendingOrders.set(engine.id, { ...order, kind: "accepted", checkAtMs: untilMs - checkLeadMs, untilMs });
--- a/src/stages/stages.test.ts
+++ b/src/stages/stages.test.ts
@@ -696,4 +696,29 @@
         }
         stop();
     });
+
+    // Guards against a pause after an order whose engine has ended, as if the order had been refused.
+    it.each([
+        ["its record is removed", undefined],
+        ["it has started again", 2],
+    ])("is replaced by another one if it ends: %s", async (name, bornMs) => {
+        const { clock, directory, loads, sent, stop } = startController({
+            shortStage: "prefill",
+            work: { prefillMs: 200, decodeMs: 300 },
+        });
+        const others = [
+            engineRecord("p-1", "prefill"),
+            ...["d-2", "d-3", "d-4", "d-5"].map(id => engineRecord(id, "decode")),
+        ];
+        others.forEach(({ id }) => loads.start(id, requestWork));
+        directory.load([engineRecord("d-1", "decode"), ...others], "current");
+        await clock.advance(8_000);
+        expect(sent).toEqual(["d-1 prefill"]);
+        const again = bornMs === undefined ? [] : [engineRecord("d-1", "decode", { bornMs, slots: 9 })];
+        again.forEach(({ id }) => [1, 2].forEach(() => loads.start(id, requestWork)));
+        directory.load([...again, ...others], "current");
+        await clock.advance(5_000);
+        expect(sent).toEqual(["d-1 prefill", "d-2 prefill"]);
+        stop();
+    });
 });
