Treat a response with a status that does not exist as broken

Callers saw, on this system as well: responses of engines with status 600, 700 and 999 as the engine's answer (MIXED), on calls and streams of all kinds. 000, 099, 1xx and 1000 were 502 already. Cause: the HTTP client passes on every status of three digits, and only known ones were compared. Now such a response is an error of its connection, in the client that the calls to engines, the store, other entries and endpoints share; what that means for a call is decided as for a response that breaks off.

Ruled out: the same for calls that have no such check of their own, by a check in each of them.

--- a/fakes/rawEngines.ts
+++ b/fakes/rawEngines.ts
@@ -15,7 +15,7 @@
 import { createEngineRates } from "../src/engines/engineRates.js";
 import { createEvacuations } from "../src/engines/evacuations.js";
 import { forward } from "../src/forwarding/forward.js";
-import type { Route } from "../src/routes/desiredState.js";
+import type { CallerLimits, Route } from "../src/routes/desiredState.js";
 import { createPrometheusMetrics } from "../src/telemetry/prometheusMetrics.js";
 import { createTestForwardContext, desiredStateOf, engineRecord, silentDecisionLog } from "./forwardingHarness.js";
 import { createVirtualClock } from "./virtualClock.js";
@@ -109,7 +109,12 @@
 }
 
 /** Starts an entry with one route to the engines; returns its URL. */
-export async function startEntry({ addresses }: RawEngines, route: Route, cleanups: Cleanups): Promise<string> {
+export async function startEntry(
+    { addresses }: Pick<RawEngines, "addresses">,
+    route: Route,
+    cleanups: Cleanups,
+    limits: CallerLimits = desiredStateOf([]).limits,
+): Promise<string> {
     const clock = createVirtualClock();
     const notices = createEngineNotices(clock, silentDecisionLog);
     const engines: EnginePort = createEngineClient({
@@ -132,7 +137,7 @@
         clock,
         log: silentDecisionLog,
         metrics: createPrometheusMetrics(),
-        limits: () => desiredStateOf([]).limits,
+        limits: () => limits,
         desiredStateVersion: () => 1,
         forward: request => forward(context, request),
     });
@@ -152,6 +157,7 @@
     entryUrl: string,
     route: Route,
     headers: Readonly<Record<string, string>> = {},
+    body?: Buffer,
 ): Promise<ReceivedResponse> {
     let text = "";
     let status = 0;
@@ -164,6 +170,7 @@
                 host: "caller.example",
                 ...headers,
             },
+            ...body === undefined ? {} : { body },
         });
         status = response.statusCode;
         for await (const chunk of response.body as AsyncIterable<Buffer>) {
--- a/src/rpc/guardedClient.test.ts
+++ b/src/rpc/guardedClient.test.ts
@@ -8,7 +8,7 @@
 import type { Dispatcher } from "undici";
 import { afterEach, describe, expect, it } from "vitest";
 import { FreshPool } from "./freshPool.js";
-import { createGuardedAgent, headerLinesErrorCode, maxHeaderLines } from "./guardedClient.js";
+import { createGuardedAgent, headerLinesErrorCode, invalidStatusErrorCode, maxHeaderLines } from "./guardedClient.js";
 import { createGuardedConnector } from "./guardedConnector.js";
 
 const connectTimeoutMs = 10_000;
@@ -91,6 +91,17 @@
     },
 ];
 
+const statusCases: readonly (readonly [status: string, result: string])[] = [
+    ["000", invalidStatusErrorCode],
+    ["099", invalidStatusErrorCode],
+    ["200", "ok"],
+    ["599", "ok"],
+    ["600", invalidStatusErrorCode],
+    ["999", invalidStatusErrorCode],
+    // The parser reads no status of four digits.
+    ["1000", ""],
+];
+
 describe.each(dispatchers)("%s", (name, createDispatcher) => {
     // The lines of a few hundred heads or trailers at a time used up the memory of an entry.
     describe.each(cases)("$what", ({ before, lines, after, result = headerLinesErrorCode }) => {
@@ -107,4 +118,12 @@
             await dispatcher.destroy();
         });
     });
+
+    // Guards against a status that is none of HTTP being taken for an answer of an engine, the store or another entry.
+    it.each(statusCases)("status %s: %s", async (status, result) => {
+        const origin = await listen([`HTTP/1.1 ${status} Odd\r\ncontent-length: 2\r\n\r\nok`]);
+        const dispatcher = createDispatcher(origin);
+        expect(await get(dispatcher, origin)).toBe(result);
+        await dispatcher.destroy();
+    });
 });
--- a/src/rpc/guardedClient.ts
+++ b/src/rpc/guardedClient.ts
@@ -1,6 +1,7 @@
 /**
  * HTTP/1.1 connections for undici that guard against faulty peers: a head or trailers without end neither block this
- * process nor use up its memory. A reset is always an error with the guarded connector.
+ * process nor use up its memory, and a response whose status is none of HTTP is an error. A reset is always an error with
+ * the guarded connector.
  *
  * The parser keeps an object of about 100 bytes for each name and each value of a head, and limits only the bytes of
  * both; 16 KB of the shortest lines would take 3 MB for each call.
@@ -22,6 +23,7 @@
 /** Far more than a response has. Status lines and empty lines count, and those of trailers are counted apart. */
 export const maxHeaderLines = 256;
 export const headerLinesErrorCode = "TOO_MANY_HEADER_LINES";
+export const invalidStatusErrorCode = "INVALID_STATUS";
 
 /** Large enough for most heads. */
 const headPieceBytes = 1_024;
@@ -29,6 +31,9 @@
 const bodyPieceBytes = 4_096;
 /** Line ends between two parts of a body; more belong to trailers. */
 const maxBodyLines = 3;
+/** Statuses of HTTP. */
+const minStatus = 100;
+const maxStatus = 599;
 const minFinalStatus = 200;
 const lineEnd = "\n".charCodeAt(0);
 
@@ -80,6 +85,10 @@
         };
         handler.onHeaders = (status, rawHeaders, ...rest) => {
             this.#startPart(status >= minFinalStatus);
+            if (status < minStatus || status > maxStatus) {
+                abortRequest(createInvalidStatusError(status));
+                return false;
+            }
             // The lines of a head that arrived in one piece have not been counted.
             if (rawHeaders.length > 2 * maxHeaderLines) {
                 abortRequest(createHeaderLinesError());
@@ -153,6 +162,11 @@
     return Object.assign(error, { code: headerLinesErrorCode });
 }
 
+function createInvalidStatusError(status: number): Error {
+    const error = new Error(`the response has the invalid status ${status}`);
+    return Object.assign(error, { code: invalidStatusErrorCode });
+}
+
 function countLines(piece: Buffer): number {
     let lines = 0;
     for (let index = piece.indexOf(lineEnd); index >= 0; index = piece.indexOf(lineEnd, index + 1)) {
