Let what is served tell how fast the prefill engines read while requests wait for them

Cause: four decode engines and one prefill engine, replaced by a slow one, serve as much as three and two if all read at the usual rate, and the rate of the new engine was not measured before it had been busy for eight prompts of one entry. The streams of all entries show it at once: what is served is the decode engines that they fill, over the time of a mean generation, and while requests wait for the prefill engines, these read no faster. At least half of the believed speed is kept.

'adds a second prefill engine of five if the only one reads slower than believed' and the case of the split failed before.

--- a/src/stages/stageController.ts
+++ b/src/stages/stageController.ts
@@ -142,6 +142,8 @@
             work,
             allowsLocalPrefill: allowsLocalPrefillAt(service, engineSpec),
             prefillSpeedOf: engine => dependencies.prefillRates.rateOf(engine) / prefillTokensPerMs,
+            servedPerMs: group =>
+                shortStage === "prefill" ? busyDecodeEngines(group, engineSpec) / work.decodeMs : undefined,
         };
         return byVersion(modelEngines)
             .map(group => bestImprovement(group, demand, requestsAt))
@@ -151,6 +153,17 @@
             .find(improvement => addSaving(service, improvement, roundMs) >= costMs(improvement, engineSpec));
     }
 
+    /**
+     * Number of decode engines that the streams of all entries would fill, without those whose prompts are still being read. It
+     * is what is served in the time for which a generation occupies an engine (Little's law).
+     */
+    function busyDecodeEngines(engines: readonly EngineRecord[], { kvTokens }: EngineSpec): number {
+        const tokens = engines.map(({ id, stage }) =>
+            stage === "decode" ? loads.total(id).kvTokens : -loads.reported(id).prefillTokens
+        );
+        return Math.max(0, tokens.reduce((sum, count) => sum + count, 0)) / kvTokens;
+    }
+
     /** Adds what a change would have saved in this round; starts anew if the split is another one than before. */
     function addSaving(service: string, improvement: StageImprovement, roundMs: number): number {
         const { engine, stage, before, shortfall } = improvement;
--- a/src/stages/stageSplit.ts
+++ b/src/stages/stageSplit.ts
@@ -35,8 +35,15 @@
     readonly allowsLocalPrefill: boolean;
     /** How fast an engine reads prompts, as a multiple of the usual speed. */
     readonly prefillSpeedOf: (engine: EngineRecord) => number;
+    /**
+     * Generations per millisecond that `engines` serve now, if requests wait for their prefill engines: these then read no
+     * faster. `undefined` if they do not.
+     */
+    readonly servedPerMs: (engines: readonly EngineRecord[]) => number | undefined;
 }
 
+/** What is served now lowers the believed speed of prefill engines at most by this factor. */
+const minObservedSpeed = 0.5;
 /** How much longer a decode engine takes to read a prompt than a prefill engine (platform). */
 const localPrefillFactor = 2;
 
@@ -114,8 +121,13 @@
 ): StageImprovement | undefined {
     const { prefillSpeedOf } = demand;
     const before = splitOf(engines);
-    const prefillSpeed = engines.filter(({ stage }) => stage === "prefill")
+    const believedSpeed = engines.filter(({ stage }) => stage === "prefill")
         .reduce((sum, engine) => sum + prefillSpeedOf(engine), 0);
+    const servedPerMs = demand.servedPerMs(engines) ?? Number.POSITIVE_INFINITY;
+    const prefillSpeed = Math.min(
+        believedSpeed,
+        Math.max(believedSpeed * minObservedSpeed, servedPerMs * demand.work.prefillMs),
+    );
     const now: Split = { prefill: prefillSpeed, decode: before.decode };
     const rateNow = generationsPerMs(now, demand);
     const improvements = (["prefill", "decode"] as const).flatMap(stage => {
--- a/src/stages/stages.test.ts
+++ b/src/stages/stages.test.ts
@@ -268,6 +268,8 @@
     readonly allowsLocalPrefill?: boolean;
     /** Speeds of prefill engines by id; 1 by default. */
     readonly speeds?: Readonly<Record<string, number>>;
+    /** What is served while requests wait for the prefill engines; they do not by default. */
+    readonly servedPerMs?: number;
     readonly improvement: Pick<StageImprovement, "stage" | "shortfall" | "lossMeanwhile"> | undefined;
 }
 
@@ -316,6 +318,14 @@
         speeds: { "prefill-1": 0.75 },
         improvement: { stage: "prefill", shortfall: 0.25, lossMeanwhile: 0 },
     },
+    {
+        name: "a prefill engine of five that reads slower than believed needs a second one",
+        prefill: 1,
+        decode: 4,
+        work: { prefillMs: 100, decodeMs: 300 },
+        servedPerMs: 0.0075,
+        improvement: { stage: "prefill", shortfall: 0.25, lossMeanwhile: 0 },
+    },
     {
         name: "the last engine of a stage does not change",
         prefill: 1,
@@ -328,10 +338,14 @@
 describe("what a split of the engines serves", () => {
     it.each(improvementCases)(
         "$name",
-        ({ prefill, decode, work, allowsLocalPrefill = false, speeds = {}, improvement }) => {
+        ({ prefill, decode, work, allowsLocalPrefill = false, speeds = {}, servedPerMs, improvement }) => {
             const engines = [...enginesOf("prefill", prefill), ...enginesOf("decode", decode)];
             const prefillSpeedOf = ({ id }: EngineRecord): number => speeds[id] ?? 1;
-            const best = bestImprovement(engines, { work, allowsLocalPrefill, prefillSpeedOf }, () => 0);
+            const best = bestImprovement(
+                engines,
+                { work, allowsLocalPrefill, prefillSpeedOf, servedPerMs: () => servedPerMs },
+                () => 0,
+            );
             expect(best && [best.stage, best.shortfall.toFixed(3), best.lossMeanwhile.toFixed(3)]).toEqual(
                 improvement
                     && [improvement.stage, improvement.shortfall.toFixed(3), improvement.lossMeanwhile.toFixed(3)],
@@ -376,6 +390,8 @@
     /** Stage that requests wait for. */
     readonly shortStage?: Stage;
     readonly work?: StageWork;
+    /** Decode engines that the running streams would fill; all by default. */
+    readonly busyDecodeEngines?: number;
     /** Orders sent within 6.5 s and within 15 s. */
     readonly early: readonly string[];
     readonly late: readonly string[];
@@ -404,6 +420,26 @@
         early: [],
         late: ["decode-1 prefill"],
     },
+    {
+        name: "adds a second prefill engine of five if the only one reads slower than believed",
+        prefill: 1,
+        decode: 4,
+        shortStage: "prefill",
+        work: { prefillMs: 100, decodeMs: 300 },
+        busyDecodeEngines: 2.25,
+        early: ["decode-1 prefill"],
+        late: ["decode-1 prefill"],
+    },
+    {
+        name: "adds none if the decode engines are full",
+        prefill: 1,
+        decode: 4,
+        shortStage: "prefill",
+        work: { prefillMs: 100, decodeMs: 300 },
+        busyDecodeEngines: 4,
+        early: [],
+        late: [],
+    },
     {
         name: "changes nothing under load while no request waits",
         prefill: 1,
@@ -575,12 +611,15 @@
     return { clock, controller, directory, loads, sent, stop: () => stopping.abort() };
 }
 
+/** KV memory of an engine in the harness's desired state. */
+const engineKvTokens = 10_000;
 const requestWork: EngineWork = { requests: 1, kvTokens: 1, prefillTokens: 0 };
 
 // Guards against a split that follows the number of engines, whatever the work is and whatever a change costs.
 describe("the stage controller", () => {
     it.each(controllerCases)("$name", async testCase => {
         const { prefill, decode, leaving = [], evacuated = [], shortStage, work, early, late } = testCase;
+        const { busyDecodeEngines = decode } = testCase;
         const { clock, directory, loads, sent, stop } = startController({
             evacuatedDataCentres: ["evacuated"],
             // An ordered engine takes longer to change than the test lasts.
@@ -595,6 +634,8 @@
         // The first engine of each stage is the least busy one.
         engines.flatMap(engine => engine.id.endsWith("-1") ? [engine] : [engine, engine])
             .forEach(({ id }) => loads.start(id, requestWork));
+        const streamTokens = { requests: 0, kvTokens: busyDecodeEngines * engineKvTokens, prefillTokens: 0 };
+        loads.start("decode-2", streamTokens);
         await clock.advance(5_000);
         directory.load(engines.filter(({ id }) => !leaving.includes(id)), "current");
         await clock.advance(1_500);
