Keep prefill engines from being planned to be always busy

Cause: what a split serves was counted as if prefill engines could always be busy; prompts come at random, so they wait without bound then, at a single engine first. A fifth of the time of one engine stays idle, less of many (square-root staffing). While requests wait for the prefill engines, what is served now tells their speed in both directions, within a factor of two.

'a fast prefill engine of five is not left alone either' failed before.

--- a/src/stages/stageSplit.ts
+++ b/src/stages/stageSplit.ts
@@ -36,14 +36,16 @@
     /** How fast an engine reads prompts, as a multiple of the usual speed. */
     readonly prefillSpeedOf: (engine: EngineRecord) => number;
     /**
-     * Generations per millisecond that `engines` serve now, if requests wait for their prefill engines: these then read no
-     * faster. `undefined` if they do not.
+     * Generations per millisecond that `engines` serve now, if requests wait for their prefill engines, which then read as
+     * fast as that. `undefined` if they do not.
      */
     readonly servedPerMs: (engines: readonly EngineRecord[]) => number | undefined;
 }
 
-/** What is served now lowers the believed speed of prefill engines at most by this factor. */
-const minObservedSpeed = 0.5;
+/** What is served now changes the believed speed of prefill engines at most by this factor. */
+const maxObservedFactor = 2;
+/** With this much time idle, prompts wait on average for two others at a single prefill engine. */
+const idleFractionOfOne = 0.2;
 /** How much longer a decode engine takes to read a prompt than a prefill engine (platform). */
 const localPrefillFactor = 2;
 
@@ -52,16 +54,32 @@
     return engines < 2 ? 0 : Math.min(engines - 1, Math.max(1, Math.round(engines * prefillFraction)));
 }
 
-/** Generations per millisecond that a split serves at most; prefill engines count by their speeds. */
-function generationsPerMs({ prefill, decode }: Split, { work, allowsLocalPrefill }: SplitDemand): number {
+/**
+ * Generations per millisecond that a split serves at most, if its prefill engines together read as fast as `prefillSpeed`
+ * usual ones.
+ */
+function generationsPerMs(
+    { prefill, decode }: Split,
+    prefillSpeed: number,
+    { work, allowsLocalPrefill }: SplitDemand,
+): number {
     const { prefillMs, decodeMs } = work;
-    const prefillRate = prefill / prefillMs;
+    const usableSpeed = prefillSpeed * usableFraction(prefill);
+    const prefillRate = usableSpeed / prefillMs;
     const decodeRate = decode / decodeMs;
     if (prefillRate >= decodeRate || !allowsLocalPrefill) {
         return Math.min(prefillRate, decodeRate);
     }
     // All engines are busy: decode engines with the streams and with the prompts that prefill engines have no time for.
-    return (decode + localPrefillFactor * prefill) / (decodeMs + localPrefillFactor * prefillMs);
+    return (decode + localPrefillFactor * usableSpeed) / (decodeMs + localPrefillFactor * prefillMs);
+}
+
+/**
+ * Fraction of the time of prefill engines that can be used. Prompts come at random, so engines that are always busy would
+ * let them wait without bound; of many engines, fewer have to be idle (square-root staffing).
+ */
+function usableFraction(prefillEngines: number): number {
+    return 1 - idleFractionOfOne / Math.sqrt(Math.max(1, prefillEngines));
 }
 
 /** Engines by their software versions; first the versions without decode engines, then those without prefill engines. */
@@ -123,35 +141,39 @@
     const before = splitOf(engines);
     const believedSpeed = engines.filter(({ stage }) => stage === "prefill")
         .reduce((sum, engine) => sum + prefillSpeedOf(engine), 0);
-    const servedPerMs = demand.servedPerMs(engines) ?? Number.POSITIVE_INFINITY;
-    const prefillSpeed = Math.min(
-        believedSpeed,
-        Math.max(believedSpeed * minObservedSpeed, servedPerMs * demand.work.prefillMs),
-    );
-    const now: Split = { prefill: prefillSpeed, decode: before.decode };
-    const rateNow = generationsPerMs(now, demand);
+    const servedPerMs = demand.servedPerMs(engines);
+    const prefillSpeed = servedPerMs === undefined
+        ? believedSpeed
+        : Math.min(
+            believedSpeed * maxObservedFactor,
+            Math.max(
+                believedSpeed / maxObservedFactor,
+                servedPerMs * demand.work.prefillMs / usableFraction(before.prefill),
+            ),
+        );
+    const rateNow = generationsPerMs(before, prefillSpeed, demand);
     const improvements = (["prefill", "decode"] as const).flatMap(stage => {
         // The slowest prefill engine changes first.
         const change = changeTo(stage, engines, requestsAt, stage === "decode" ? prefillSpeedOf : () => 1);
         if (change === undefined || before[stage === "decode" ? "prefill" : "decode"] < 2) {
             return [];
         }
-        const speed = prefillSpeedOf(change.engine);
-        const after: Split = stage === "prefill"
-            ? { prefill: prefillSpeed + speed, decode: before.decode - 1 }
-            : { prefill: prefillSpeed - speed, decode: before.decode + 1 };
-        const rateAfter = generationsPerMs(after, demand);
+        const added = stage === "prefill" ? 1 : -1;
+        const after: Split = { prefill: before.prefill + added, decode: before.decode - added };
+        const speedAfter = prefillSpeed + added * prefillSpeedOf(change.engine);
+        const rateAfter = generationsPerMs(after, speedAfter, demand);
         if (rateAfter <= rateNow) {
             return [];
         }
         const meanwhile: Split = {
-            prefill: Math.min(now.prefill, after.prefill),
-            decode: Math.min(now.decode, after.decode),
+            prefill: Math.min(before.prefill, after.prefill),
+            decode: Math.min(before.decode, after.decode),
         };
+        const rateMeanwhile = generationsPerMs(meanwhile, Math.min(prefillSpeed, speedAfter), demand);
         return [{
             ...change,
             shortfall: 1 - rateNow / rateAfter,
-            lossMeanwhile: Math.max(0, 1 - generationsPerMs(meanwhile, demand) / rateNow),
+            lossMeanwhile: Math.max(0, 1 - rateMeanwhile / rateNow),
             before,
         }];
     });
