--- a/src/stages/stageController.ts
+++ b/src/stages/stageController.ts
@@ -15,7 +15,7 @@
 import type { PrefillRates } from "../scheduling/prefillRates.js";
 import { createStageOrders } from "./stageOrders.js";
 import type { StageOrders, StageOrdersDependencies } from "./stageOrders.js";
-import { bestImprovement, byVersion, changeToMissingStage, nextStageChange } from "./stageSplit.js";
+import { bestImprovement, byVersion, changeToMissingStage, changeTowardsFraction } from "./stageSplit.js";
 import type { SplitDemand, StageChange, StageImprovement } from "./stageSplit.js";
 import type { StageWorkEstimates } from "./stageWork.js";
 
@@ -116,7 +116,7 @@
         const isUnknown = dependencies.stageWork.of(name) === undefined;
         const change = urgent
             ?? (isServiceIdle && isUnknown
-                ? nextStageChange(effective, settings.initialPrefillFraction, requestsAt)
+                ? changeTowardsFraction(effective, settings.initialPrefillFraction, requestsAt)
                 : worthwhileChange(name, engineSpec, effective, roundMs));
         const mayOrder = urgent !== undefined || isServiceIdle
             || clock.monotonicMs() >= orders.lastFailureAtMs() + failedOrderPauseMs;
--- a/src/stages/stageSplit.ts
+++ b/src/stages/stageSplit.ts
@@ -42,7 +42,7 @@
     readonly servedPerMs: (engines: readonly EngineRecord[]) => number | undefined;
 }
 
-/** What is served now changes the believed speed of prefill engines at most by this factor. */
+/** What is served now changes the measured speed of prefill engines at most by this factor. */
 const maxObservedFactor = 2;
 /** With this much time idle, prompts wait on average for two others at a single prefill engine. */
 const idleFractionOfOne = 0.2;
@@ -111,7 +111,7 @@
  * The next change towards a fixed fraction of prefill engines, or `undefined` if the splits of all software versions are
  * on target. `requestsAt` returns the requests in flight at an engine.
  */
-export function nextStageChange(
+export function changeTowardsFraction(
     engines: readonly EngineRecord[],
     prefillFraction: number,
     requestsAt: (engineId: string) => number,
@@ -139,23 +139,12 @@
 ): StageImprovement | undefined {
     const { prefillSpeedOf } = demand;
     const before = splitOf(engines);
-    const believedSpeed = engines.filter(({ stage }) => stage === "prefill")
-        .reduce((sum, engine) => sum + prefillSpeedOf(engine), 0);
-    const servedPerMs = demand.servedPerMs(engines);
-    const prefillSpeed = servedPerMs === undefined
-        ? believedSpeed
-        : Math.min(
-            believedSpeed * maxObservedFactor,
-            Math.max(
-                believedSpeed / maxObservedFactor,
-                servedPerMs * demand.work.prefillMs / usableFraction(before.prefill),
-            ),
-        );
+    const prefillSpeed = prefillSpeedOfAll(engines, before, demand);
     const rateNow = generationsPerMs(before, prefillSpeed, demand);
     const improvements = (["prefill", "decode"] as const).flatMap(stage => {
         // The slowest prefill engine changes first.
-        const change = changeTo(stage, engines, requestsAt, stage === "decode" ? prefillSpeedOf : () => 1);
-        if (change === undefined || before[stage === "decode" ? "prefill" : "decode"] < 2) {
+        const change = changeTo(stage, engines, requestsAt, stage === "decode" ? prefillSpeedOf : undefined);
+        if (change === undefined || before[change.engine.stage ?? stage] < 2) {
             return [];
         }
         const added = stage === "prefill" ? 1 : -1;
@@ -180,6 +169,19 @@
     return improvements.sort((left, right) => right.shortfall - left.shortfall)[0];
 }
 
+/** How fast all prefill engines read together, in engines of the usual speed. */
+function prefillSpeedOfAll(engines: readonly EngineRecord[], { prefill }: Split, demand: SplitDemand): number {
+    const { work, prefillSpeedOf, servedPerMs } = demand;
+    const measuredSpeed = engines.filter(({ stage }) => stage === "prefill")
+        .reduce((sum, engine) => sum + prefillSpeedOf(engine), 0);
+    const served = servedPerMs(engines);
+    if (served === undefined) {
+        return measuredSpeed;
+    }
+    const observedSpeed = served * work.prefillMs / usableFraction(prefill);
+    return Math.min(measuredSpeed * maxObservedFactor, Math.max(measuredSpeed / maxObservedFactor, observedSpeed));
+}
+
 function splitOf(engines: readonly EngineRecord[]): Split {
     const countOf = (stage: Stage): number => engines.filter(engine => engine.stage === stage).length;
     return { prefill: countOf("prefill"), decode: countOf("decode") };
--- a/src/stages/stages.test.ts
+++ b/src/stages/stages.test.ts
@@ -34,7 +34,7 @@
 import type { OrderLeadership } from "./orderLeadership.js";
 import { createStageController } from "./stageController.js";
 import type { StageController } from "./stageController.js";
-import { bestImprovement, nextStageChange, targetPrefillEngines } from "./stageSplit.js";
+import { bestImprovement, changeTowardsFraction, targetPrefillEngines } from "./stageSplit.js";
 import type { StageImprovement } from "./stageSplit.js";
 import { createStageWorkEstimates } from "./stageWork.js";
 import type { StageWork } from "./stageWork.js";
@@ -237,13 +237,13 @@
             ...prefill.map(id => engineRecord(id, "prefill")),
             ...decode.map(id => engineRecord(id, "decode")),
         ];
-        const next = nextStageChange(engines, 0.25, () => 0);
+        const next = changeTowardsFraction(engines, 0.25, () => 0);
         expect(next && `${next.engine.id} ${next.stage}`).toBe(change);
     });
 
     it("changes the least busy engine", () => {
         const engines = ["p1", "p2", "p3", "d1"].map(id => engineRecord(id, id.startsWith("p") ? "prefill" : "decode"));
-        expect(nextStageChange(engines, 0.25, id => id === "p2" ? 0 : 5)?.engine.id).toBe("p2");
+        expect(changeTowardsFraction(engines, 0.25, id => id === "p2" ? 0 : 5)?.engine.id).toBe("p2");
     });
 
     it("keeps at least one engine in each stage if there are two or more", () => {
@@ -522,7 +522,7 @@
             const [softwareVersion = "", stage] = text.split(" ");
             return engineRecord(`i-${index}`, stage === "prefill" ? "prefill" : "decode", { softwareVersion });
         });
-        const next = nextStageChange(records, 0.25, () => 0);
+        const next = changeTowardsFraction(records, 0.25, () => 0);
         expect(next === undefined ? undefined : `${next.engine.softwareVersion} ${next.stage}`).toBe(change);
     });
 });
