Close the connection of an engine's answer that belongs to nothing asked

Cause: an answer that belongs to nothing asked was rejected, but the one that was still due on its connection was then taken for that to the next request there. Prefills, reservations, reports, orders, releases and status checks kept such a connection. Requests closed the body, which closes the connection only while the body is arriving; a short answer that names another request had arrived, and each later plain call on the connection lost its answer.

Change: the sender checks a response when it is complete, before its connection carries another request, and the connection is closed if the response is not its own.

--- a/src/rpc/freshPool.ts
+++ b/src/rpc/freshPool.ts
@@ -15,12 +15,13 @@
 import type { buildConnector, Client, Dispatcher } from "undici";
 import { systemClock } from "../common/clock.js";
 import { GuardedClient } from "./guardedClient.js";
+import type { CheckedRequestOptions } from "./guardedClient.js";
 
 export interface FreshPoolOptions extends Pool.Options {
     readonly connect: buildConnector.connector;
 }
 
-export interface FreshRequestOptions extends Dispatcher.RequestOptions {
+export interface FreshRequestOptions extends CheckedRequestOptions {
     /** The request fails at once when its connection is suspected of silence; see `isSilence`. */
     readonly endsOnSilence?: boolean;
 }
--- a/src/rpc/guardedClient.ts
+++ b/src/rpc/guardedClient.ts
@@ -3,6 +3,10 @@
  * process nor use up its memory, and a response whose status is none of HTTP is an error. A reset is always an error with
  * the guarded connector.
  *
+ * A peer may send a response that belongs to no request, at the point where the next one is expected; each later response
+ * on that connection would then be taken for that to the next request. The sender of a request can check for this
+ * (`checkResponse`) before the connection carries another one; afterwards it would be too late to close it.
+ *
  * The parser keeps an object of about 100 bytes for each name and each value of a head, and limits only the bytes of
  * both; 16 KB of the shortest lines would take 3 MB for each call.
  */
@@ -20,6 +24,24 @@
     readonly connect: buildConnector.connector;
 }
 
+/** Looks up the first value of a header by its name in lower case. */
+export type HeaderLookup = (name: string) => string | undefined;
+
+export interface ResponseCheck {
+    /** Called with each part of the body. */
+    readonly onData?: (chunk: Buffer) => void;
+    /**
+     * Whether the connection may carry further requests. Called when the response is complete, before another request is
+     * sent on the connection; must not throw.
+     */
+    readonly mayReuse: () => boolean;
+}
+
+export interface CheckedRequestOptions extends Dispatcher.RequestOptions {
+    /** Called with the head of the final response. By default the connection may be reused. */
+    readonly checkResponse?: (status: number, header: HeaderLookup) => ResponseCheck;
+}
+
 /** Far more than a response has. Status lines and empty lines count, and those of trailers are counted apart. */
 export const maxHeaderLines = 256;
 export const headerLinesErrorCode = "TOO_MANY_HEADER_LINES";
@@ -72,12 +94,16 @@
         this.#reading.socket?.destroy();
     }
 
-    override dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
+    override dispatch(
+        options: Dispatcher.DispatchOptions & Pick<CheckedRequestOptions, "checkResponse">,
+        handler: Dispatcher.DispatchHandler,
+    ): boolean {
         const onConnect = handler.onConnect?.bind(handler);
         const onHeaders = handler.onHeaders?.bind(handler);
         const onData = handler.onData?.bind(handler);
         const onComplete = handler.onComplete?.bind(handler);
         let abortRequest: (error: Error) => void = () => undefined;
+        let check: ResponseCheck | undefined;
         handler.onConnect = abort => {
             abortRequest = abort;
             this.#startPart(false);
@@ -94,14 +120,21 @@
                 abortRequest(createHeaderLinesError());
                 return false;
             }
+            if (status >= minFinalStatus) {
+                check = options.checkResponse?.(status, headerLookup(rawHeaders));
+            }
             return onHeaders?.(status, rawHeaders, ...rest) ?? true;
         };
         handler.onData = chunk => {
             this.#startPart(true, chunk);
+            check?.onData?.(chunk);
             return onData?.(chunk) ?? true;
         };
         handler.onComplete = trailers => {
             this.#startPart(false);
+            if (check?.mayReuse() === false) {
+                this.closeSocket();
+            }
             onComplete?.(trailers);
         };
         return super.dispatch(options, handler);
@@ -116,6 +149,16 @@
     }
 }
 
+/** Looks up headers given as alternating names and values. */
+export function headerLookup(rawHeaders: readonly (string | Buffer)[]): HeaderLookup {
+    return name => {
+        const index = rawHeaders.findIndex((candidate, position) =>
+            position % 2 === 0 && String(candidate).toLowerCase() === name
+        );
+        return index < 0 ? undefined : String(rawHeaders[index + 1]);
+    };
+}
+
 /** Creates an agent whose connections are guarded. */
 export function createGuardedAgent({ connect, ...options }: GuardedAgentOptions): Agent {
     return new Agent({
