Read the changes between the pages of a table

Cause: a table of several pages got the position of its last page, and the feed was followed from there, so changes of rows on earlier pages between the reads were never seen. It concerned every table that is followed.

Change: after the last page the changes since the first are read and applied, except those that the page of their row already includes. Following the feed from the first page's position would repeat changes, so that a row, and with it an engine's state or the desired state's version, would go back for a moment. No further call for a table of one page.

--- a/fakes/platformStore.ts
+++ b/fakes/platformStore.ts
@@ -36,6 +36,8 @@
     readonly revision: () => number;
     /** Number of calls that have arrived. */
     readonly calls: () => number;
+    /** Calls `listener` with the number of each page of rows from now on, after the page was read. */
+    readonly onPageRead: (listener: (page: number) => void) => void;
     /** Returns to the state at an earlier revision, as a store that is restored from an older copy, in a new era. */
     readonly restore: (revision: number) => void;
     /** Whether responses report the era. */
@@ -61,6 +63,8 @@
     let oldestRevision = 0;
     let fault: StoreFault = "none";
     let calls = 0;
+    let pagesRead = 0;
+    let pageListener: (page: number) => void = () => undefined;
     let openFeeds: FeedRequest[] = [];
 
     const idOf = (table: string, key: string): string => `${table}\n${key}`;
@@ -101,6 +105,8 @@
             row_version: revision,
             now_ms: 1,
         });
+        pagesRead += 1;
+        pageListener(pagesRead);
     }
 
     function rowsFeed(query: URLSearchParams, response: ServerResponse): void {
@@ -216,6 +222,9 @@
         },
         revision: () => revision,
         calls: () => calls,
+        onPageRead: listener => {
+            pageListener = listener;
+        },
         restore: restored => {
             const kept = allChanges.filter(row => row.row_version <= restored);
             rows.clear();
--- a/src/peerSync/tableReplica.ts
+++ b/src/peerSync/tableReplica.ts
@@ -38,6 +38,10 @@
 
 /** The change feed of one table. `onBytes` learns of what arrives of a response. */
 export interface TableFeed {
+    /**
+     * Reads the whole table. The copy lacks no change up to its position; a row is never older in later changes than in
+     * the copy, unless the store has discarded the history since its position.
+     */
     readonly readAll: (onBytes?: BytesListener) => Promise<Result<TableCopy, PlatformError>>;
     /**
      * Long poll: resolves as soon as there are changes after `position`, or without changes after `waitMs`. Aborting
