Find a reset under a long upload before the end of the connection is passed on

Cause: when a reset arrives with the last bytes, the event loop reports the end of the stream. The connector finds the reset with an empty write, which waited behind the upload, so that the end came first. The upload fails in the same turn, later.

Change: while a write is pending, the end is passed on at the end of the turn, unless that write has failed. An end in order under an unfinished upload is still the end of the answer.

Ruled out: the framing of the body (the entry treats it as one that ends with its connection, as it should).

--- a/src/rpc/guardedConnector.ts
+++ b/src/rpc/guardedConnector.ts
@@ -4,7 +4,7 @@
  * A response without a length ends when its connection closes, and is complete only if the connection was closed
  * normally. Two lower layers treat a reset as a normal close: undici ignores `ECONNRESET` once such a response has
  * begun, and the event loop reports the end of the stream instead of an error when the reset arrives together with the
- * last bytes.
+ * last bytes. Only a write shows then that the connection was reset.
  */
 
 import type { Socket } from "node:net";
@@ -33,12 +33,26 @@
         }
     });
     const emit = socket.emit.bind(socket) as (event: string | symbol, ...values: readonly unknown[]) => boolean;
-    socket.emit = (event: string | symbol, ...values: readonly unknown[]): boolean => {
-        if (event === "end" && wasReset(socket)) {
+    const endUnlessReset = (): void => {
+        if (wasReset(socket)) {
             socket.destroy(Object.assign(new Error("the connection was reset"), { code: resetErrorCode }));
-            return true;
         }
-        return emit(event, ...values);
+        else if (!socket.destroyed) {
+            emit("end");
+        }
+    };
+    socket.emit = (event: string | symbol, ...values: readonly unknown[]): boolean => {
+        if (event !== "end") {
+            return emit(event, ...values);
+        }
+        if (socket.writableLength === 0) {
+            endUnlessReset();
+        }
+        else {
+            // A write that is pending, such as a long upload, fails in this turn of the event loop, but after this event.
+            setImmediate(endUnlessReset);
+        }
+        return true;
     };
 }
 
