--- a/scripts/forwardingOutcomes.ts
+++ b/scripts/forwardingOutcomes.ts
@@ -20,7 +20,7 @@
 import { forward } from "../src/forwarding/forward.js";
 import type { RouteKind } from "../src/routes/desiredState.js";
 
-type Failure = EngineError["kind"] | 500;
+type Failure = EngineError["kind"] | 500 | 503;
 
 interface Stage {
     readonly name: string;
@@ -57,7 +57,7 @@
         !fails(engine) ? responseOf(200) : typeof failure === "number" ? responseOf(failure) : errorOf(failure),
 });
 
-const sendFailures: readonly Failure[] = ["unreachable", "notExecuted", "interrupted", "timeout", 500];
+const sendFailures: readonly Failure[] = ["unreachable", "notExecuted", "interrupted", "timeout", 500, 503];
 
 const stages: readonly Stage[] = [
     {
--- a/scripts/outcomesPage.ts
+++ b/scripts/outcomesPage.ts
@@ -47,6 +47,7 @@
 
 - \`unreachable\`: nothing was delivered. \`notExecuted\`: the engine says that it did not run the request (also 421).
 - \`interrupted\`: the answer was lost, broke off or was not the request's own. \`timeout\`: no answer in time.
+- \`status 500\`, \`status 503\`: the engine answered so, without saying that it did not run the request; 408 and 429 go like 503.
 
 A stream that breaks off after its first event, or whose events are out of order, goes on at another engine where its route
 allows it, and at a further one if that engine's answer does not go on with it; else its connection ends without looking
